Add the design, wire protocol, links and build

Cause: nothing existed; every later part needs fixed messages, a link with a verdict on silence, and one command that builds and checks. Conclusion: a base for entry, agent and control; no request is served yet.

--- /dev/null
+++ b/oleanderhinge/base/time.hpp
@@ -0,0 +1,33 @@
+// Time as an argument. Decision code takes `now` and never reads a clock; only
+// the daemons call `monotonic_now`.
+//
+// Example:
+//   auto deadline = now + std::chrono::milliseconds(1500);
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace oleanderhinge::base
+{
+
+// Clock type of `time_point`. It has no `now` member on purpose.
+struct monotonic_clock {
+    using duration = std::chrono::microseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<monotonic_clock, duration>;
+    static constexpr bool is_steady = true;
+};
+
+using duration = monotonic_clock::duration;
+using time_point = monotonic_clock::time_point;
+
+// Reads the steady clock of this VM. Values of two VMs are not comparable.
+time_point monotonic_now();
+
+// Microseconds since the Unix epoch by the wall clock, for the hybrid logical
+// clock and for display only.
+std::uint64_t wall_clock_us();
+
+} // namespace oleanderhinge::base
--- /dev/null
+++ b/oleanderhinge/net/http_client.cpp
@@ -0,0 +1,194 @@
+#include "oleanderhinge/net/http_client.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <algorithm>
+#include <map>
+#include <mutex>
+#include <utility>
+
+namespace oleanderhinge::net
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+namespace
+{
+
+constexpr std::size_t max_answer = std::size_t(4) << 20;
+constexpr auto as_pair = asio::as_tuple(asio::use_awaitable);
+
+http_outcome failed_with(http_failure kind, boost::system::error_code error)
+{
+    return {kind, error.message(), {}};
+}
+
+http::request<http::string_body>
+to_beast(const wire::endpoint& server, http_call&& call)
+{
+    http::request<http::string_body> request;
+    request.version(11);
+    request.method_string(call.method);
+    request.target(call.target);
+    for (const auto& field : call.headers)
+        request.set(field.name, field.value);
+    request.set(
+        http::field::host, server.address + ":" + std::to_string(server.port));
+    request.body() = std::move(call.body);
+    request.prepare_payload();
+    return request;
+}
+
+} // namespace
+
+struct http_client::impl {
+    impl(asio::io_context& context, std::size_t kept_limit)
+        : io(context)
+        , max_idle(kept_limit)
+    {
+    }
+
+    std::unique_ptr<beast::tcp_stream> take(const wire::endpoint& server)
+    {
+        const std::lock_guard lock(this->mutex);
+        auto& kept = this->idle[server];
+        if (kept.empty())
+            return nullptr;
+        auto stream = std::move(kept.back());
+        kept.pop_back();
+        return stream;
+    }
+
+    void keep(
+        const wire::endpoint& server, std::unique_ptr<beast::tcp_stream> stream)
+    {
+        stream->expires_never();
+        const std::lock_guard lock(this->mutex);
+        auto& kept = this->idle[server];
+        if (kept.size() < this->max_idle)
+            kept.push_back(std::move(stream));
+    }
+
+    asio::io_context& io;
+    const std::size_t max_idle;
+    std::mutex mutex;
+    std::map<wire::endpoint, std::vector<std::unique_ptr<beast::tcp_stream>>>
+        idle;
+};
+
+http_client::http_client(asio::io_context& io, std::size_t max_idle)
+    : state(std::make_shared<impl>(io, max_idle))
+{
+}
+
+http_client::~http_client() = default;
+
+namespace
+{
+
+using stream_ptr = std::unique_ptr<beast::tcp_stream>;
+using deadline_point = std::chrono::steady_clock::time_point;
+
+asio::awaitable<boost::system::error_code>
+connect(beast::tcp_stream& stream, const wire::endpoint& server)
+{
+    boost::system::error_code bad;
+    const auto address = asio::ip::make_address(server.address, bad);
+    if (bad)
+        co_return bad;
+    const auto [failed] = co_await stream.async_connect(
+        tcp::endpoint(address, server.port), as_pair);
+    boost::system::error_code ignored;
+    if (!failed)
+        stream.socket().set_option(tcp::no_delay(true), ignored);
+    co_return failed;
+}
+
+http_outcome to_outcome(http::response<http::string_body>&& answer)
+{
+    http_outcome outcome;
+    outcome.answer.status = answer.result_int();
+    for (const auto& field : answer)
+        outcome.answer.headers.push_back(
+            {std::string(field.name_string()), std::string(field.value())});
+    outcome.answer.body = std::move(answer.body());
+    return outcome;
+}
+
+// Runs on the strand of the stream. `fresh` is set for a new connection.
+// Resets `stream` if the connection cannot be kept.
+asio::awaitable<http_outcome> exchange(
+    stream_ptr& stream,
+    bool fresh,
+    wire::endpoint server,
+    http_call request,
+    deadline_point deadline)
+{
+    stream->expires_at(deadline);
+    if (fresh) {
+        const auto failed = co_await connect(*stream, server);
+        if (failed) {
+            stream.reset();
+            co_return failed_with(http_failure::not_sent, failed);
+        }
+    }
+    const auto message = to_beast(server, std::move(request));
+    const auto [write_failed, written] =
+        co_await http::async_write(*stream, message, as_pair);
+    if (write_failed) {
+        stream.reset();
+        co_return failed_with(http_failure::unknown, write_failed);
+    }
+    beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(max_answer);
+    const auto [read_failed, size] =
+        co_await http::async_read(*stream, buffer, parser, as_pair);
+    if (read_failed) {
+        stream.reset();
+        co_return failed_with(http_failure::unknown, read_failed);
+    }
+    const bool keep = parser.get().keep_alive();
+    auto outcome = to_outcome(parser.release());
+    if (!keep)
+        stream.reset();
+    co_return outcome;
+}
+
+} // namespace
+
+asio::awaitable<http_outcome> http_client::call(
+    wire::endpoint server,
+    http_call request,
+    std::chrono::milliseconds timeout,
+    reuse connection)
+{
+    const auto held = this->state;
+    const auto deadline = std::chrono::steady_clock::now() + timeout;
+    stream_ptr stream;
+    if (connection == reuse::allowed)
+        stream = held->take(server);
+    const bool fresh = !stream;
+    if (fresh)
+        stream =
+            std::make_unique<beast::tcp_stream>(asio::make_strand(held->io));
+    const auto executor = stream->get_executor();
+    auto outcome = co_await asio::co_spawn(
+        executor,
+        exchange(stream, fresh, server, std::move(request), deadline),
+        asio::use_awaitable);
+    if (stream)
+        held->keep(server, std::move(stream));
+    co_return outcome;
+}
+
+} // namespace oleanderhinge::net
--- /dev/null
+++ b/oleanderhinge/net/http_server.cpp
@@ -0,0 +1,396 @@
+#include "oleanderhinge/net/http_server.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json.hpp>
+
+#include <atomic>
+#include <mutex>
+#include <unordered_map>
+#include <utility>
+
+namespace oleanderhinge::net
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+namespace
+{
+
+// Completes with the error code instead of throwing.
+constexpr auto as_pair = asio::as_tuple(asio::use_awaitable);
+
+class stream_exchange final : public http_exchange
+{
+public:
+    stream_exchange(
+        beast::tcp_stream& connection,
+        const http_limits& bounds,
+        unsigned http_version,
+        bool keep)
+        : stream(connection)
+        , limits(bounds)
+        , version(http_version)
+        , keep_alive(keep)
+    {
+    }
+
+    asio::awaitable<bool> respond(
+        unsigned status,
+        std::string_view content_type,
+        std::string body,
+        std::vector<wire::header> headers) override
+    {
+        http::response<http::string_body> answer(
+            http::status(status), this->version);
+        this->set_headers(answer, content_type, headers);
+        answer.keep_alive(this->keep_alive);
+        answer.body() = std::move(body);
+        answer.prepare_payload();
+        this->answered = true;
+        this->stream.expires_after(this->limits.write_timeout);
+        const auto [failed, size] =
+            co_await http::async_write(this->stream, answer, as_pair);
+        co_return this->ok(failed);
+    }
+
+    asio::awaitable<bool> begin_stream(
+        unsigned status,
+        std::string_view content_type,
+        std::vector<wire::header> headers) override
+    {
+        http::response<http::empty_body> answer(
+            http::status(status), this->version);
+        this->set_headers(answer, content_type, headers);
+        answer.keep_alive(this->keep_alive);
+        answer.chunked(true);
+        this->answered = true;
+        this->streaming = true;
+        http::response_serializer<http::empty_body> serializer(answer);
+        this->stream.expires_after(this->limits.write_timeout);
+        const auto [failed, size] = co_await http::async_write_header(
+            this->stream, serializer, as_pair);
+        co_return this->ok(failed);
+    }
+
+    asio::awaitable<bool> write_chunk(std::string_view data) override
+    {
+        if (this->failed_write)
+            co_return false;
+        this->stream.expires_after(this->limits.write_timeout);
+        const auto [failed, size] = co_await asio::async_write(
+            this->stream,
+            http::make_chunk(asio::buffer(data.data(), data.size())),
+            as_pair);
+        co_return this->ok(failed);
+    }
+
+    asio::awaitable<bool> end_stream() override
+    {
+        if (this->failed_write)
+            co_return false;
+        this->streaming = false;
+        this->stream.expires_after(this->limits.write_timeout);
+        const auto [failed, size] = co_await asio::async_write(
+            this->stream, http::make_chunk_last(), as_pair);
+        co_return this->ok(failed);
+    }
+
+    bool client_gone() override
+    {
+        if (this->failed_write)
+            return true;
+        auto& socket = this->stream.socket();
+        boost::system::error_code failed;
+        socket.non_blocking(true, failed);
+        char byte = 0;
+        socket.receive(
+            asio::buffer(&byte, 1), tcp::socket::message_peek, failed);
+        return failed && failed != asio::error::would_block &&
+               failed != asio::error::try_again;
+    }
+
+    // A stream without its end must not look complete, so the connection is
+    // closed then.
+    bool reusable() const
+    {
+        return this->answered && !this->streaming && !this->failed_write &&
+               this->keep_alive;
+    }
+
+    bool has_answered() const { return this->answered; }
+
+private:
+    template <class Answer>
+    void set_headers(
+        Answer& answer,
+        std::string_view content_type,
+        const std::vector<wire::header>& headers)
+    {
+        answer.set(http::field::server, "oleanderhinge");
+        if (!content_type.empty())
+            answer.set(http::field::content_type, content_type);
+        for (const auto& field : headers)
+            answer.set(field.name, field.value);
+    }
+
+    bool ok(boost::system::error_code failed)
+    {
+        if (failed)
+            this->failed_write = true;
+        return !failed;
+    }
+
+    beast::tcp_stream& stream;
+    const http_limits& limits;
+    const unsigned version;
+    const bool keep_alive;
+    bool answered = false;
+    bool streaming = false;
+    bool failed_write = false;
+};
+
+} // namespace
+
+struct http_server::impl : std::enable_shared_from_this<http_server::impl> {
+    impl(asio::io_context& context, http_limits bounds, http_handler callback)
+        : io(context)
+        , acceptor(asio::make_strand(context))
+        , limits(bounds)
+        , handler(std::move(callback))
+    {
+    }
+
+    void accept()
+    {
+        this->acceptor.async_accept(
+            asio::make_strand(this->io),
+            [self = this->shared_from_this()](
+                boost::system::error_code failed, tcp::socket socket) {
+                if (self->draining)
+                    return;
+                if (!failed && self->open < self->limits.max_connections)
+                    self->serve(std::move(socket));
+                self->accept();
+            });
+    }
+
+    void serve(tcp::socket socket)
+    {
+        const auto executor = socket.get_executor();
+        asio::co_spawn(
+            executor,
+            run(this->shared_from_this(), std::move(socket)),
+            asio::detached);
+    }
+
+    static asio::awaitable<void>
+    run(std::shared_ptr<impl> self, tcp::socket socket)
+    {
+        beast::tcp_stream stream(std::move(socket));
+        const auto id = self->register_stream(stream);
+        beast::flat_buffer buffer;
+        boost::system::error_code ignored;
+        stream.socket().set_option(tcp::no_delay(true), ignored);
+        while (!self->draining && co_await self->exchange(stream, buffer)) {
+        }
+        self->unregister(id);
+        stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    }
+
+    // Serves one request; returns whether the connection can be kept.
+    asio::awaitable<bool>
+    exchange(beast::tcp_stream& stream, beast::flat_buffer& buffer)
+    {
+        http::request_parser<http::string_body> parser;
+        parser.header_limit(std::uint32_t(this->limits.header_bytes));
+        parser.body_limit(this->limits.body_bytes);
+        if (buffer.size() == 0) {
+            stream.expires_after(this->limits.idle_timeout);
+            const auto [failed, size] =
+                co_await stream.async_read_some(buffer.prepare(4096), as_pair);
+            if (failed)
+                co_return false;
+            buffer.commit(size);
+        }
+        stream.expires_after(this->limits.read_timeout);
+        const auto [failed, size] =
+            co_await http::async_read(stream, buffer, parser, as_pair);
+        if (failed) {
+            co_await this->refuse(stream, failed);
+            co_return false;
+        }
+        auto request = parser.release();
+        stream_exchange exchange(
+            stream,
+            this->limits,
+            request.version(),
+            request.keep_alive() && !this->draining);
+        ++this->in_progress;
+        stream.expires_never();
+        try {
+            co_await this->handler(std::move(request), exchange);
+        } catch (const std::exception&) {
+            ++this->handler_failures;
+        }
+        if (!exchange.has_answered())
+            co_await respond_problem(
+                exchange,
+                base::may_have_run(
+                    base::failure_code::internal, "internal error"));
+        --this->in_progress;
+        co_return exchange.reusable();
+    }
+
+    asio::awaitable<void>
+    refuse(beast::tcp_stream& stream, boost::system::error_code failed)
+    {
+        if (failed == http::error::end_of_stream ||
+            failed.category() !=
+                boost::system::error_code(http::error::bad_method).category())
+            co_return;
+        stream_exchange exchange(stream, this->limits, 11, false);
+        auto failure = base::not_run(
+            base::failure_code::invalid_request,
+            "malformed request: " + failed.message());
+        const bool large = failed == http::error::body_limit ||
+                           failed == http::error::header_limit;
+        co_await exchange.respond(
+            large ? 413 : 400,
+            "application/problem+json",
+            problem_json(failure),
+            {});
+    }
+
+    std::uint64_t register_stream(beast::tcp_stream& stream)
+    {
+        const std::lock_guard lock(this->mutex);
+        ++this->open;
+        this->streams.emplace(this->next_id, &stream);
+        return this->next_id++;
+    }
+
+    void unregister(std::uint64_t id)
+    {
+        const std::lock_guard lock(this->mutex);
+        --this->open;
+        this->streams.erase(id);
+    }
+
+    asio::io_context& io;
+    tcp::acceptor acceptor;
+    const http_limits limits;
+    const http_handler handler;
+    std::atomic<bool> draining{false};
+    std::atomic<std::size_t> open{0};
+    std::atomic<std::size_t> in_progress{0};
+    std::atomic<std::uint64_t> handler_failures{0};
+    std::mutex mutex;
+    std::uint64_t next_id = 1;
+    std::unordered_map<std::uint64_t, beast::tcp_stream*> streams;
+};
+
+http_server::http_server(
+    asio::io_context& io, http_limits limits, http_handler handler)
+    : state(std::make_shared<impl>(io, limits, std::move(handler)))
+{
+}
+
+http_server::~http_server()
+{
+    this->shutdown();
+}
+
+base::result<wire::endpoint> http_server::listen(const wire::endpoint& local)
+{
+    try {
+        const tcp::endpoint address(
+            asio::ip::make_address(local.address), local.port);
+        auto& acceptor = this->state->acceptor;
+        acceptor.open(address.protocol());
+        acceptor.set_option(tcp::acceptor::reuse_address(true));
+        acceptor.bind(address);
+        acceptor.listen();
+        this->state->accept();
+        return wire::endpoint{local.address, acceptor.local_endpoint().port()};
+    } catch (const std::exception& e) {
+        return base::fail(
+            base::error_code::io,
+            "cannot listen on " + local.address + ":" +
+                std::to_string(local.port) + ": " + e.what());
+    }
+}
+
+void http_server::drain()
+{
+    this->state->draining = true;
+    asio::post(this->state->acceptor.get_executor(), [state = this->state] {
+        boost::system::error_code ignored;
+        state->acceptor.close(ignored);
+    });
+}
+
+void http_server::shutdown()
+{
+    this->drain();
+    const std::lock_guard lock(this->state->mutex);
+    for (const auto& [id, stream] : this->state->streams)
+        asio::post(stream->get_executor(), [state = this->state, id = id] {
+            const std::lock_guard inner(state->mutex);
+            const auto found = state->streams.find(id);
+            if (found != state->streams.end())
+                found->second->cancel();
+        });
+}
+
+std::size_t http_server::active() const
+{
+    return this->state->in_progress;
+}
+
+std::size_t http_server::connections() const
+{
+    return this->state->open;
+}
+
+std::string problem_json(const base::verdict& failure)
+{
+    const std::string code = base::to_string(failure.code);
+    boost::json::object body{
+        {"type", "urn:oleanderhinge:problem:" + code},
+        {"title", code},
+        {"status", base::http_status(failure)},
+        {"code", code},
+        {"execution", base::to_string(failure.state)},
+        {"detail", failure.detail}};
+    if (failure.retry_after.count() > 0)
+        body["retry_after_ms"] = failure.retry_after.count();
+    return boost::json::serialize(body);
+}
+
+asio::awaitable<bool>
+respond_problem(http_exchange& exchange, const base::verdict& failure)
+{
+    std::vector<wire::header> headers;
+    if (failure.retry_after.count() > 0) {
+        // The header counts whole seconds; the exact wait is in the body.
+        const auto seconds = (failure.retry_after.count() + 999) / 1000;
+        headers.push_back({"Retry-After", std::to_string(seconds)});
+    }
+    co_return co_await exchange.respond(
+        base::http_status(failure),
+        "application/problem+json",
+        problem_json(failure),
+        std::move(headers));
+}
+
+} // namespace oleanderhinge::net
--- /dev/null
+++ b/oleanderhinge/net/process.hpp
@@ -0,0 +1,39 @@
+// Runs a daemon: threads, signals and the order of shutdown.
+//
+// Example:
+//   asio::io_context io;
+//   ...
+//   return run_process(io, {.threads = 2, .drain_limit = 60s,
+//       .begin_drain = [&] { server.drain(); },
+//       .drained = [&] { return server.active() == 0; },
+//       .stop = [&] { server.shutdown(); }});
+#pragma once
+
+#include "oleanderhinge/base/time.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+
+namespace oleanderhinge::net
+{
+
+struct process_options {
+    unsigned threads = 2;
+    // Time that requests in progress may take after the first SIGTERM or
+    // SIGINT.
+    base::duration drain_limit = std::chrono::seconds(60);
+    // Stops the intake of new work.
+    std::function<void()> begin_drain;
+    // True when no work is in progress. Polled.
+    std::function<bool()> drained;
+    // Closes everything.
+    std::function<void()> stop;
+};
+
+// Runs `io` until the process has been told to end. The first signal starts
+// the drain; a second one or the limit ends it at once. Returns the exit code:
+// 0 after a complete drain, 3 if work was cut off.
+int run_process(boost::asio::io_context& io, const process_options& options);
+
+} // namespace oleanderhinge::net
--- /dev/null
+++ b/oleanderhinge/wire/messages.hpp
@@ -0,0 +1,671 @@
+// Messages between the processes of the system.
+//
+// Every message is a plain struct with a cereal `serialize`; `message` is the
+// variant of all of them. The position in the variant is the type number on
+// the wire: append new messages at the end.
+//
+// Example:
+//   message m = ping{7};
+//   std::string frame = encode(m, stamp);
+#pragma once
+
+#include "oleanderhinge/base/ids.hpp"
+#include "oleanderhinge/base/verdict.hpp"
+#include "oleanderhinge/wire/configuration.hpp"
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace oleanderhinge::wire
+{
+
+// An IP number and a port. Both the TCP link port and, where noted, the UDP
+// port of a process.
+struct endpoint {
+    std::string address;
+    std::uint16_t port = 0;
+
+    auto operator<=>(const endpoint&) const = default;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->address, this->port);
+    }
+};
+
+enum class role : std::uint8_t { entry, agent, control };
+
+using nonce = std::array<std::uint8_t, 32>;
+using digest = std::array<std::uint8_t, 32>;
+
+// --- Any link -------------------------------------------------------------
+
+// First message on a link, in both directions.
+struct hello {
+    role sender = role::entry;
+    base::vm_id vm;
+    base::incarnation sender_incarnation;
+    base::region_id region;
+    base::data_centre_id data_centre;
+    nonce challenge{};
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->sender, this->vm, this->sender_incarnation);
+        archive(this->region, this->data_centre, this->challenge);
+    }
+};
+
+// Second message: HMAC-SHA256 by the cluster secret over the peer's challenge
+// and the sender's own hello.
+struct proof {
+    digest tag{};
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->tag);
+    }
+};
+
+struct ping {
+    std::uint64_t number = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->number);
+    }
+};
+
+struct pong {
+    std::uint64_t number = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->number);
+    }
+};
+
+// The sender shuts down and takes no new work on this link.
+struct go_away {
+    template <class Archive>
+    void serialize(Archive&)
+    {
+    }
+};
+
+// --- Load -----------------------------------------------------------------
+
+// Load of a backend server as its agent knows it.
+struct load_report {
+    // Attempts or calls that hold a slot, and the present limit of slots.
+    std::uint32_t in_progress = 0;
+    std::uint32_t limit = 1;
+    // Work that waits in the agent's queue.
+    std::uint32_t queued = 0;
+    base::token_count queued_tokens;
+    // Smoothed time of one step or call, in microseconds.
+    std::uint32_t step_us = 0;
+
+    bool operator==(const load_report&) const = default;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->in_progress, this->limit, this->queued);
+        archive(this->queued_tokens, this->step_us);
+    }
+};
+
+// --- Model pipeline -------------------------------------------------------
+
+// One stage of a chain.
+struct stage {
+    base::backend_server_id server;
+    base::incarnation agent_incarnation;
+    endpoint agent;
+    base::layer_range layers;
+
+    bool operator==(const stage&) const = default;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->server, this->agent_incarnation, this->agent);
+        archive(this->layers);
+    }
+};
+
+// Entry to agent: reserve a slot for an attempt.
+struct open_attempt {
+    base::request_id request;
+    base::attempt_number attempt;
+    base::route_id route;
+    base::model_id model;
+    std::string version;
+    std::string adapter;
+    base::customer_id customer;
+    std::uint32_t customer_weight = 1;
+    base::rank work_rank = base::rank::standard;
+    // The whole chain in order, and the position of the receiver.
+    std::vector<stage> chain;
+    std::uint32_t position = 0;
+    // Prompt, for the head and the last stage; tokens that the caller already
+    // has, for a resumed request.
+    std::string prompt;
+    std::vector<std::string> delivered;
+    std::uint32_t max_tokens = 0;
+    // Time left for the first token and for the whole request, in
+    // milliseconds.
+    std::uint32_t first_token_budget_ms = 0;
+    std::uint32_t budget_ms = 0;
+    // Revision of the configuration that the entry node used.
+    base::revision config;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->request, this->attempt, this->route, this->model);
+        archive(this->version, this->adapter, this->customer);
+        archive(this->customer_weight, this->work_rank, this->chain);
+        archive(this->position, this->prompt, this->delivered);
+        archive(this->max_tokens, this->first_token_budget_ms);
+        archive(this->budget_ms, this->config);
+    }
+};
+
+// Agent to entry: the slot is reserved.
+struct attempt_granted {
+    base::request_id request;
+    base::attempt_number attempt;
+    std::uint32_t position = 0;
+    load_report load;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->request, this->attempt, this->position, this->load);
+    }
+};
+
+// Agent to entry: the attempt was refused and no step of it ran here.
+struct attempt_refused {
+    base::request_id request;
+    base::attempt_number attempt;
+    std::uint32_t position = 0;
+    base::verdict reason;
+    load_report load;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->request, this->attempt, this->position);
+        archive(this->reason, this->load);
+    }
+};
+
+// Entry to the head: all stages granted, begin.
+struct start_attempt {
+    base::request_id request;
+    base::attempt_number attempt;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->request, this->attempt);
+    }
+};
+
+// Agent to agent: run the receiver's layers for one token.
+struct layer_step {
+    base::request_id request;
+    base::attempt_number attempt;
+    base::token_index token;
+    // First layer that has not run for this token.
+    base::layer_index next_layer;
+    // Opaque output of the layers before.
+    std::string activation;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->request, this->attempt, this->token);
+        archive(this->next_layer, this->activation);
+    }
+};
+
+// Agent to agent: the step arrived. A repeat is acknowledged and not run.
+struct step_ack {
+    base::request_id request;
+    base::attempt_number attempt;
+    base::token_index token;
+    base::layer_index next_layer;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->request, this->attempt, this->token, this->next_layer);
+    }
+};
+
+// Last stage to entry: one generated token.
+struct token {
+    base::request_id request;
+    base::attempt_number attempt;
+    base::token_index index;
+    std::string text;
+    // True for the last token of the answer.
+    bool last = false;
+    // "stop" or "length" when `last`.
+    std::string finish_reason;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->request, this->attempt, this->index, this->text);
+        archive(this->last, this->finish_reason);
+    }
+};
+
+// Agent to entry: the attempt cannot go on at this stage.
+struct attempt_failed {
+    base::request_id request;
+    base::attempt_number attempt;
+    std::uint32_t position = 0;
+    base::verdict reason;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->request, this->attempt, this->position, this->reason);
+    }
+};
+
+// Entry to agent: release the slot; no step of this attempt or of a lower one
+// runs after the answer.
+struct close_attempt {
+    base::request_id request;
+    base::attempt_number attempt;
+    // Tokens generated in total, for the customer's account.
+    base::token_count generated;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->request, this->attempt, this->generated);
+    }
+};
+
+// Agent to entry: answer to `close_attempt`.
+struct attempt_closed {
+    base::request_id request;
+    base::attempt_number attempt;
+    std::uint32_t position = 0;
+    // Whether a step of the attempt ran at this stage.
+    base::execution state = base::execution::not_run;
+    load_report load;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->request, this->attempt, this->position, this->state);
+        archive(this->load);
+    }
+};
+
+// --- Plain services -------------------------------------------------------
+
+struct header {
+    std::string name;
+    std::string value;
+
+    bool operator==(const header&) const = default;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->name, this->value);
+    }
+};
+
+// Entry to agent: one call to the plain service beside it.
+struct call {
+    base::request_id request;
+    base::attempt_number attempt;
+    base::route_id route;
+    base::customer_id customer;
+    std::uint32_t customer_weight = 1;
+    base::rank work_rank = base::rank::standard;
+    base::backend_server_id server;
+    base::incarnation agent_incarnation;
+    std::string method;
+    std::string target;
+    std::vector<header> headers;
+    std::string body;
+    std::uint32_t budget_ms = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->request, this->attempt, this->route, this->customer);
+        archive(this->customer_weight, this->work_rank, this->server);
+        archive(this->agent_incarnation, this->method, this->target);
+        archive(this->headers, this->body, this->budget_ms);
+    }
+};
+
+struct response {
+    std::uint32_t status = 0;
+    std::vector<header> headers;
+    std::string body;
+
+    bool operator==(const response&) const = default;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->status, this->headers, this->body);
+    }
+};
+
+// Agent to entry. `failure.code` is `none` when `answer` holds the service's
+// response.
+struct call_result {
+    base::request_id request;
+    base::attempt_number attempt;
+    base::verdict failure;
+    response answer;
+    load_report load;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->request, this->attempt, this->failure, this->answer);
+        archive(this->load);
+    }
+};
+
+// Entry to agent: drop the call if it still waits in the queue, and never run
+// it afterwards. Answered by `call_result` with `not_run`, or with what the
+// service answers if the call already runs.
+struct cancel_call {
+    base::request_id request;
+    base::attempt_number attempt;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->request, this->attempt);
+    }
+};
+
+// --- Announcements (UDP) --------------------------------------------------
+
+enum class server_state : std::uint8_t { starting, serving, leaving };
+
+// Agent to entry: identity, state and load of a backend server.
+struct announcement {
+    base::backend_server_id server;
+    base::incarnation agent_incarnation;
+    std::uint64_t sequence = 0;
+    base::vm_id vm;
+    base::region_id region;
+    base::data_centre_id data_centre;
+    // Link port of the agent.
+    endpoint agent;
+    server_state state = server_state::starting;
+    base::route_kind kind = base::route_kind::model;
+    // Model servers.
+    base::model_id model;
+    std::string version;
+    std::vector<std::string> adapters;
+    base::layer_range layers;
+    std::uint32_t layer_count = 0;
+    // Kind of accelerator, for example "a100"; relative speed in percent.
+    std::string accelerator;
+    std::uint32_t speed_percent = 100;
+    // Plain services.
+    std::string service;
+    load_report load;
+    // Highest configuration revision that the agent has heard of, and the
+    // number of the last order it carried out.
+    base::revision highest_config;
+    base::fencing_number applied_order;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->server, this->agent_incarnation, this->sequence);
+        archive(this->vm, this->region, this->data_centre, this->agent);
+        archive(this->state, this->kind, this->model, this->version);
+        archive(this->adapters, this->layers, this->layer_count);
+        archive(this->accelerator, this->speed_percent, this->service);
+        archive(this->load, this->highest_config, this->applied_order);
+    }
+};
+
+// Entry to agent: answer to an announcement.
+struct announcement_ack {
+    base::backend_server_id server;
+    std::uint64_t sequence = 0;
+    base::vm_id entry;
+    // Entry nodes of the data centre that the agent should know (UDP).
+    std::vector<endpoint> entry_nodes;
+    base::revision config;
+    // Milliseconds since control confirmed that revision to the sender.
+    std::uint32_t config_age_ms = 0;
+    // The order for this server, if the configuration has one with a higher
+    // number than the agent has carried out.
+    std::vector<server_order> order;
+    rank_shares shares;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->server, this->sequence, this->entry);
+        archive(this->entry_nodes, this->config, this->config_age_ms);
+        archive(this->order, this->shares);
+    }
+};
+
+// Entry to entry (UDP): announcements that changed, passed on by a registrar.
+struct directory_update {
+    base::vm_id sender;
+    std::vector<announcement> changed;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->sender, this->changed);
+    }
+};
+
+// --- Configuration --------------------------------------------------------
+
+// Entry to control or to another entry: send updates after `have`.
+struct subscribe {
+    base::revision have;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->have);
+    }
+};
+
+// The receiver of `subscribe` is full or is not serving; try these.
+struct subscribe_redirect {
+    std::vector<endpoint> parents;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->parents);
+    }
+};
+
+// A whole configuration (`from` zero and `full` set) or the changes from
+// revision `from` to revision `to`. Each change carries the revision that it
+// belongs to.
+struct config_update {
+    base::revision from;
+    base::revision to;
+    std::vector<configuration> full;
+    std::vector<std::pair<base::revision, change>> changes;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->from, this->to, this->full, this->changes);
+    }
+};
+
+// The configuration at `at` was the newest committed one `age_ms` ago.
+struct config_confirm {
+    base::revision at;
+    std::uint32_t age_ms = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->at, this->age_ms);
+    }
+};
+
+// --- At most once ---------------------------------------------------------
+
+// Entry to control: claim the key before the call is sent.
+struct claim_request {
+    std::uint64_t correlation = 0;
+    base::customer_id customer;
+    base::route_id route;
+    std::string key;
+    digest request_digest{};
+    base::request_id request;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->correlation, this->customer, this->route, this->key);
+        archive(this->request_digest, this->request);
+    }
+};
+
+enum class claim_state : std::uint8_t {
+    // The caller of `claim_request` owns the call and may send it once.
+    granted,
+    // Another request owns the key and has no outcome yet.
+    in_progress,
+    // The outcome is known; see `failure` and `answer`.
+    finished,
+    // The key was used for a different request.
+    digest_mismatch,
+    // The key is older than the retention of claims.
+    expired,
+    // The table of claims is full.
+    full,
+    // No quorum; nothing was claimed, or it is unknown (see `failure`).
+    unavailable,
+};
+
+// Control to entry.
+struct claim_reply {
+    std::uint64_t correlation = 0;
+    claim_state state = claim_state::unavailable;
+    base::verdict failure;
+    response answer;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->correlation, this->state, this->failure, this->answer);
+    }
+};
+
+// Entry to control: outcome of a claimed call.
+struct outcome_report {
+    std::uint64_t correlation = 0;
+    base::customer_id customer;
+    base::route_id route;
+    std::string key;
+    base::request_id request;
+    // `code` is `none` when `answer` holds the service's response. A `not_run`
+    // outcome releases the claim.
+    base::verdict failure;
+    response answer;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->correlation, this->customer, this->route, this->key);
+        archive(this->request, this->failure, this->answer);
+    }
+};
+
+// Control to entry: the outcome is durable, or `stored` is false.
+struct outcome_ack {
+    std::uint64_t correlation = 0;
+    bool stored = false;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->correlation, this->stored);
+    }
+};
+
+// --- Replicated log -------------------------------------------------------
+
+// Control to control: a message of the consensus component, in its own
+// encoding. `group` allows several logs.
+struct consensus_message {
+    std::uint32_t group = 0;
+    std::string payload;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->group, this->payload);
+    }
+};
+
+using message = std::variant<
+    hello,
+    proof,
+    ping,
+    pong,
+    go_away,
+    open_attempt,
+    attempt_granted,
+    attempt_refused,
+    start_attempt,
+    layer_step,
+    step_ack,
+    token,
+    attempt_failed,
+    close_attempt,
+    attempt_closed,
+    call,
+    call_result,
+    cancel_call,
+    announcement,
+    announcement_ack,
+    directory_update,
+    subscribe,
+    subscribe_redirect,
+    config_update,
+    config_confirm,
+    claim_request,
+    claim_reply,
+    outcome_report,
+    outcome_ack,
+    consensus_message>;
+
+} // namespace oleanderhinge::wire
