--- a/oleanderhinge/base/error.hpp
+++ b/oleanderhinge/base/error.hpp
@@ -41,8 +41,10 @@
     std::string detail;
 };
 
+using error_id = boost::leaf::error_id;
+
 // An error result with an `error` attached.
-inline boost::leaf::error_id fail(error_code code, std::string detail)
+inline error_id fail(error_code code, std::string detail)
 {
     return boost::leaf::new_error(error{code, std::move(detail)});
 }
