--- /dev/null
+++ b/oleanderhinge/entry/request_service.cpp
@@ -0,0 +1,260 @@
+#include "oleanderhinge/entry/internal/request_service_with.hpp"
+
+#include <algorithm>
+#include <type_traits>
+#include <utility>
+
+namespace oleanderhinge::entry
+{
+
+request_service::request_service(
+    agent_links& agents,
+    router& chooser,
+    claim_channel control,
+    metrics& numbers,
+    timeline::recorder& recorder,
+    base::incarnation own)
+    : links(agents)
+    , routes(chooser)
+    , claims(std::move(control))
+    , counters(numbers)
+    , events(recorder)
+    , self(own)
+{
+}
+
+base::request_id request_service::next_id()
+{
+    return {this->self, this->next_sequence++};
+}
+
+request_service::shard&
+request_service::shard_of(const base::request_id& id)
+{
+    return this->shards[id.sequence % this->shards.size()];
+}
+
+void request_service::add(base::request_id id, live_request live)
+{
+    auto& part = this->shard_of(id);
+    const std::lock_guard lock(part.mutex);
+    part.requests.emplace(id, std::move(live));
+    ++this->live_count;
+}
+
+void request_service::begin_model(
+    model_request_spec spec, std::shared_ptr<outbox> box)
+{
+    const auto now = base::monotonic_now();
+    const auto id = spec.id;
+    this->events.record(
+        timeline::event_kind::request_accepted,
+        id,
+        "route " + spec.route.id.value() + " customer " +
+            spec.customer.value());
+    live_request live;
+    live.machine = make_model_request(std::move(spec), now);
+    live.box = std::move(box);
+    live.accepted = now;
+    this->add(id, std::move(live));
+    this->with<model_request>(id, [](auto& request, effects&, auto at) {
+        return begin(request, at);
+    });
+}
+
+void request_service::begin_call(
+    service_call_spec spec, std::shared_ptr<outbox> box)
+{
+    const auto now = base::monotonic_now();
+    const auto id = spec.id;
+    this->events.record(
+        timeline::event_kind::request_accepted,
+        id,
+        "route " + spec.route.id.value() + " customer " +
+            spec.customer.value());
+    live_request live;
+    live.machine = make_service_call(std::move(spec), now);
+    live.box = std::move(box);
+    live.accepted = now;
+    this->add(id, std::move(live));
+    this->with<service_call>(id, [](auto& call, effects&, auto at) {
+        return begin(call, at);
+    });
+}
+
+void request_service::caller_gone(base::request_id id)
+{
+    this->with<model_request>(id, [](auto& request, effects&, auto) {
+        return on_caller_gone(request);
+    });
+}
+
+bool request_service::dispatch(const wire::message& content)
+{
+    return std::visit(
+        [this](const auto& message) {
+            using type = std::decay_t<decltype(message)>;
+            constexpr bool known =
+                std::is_same_v<type, wire::attempt_granted> ||
+                std::is_same_v<type, wire::attempt_refused> ||
+                std::is_same_v<type, wire::attempt_failed> ||
+                std::is_same_v<type, wire::token> ||
+                std::is_same_v<type, wire::call_result> ||
+                std::is_same_v<type, wire::claim_reply> ||
+                std::is_same_v<type, wire::outcome_ack>;
+            if constexpr (known)
+                this->on_message(message);
+            return known || std::is_same_v<type, wire::attempt_closed>;
+        },
+        content);
+}
+
+namespace
+{
+
+// Stage at `position`, if the message belongs to the present attempt.
+const wire::stage* stage_of(
+    const model_request& request,
+    base::attempt_number attempt,
+    std::uint32_t position)
+{
+    const bool current =
+        attempt == request.attempt && position < request.chain.size();
+    return current ? &request.chain[position] : nullptr;
+}
+
+} // namespace
+
+void request_service::on_message(const wire::attempt_granted& message)
+{
+    this->counters.attempt("granted");
+    this->with<model_request>(
+        message.request, [&](auto& request, effects& todo, auto now) {
+            if (const auto* stage =
+                    stage_of(request, message.attempt, message.position))
+                todo.loads.push_back(
+                    {stage->server, stage->agent_incarnation, message.load});
+            return on_granted(request, message, now);
+        });
+}
+
+void request_service::on_message(const wire::attempt_refused& message)
+{
+    this->counters.attempt("refused");
+    this->with<model_request>(
+        message.request, [&](auto& request, effects& todo, auto now) {
+            if (const auto* stage =
+                    stage_of(request, message.attempt, message.position)) {
+                todo.loads.push_back(
+                    {stage->server, stage->agent_incarnation, message.load});
+                this->events.record(
+                    timeline::event_kind::attempt_refused,
+                    message.request,
+                    stage->server.value() + ": " + message.reason.detail);
+            }
+            return on_refused(request, message, now);
+        });
+}
+
+void request_service::on_message(const wire::attempt_failed& message)
+{
+    this->counters.attempt("failed");
+    this->with<model_request>(
+        message.request, [&](auto& request, effects&, auto now) {
+            if (const auto* stage =
+                    stage_of(request, message.attempt, message.position))
+                this->events.record(
+                    timeline::event_kind::attempt_failed,
+                    message.request,
+                    stage->server.value() + ": " + message.reason.detail);
+            return on_attempt_failed(request, message, now);
+        });
+}
+
+void request_service::on_message(const wire::token& message)
+{
+    this->with<model_request>(
+        message.request, [&](auto& request, effects&, auto now) {
+            return on_token(request, message, now);
+        });
+}
+
+void request_service::on_message(const wire::call_result& message)
+{
+    this->with<service_call>(
+        message.request, [&](auto& call, effects&, auto now) {
+            return on_call_result(call, message, now);
+        });
+}
+
+void request_service::on_message(const wire::claim_reply& message)
+{
+    constexpr std::array names = {
+        "granted",
+        "in_progress",
+        "finished",
+        "digest_mismatch",
+        "expired",
+        "full",
+        "unavailable"};
+    const auto state = std::size_t(message.state);
+    if (state >= names.size())
+        return;
+    this->counters.claim(names[state]);
+    this->with<service_call>(
+        {this->self, message.correlation},
+        [&](auto& call, effects&, auto now) {
+            return on_claim_reply(call, message, now);
+        });
+}
+
+void request_service::on_message(const wire::outcome_ack& message)
+{
+    this->with<service_call>(
+        {this->self, message.correlation}, [&](auto& call, effects&, auto) {
+            return on_outcome_ack(call, message.stored);
+        });
+}
+
+void request_service::on_link_lost(
+    const agent_links::lost_link& lost, bool was_open)
+{
+    for (const auto& id : lost.requests) {
+        this->with<model_request>(
+            id, [&](auto& request, effects&, auto now) {
+                return entry::on_link_lost(request, lost.agent, now);
+            });
+        this->with<service_call>(id, [&](auto& call, effects&, auto now) {
+            return on_call_link_lost(call, lost.agent, was_open, now);
+        });
+    }
+}
+
+void request_service::tick()
+{
+    for (auto& part : this->shards) {
+        std::vector<base::request_id> ids;
+        {
+            const std::lock_guard lock(part.mutex);
+            ids.reserve(part.requests.size());
+            for (const auto& [id, live] : part.requests)
+                ids.push_back(id);
+        }
+        for (const auto& id : ids) {
+            this->with<model_request>(
+                id, [](auto& request, effects&, auto now) {
+                    return on_tick(request, now);
+                });
+            this->with<service_call>(id, [](auto& call, effects&, auto now) {
+                return on_call_tick(call, now);
+            });
+        }
+    }
+}
+
+std::size_t request_service::in_progress() const
+{
+    return this->live_count;
+}
+
+} // namespace oleanderhinge::entry
