--- a/oleanderhinge/entry/config_client.cpp
+++ b/oleanderhinge/entry/config_client.cpp
@@ -76,8 +76,8 @@
         if (this->parent != link)
             return false;
         if (const auto* update = std::get_if<wire::config_update>(&content)) {
-            leave = this->note(
-                membership::apply_update(this->view, *update, now));
+            leave =
+                this->note(membership::apply_update(this->view, *update, now));
         } else if (
             const auto* confirm = std::get_if<wire::config_confirm>(&content)) {
             this->last_confirm = now;
--- /dev/null
+++ b/oleanderhinge/entry/entry_node.cpp
@@ -0,0 +1,284 @@
+#include "oleanderhinge/entry/entry_node.hpp"
+
+#include "oleanderhinge/base/random.hpp"
+#include "oleanderhinge/net/management.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <utility>
+
+namespace oleanderhinge::entry
+{
+
+namespace
+{
+
+constexpr auto tick_interval = std::chrono::milliseconds(50);
+constexpr std::size_t kept_events = 16384;
+constexpr std::size_t directory_shards = 8;
+
+} // namespace
+
+entry_node::entry_node(boost::asio::io_context& context, entry_options chosen)
+    : io(context)
+    , options(std::move(chosen))
+    , self(base::entropy_seed())
+    , events(this->options.vm, this->clock, kept_events)
+    , counters(this->registry)
+    , links(
+          context,
+          this->clock,
+          this->make_link_options(),
+          this->make_link_events())
+    , udp(context,
+          this->clock,
+          this->options.cluster_secret,
+          [this](wire::message content, const wire::endpoint& from) {
+              this->on_datagram(std::move(content), from);
+          })
+    , directory(
+          {.server_lease = this->options.times.server_lease}, directory_shards)
+    , routes(this->options.here, base::entropy_seed(), base::monotonic_now())
+    , agents(this->links)
+    , config(this->links, this->make_config_options(), this->events)
+    , claims(this->links, this->options.control)
+    , requests(
+          this->agents,
+          this->routes,
+          {[this](const wire::claim_request& m) { this->claims.send(m); },
+           [this](const wire::outcome_report& m) { this->claims.send(m); }},
+          this->counters,
+          this->events,
+          this->self)
+    , api(this->config,
+          this->requests,
+          {.max_in_progress = this->options.max_in_progress,
+           .token_stall = this->options.times.token_stall})
+    , callers(
+          context,
+          {},
+          [this](net::http_request request, net::http_exchange& exchange) {
+              return this->api.handle(std::move(request), exchange);
+          })
+    , management(
+          context,
+          {},
+          net::management_handler(
+              {.ready = [this] { return this->readiness(); },
+               .registry = this->registry,
+               .events = this->events,
+               .before_scrape = [this] { this->update_gauges(); }}))
+    , timer(context)
+{
+}
+
+net::link_options entry_node::make_link_options() const
+{
+    const auto& times = this->options.times;
+    net::link_options to;
+    to.cluster_secret = this->options.cluster_secret;
+    to.self.sender = wire::role::entry;
+    to.self.vm = this->options.vm;
+    to.self.sender_incarnation = this->self;
+    to.self.region = this->options.here.region;
+    to.self.data_centre = this->options.here.data_centre;
+    to.timing = {
+        times.link_busy_heartbeat,
+        times.link_busy_silence,
+        times.link_idle_heartbeat,
+        times.link_idle_silence,
+        times.link_handshake};
+    return to;
+}
+
+net::link_events entry_node::make_link_events()
+{
+    return {
+        [this](net::link_id link, const wire::hello& peer) {
+            this->events.record(
+                timeline::event_kind::link_opened, peer.vm.value());
+            this->config.on_opened(link);
+        },
+        [this](net::link_id link, wire::message content) {
+            this->on_link_message(link, std::move(content));
+        },
+        [this](net::link_id link, net::close_reason reason, bool was_open) {
+            this->on_link_closed(link, reason, was_open);
+        }};
+}
+
+config_client_options entry_node::make_config_options() const
+{
+    config_client_options to;
+    to.control = this->options.control;
+    to.vm = this->options.vm;
+    to.listen = this->options.link;
+    to.view.lease = this->options.times.config_lease;
+    to.parent_silence = 3 * this->options.times.config_confirm_interval;
+    to.seed = base::entropy_seed();
+    return to;
+}
+
+base::result<void> entry_node::start()
+{
+    BOOST_LEAF_CHECK(this->links.listen(this->options.link));
+    BOOST_LEAF_CHECK(this->udp.listen(this->options.announce));
+    BOOST_LEAF_CHECK(this->callers.listen(this->options.callers));
+    BOOST_LEAF_CHECK(this->management.listen(this->options.management));
+    this->events.record(timeline::event_kind::process_started, "entry");
+    spdlog::info(
+        "event=started role=entry vm={} callers={}:{}",
+        this->options.vm.value(),
+        this->options.callers.address,
+        this->options.callers.port);
+    this->schedule_tick();
+    return {};
+}
+
+net::process_options entry_node::process_options()
+{
+    net::process_options to;
+    to.threads = this->options.threads;
+    to.drain_limit = this->options.times.drain_limit;
+    to.begin_drain = [this] {
+        this->draining = true;
+        this->events.record(timeline::event_kind::process_draining, "");
+        spdlog::info("event=draining vm={}", this->options.vm.value());
+        this->callers.drain();
+    };
+    to.drained = [this] {
+        return this->callers.active() == 0 && this->requests.in_progress() == 0;
+    };
+    to.stop = [this] {
+        this->stopped = true;
+        this->events.record(timeline::event_kind::process_stopped, "");
+        spdlog::info("event=stopped vm={}", this->options.vm.value());
+        this->callers.shutdown();
+        this->management.shutdown();
+        this->links.shutdown();
+        this->udp.shutdown();
+    };
+    return to;
+}
+
+void entry_node::on_link_message(net::link_id link, wire::message content)
+{
+    if (this->config.on_message(link, content))
+        return;
+    if (this->claims.on_message(link, content))
+        return;
+    this->requests.dispatch(content);
+}
+
+void entry_node::on_link_closed(
+    net::link_id link, net::close_reason reason, bool was_open)
+{
+    this->config.on_closed(link, base::monotonic_now());
+    this->claims.on_closed(link);
+    const auto lost = this->agents.on_closed(link);
+    if (!lost.agent.address.empty() || was_open)
+        this->events.record(
+            timeline::event_kind::link_closed,
+            std::string(net::to_string(reason)) + " " + lost.agent.address +
+                ":" + std::to_string(lost.agent.port));
+    this->requests.on_link_lost(lost, was_open);
+}
+
+void entry_node::on_datagram(wire::message content, const wire::endpoint& from)
+{
+    if (const auto* message = std::get_if<wire::announcement>(&content))
+        this->on_announcement(*message, from);
+}
+
+void entry_node::on_announcement(
+    const wire::announcement& message, const wire::endpoint& from)
+{
+    const auto now = base::monotonic_now();
+    this->note(this->directory.apply_announcement(message, now), now);
+    this->routes.put(message, now + this->options.times.server_lease, now);
+    this->config.note_reported(this->directory.highest_config(), now);
+
+    wire::announcement_ack ack;
+    ack.server = message.server;
+    ack.sequence = message.sequence;
+    ack.entry = this->options.vm;
+    ack.entry_nodes = {this->options.announce};
+    ack.config = this->config.revision();
+    ack.config_age_ms = this->config.age_ms(now);
+    if (const auto active = this->config.current()) {
+        ack.shares = active->config->shares;
+        const auto& orders = active->config->orders;
+        const auto found = orders.find(message.server);
+        if (found != orders.end() &&
+            found->second.number > message.applied_order)
+            ack.order.push_back(found->second);
+    }
+    this->udp.send(from, ack);
+}
+
+void entry_node::note(
+    const std::vector<membership::directory_action>& actions, base::time_point)
+{
+    using timeline::event_kind;
+    for (const auto& action : actions) {
+        if (const auto* a = std::get_if<membership::server_joined>(&action)) {
+            this->events.record(event_kind::server_joined, a->server.value());
+            spdlog::info("event=server_joined server={}", a->server.value());
+        } else if (
+            const auto* c = std::get_if<membership::server_changed>(&action)) {
+            this->events.record(event_kind::server_changed, c->server.value());
+        } else if (
+            const auto* l = std::get_if<membership::server_left>(&action)) {
+            this->routes.remove(l->server);
+            this->events.record(event_kind::server_left, l->server.value());
+            spdlog::info("event=server_left server={}", l->server.value());
+        }
+    }
+}
+
+void entry_node::schedule_tick()
+{
+    this->timer.expires_after(tick_interval);
+    this->timer.async_wait([this](boost::system::error_code failed) {
+        if (failed || this->stopped)
+            return;
+        this->tick();
+        this->schedule_tick();
+    });
+}
+
+void entry_node::tick()
+{
+    const auto now = base::monotonic_now();
+    this->config.tick(now);
+    this->requests.tick();
+    this->note(this->directory.expire(now), now);
+}
+
+void entry_node::update_gauges()
+{
+    const auto now = base::monotonic_now();
+    this->counters.requests_in_progress.Set(
+        double(this->requests.in_progress()));
+    this->counters.links.Set(double(this->links.size()));
+    this->counters.servers.Set(double(this->directory.size()));
+    this->counters.config_revision.Set(double(this->config.revision().value()));
+    this->counters.config_age_seconds.Set(this->config.age_ms(now) / 1000.0);
+    const auto link_totals = this->links.counters();
+    this->counters.link_bytes_sent.Set(double(link_totals.bytes_sent));
+    this->counters.link_bytes_received.Set(double(link_totals.bytes_received));
+    const auto udp_totals = this->udp.counters();
+    this->counters.udp_bytes_sent.Set(double(udp_totals.bytes_sent));
+    this->counters.udp_bytes_received.Set(double(udp_totals.bytes_received));
+    this->counters.udp_refused.Set(double(udp_totals.refused));
+}
+
+net::readiness entry_node::readiness() const
+{
+    if (this->draining)
+        return {false, "shutting down"};
+    const auto state = this->config.readiness(base::monotonic_now());
+    return {state.ready, state.reason};
+}
+
+} // namespace oleanderhinge::entry
--- /dev/null
+++ b/oleanderhinge/entry/entry_node.hpp
@@ -0,0 +1,105 @@
+// The entry daemon: joins links, datagrams, HTTP and timers to the request
+// service, the directory and the configuration.
+//
+// Example:
+//   entry_node node{io, options};
+//   BOOST_LEAF_CHECK(node.start());
+//   return run_process(io, node.process_options());
+#pragma once
+
+#include "oleanderhinge/entry/claim_client.hpp"
+#include "oleanderhinge/entry/config_client.hpp"
+#include "oleanderhinge/entry/http_api.hpp"
+#include "oleanderhinge/entry/request_service.hpp"
+#include "oleanderhinge/membership/shared_directory.hpp"
+#include "oleanderhinge/net/http_server.hpp"
+#include "oleanderhinge/net/management.hpp"
+#include "oleanderhinge/net/process.hpp"
+#include "oleanderhinge/net/udp_endpoint.hpp"
+#include "oleanderhinge/settings/timing.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <prometheus/registry.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace oleanderhinge::entry
+{
+
+struct entry_options {
+    base::vm_id vm;
+    place here;
+    std::string cluster_secret;
+    // TCP and UDP port towards the system's own processes.
+    wire::endpoint link;
+    wire::endpoint announce;
+    wire::endpoint callers;
+    wire::endpoint management;
+    std::vector<wire::endpoint> control;
+    settings::timing times;
+    std::size_t max_in_progress = 2000;
+    unsigned threads = 2;
+};
+
+// Schema of the daemon's INI file and the options read from it.
+settings::schema entry_schema();
+base::result<entry_options> load_options(const settings::values& checked);
+
+class entry_node
+{
+public:
+    entry_node(boost::asio::io_context& io, entry_options options);
+    entry_node(const entry_node&) = delete;
+    entry_node& operator=(const entry_node&) = delete;
+
+    // Opens the ports.
+    base::result<void> start();
+    net::process_options process_options();
+
+private:
+    net::link_options make_link_options() const;
+    net::link_events make_link_events();
+    config_client_options make_config_options() const;
+    net::http_handler make_management();
+
+    void on_link_message(net::link_id link, wire::message content);
+    void
+    on_link_closed(net::link_id link, net::close_reason reason, bool was_open);
+    void on_datagram(wire::message content, const wire::endpoint& from);
+    void on_announcement(
+        const wire::announcement& message, const wire::endpoint& from);
+    void note(
+        const std::vector<membership::directory_action>& actions,
+        base::time_point now);
+    void schedule_tick();
+    void tick();
+    void update_gauges();
+    net::readiness readiness() const;
+
+    boost::asio::io_context& io;
+    const entry_options options;
+    const base::incarnation self;
+    timeline::hybrid_clock clock;
+    timeline::recorder events;
+    prometheus::Registry registry;
+    metrics counters;
+    net::link_table links;
+    net::udp_endpoint udp;
+    membership::shared_directory directory;
+    router routes;
+    agent_links agents;
+    config_client config;
+    claim_client claims;
+    request_service requests;
+    http_api api;
+    net::http_server callers;
+    net::http_server management;
+    boost::asio::steady_timer timer;
+    std::atomic<bool> draining{false};
+    std::atomic<bool> stopped{false};
+};
+
+} // namespace oleanderhinge::entry
--- /dev/null
+++ b/oleanderhinge/entry/entry_settings.cpp
@@ -0,0 +1,103 @@
+#include "oleanderhinge/entry/entry_node.hpp"
+
+namespace oleanderhinge::entry
+{
+
+using settings::value_type;
+
+settings::schema entry_schema()
+{
+    settings::schema keys{
+        {"node", "vm", value_type::text, "", "", "", "name of this VM"},
+        {"node", "region", value_type::text, "", "", "", "region of this VM"},
+        {"node",
+         "data_centre",
+         value_type::text,
+         "",
+         "",
+         "",
+         "data centre of this VM"},
+        {"node",
+         "cluster_secret",
+         value_type::text,
+         "",
+         "",
+         "",
+         "secret that all processes of the system share"},
+        {"node",
+         "threads",
+         value_type::integer,
+         "2",
+         "1",
+         "64",
+         "threads that serve requests"},
+        {"entry",
+         "link",
+         value_type::endpoint,
+         "",
+         "",
+         "",
+         "TCP endpoint for other processes of the system"},
+        {"entry",
+         "announce",
+         value_type::endpoint,
+         "",
+         "",
+         "",
+         "UDP endpoint for announcements"},
+        {"entry",
+         "callers",
+         value_type::endpoint,
+         "",
+         "",
+         "",
+         "HTTP endpoint for callers"},
+        {"entry",
+         "max_in_progress",
+         value_type::integer,
+         "2000",
+         "1",
+         "100000",
+         "requests in progress at this node; more are refused"},
+        {"control",
+         "endpoints",
+         value_type::endpoint_list,
+         "",
+         "",
+         "",
+         "link endpoints of the control VMs"},
+        {"management",
+         "listen",
+         value_type::endpoint,
+         "",
+         "",
+         "",
+         "HTTP endpoint for health, metrics and events"},
+    };
+    const auto timing = settings::timing_keys();
+    keys.insert(keys.end(), timing.begin(), timing.end());
+    return keys;
+}
+
+base::result<entry_options> load_options(const settings::values& checked)
+{
+    entry_options options;
+    options.vm = base::vm_id{checked.text("node.vm")};
+    options.here.region = base::region_id{checked.text("node.region")};
+    options.here.data_centre =
+        base::data_centre_id{checked.text("node.data_centre")};
+    options.cluster_secret = checked.text("node.cluster_secret");
+    options.threads = unsigned(checked.integer("node.threads"));
+    options.link = checked.endpoint("entry.link");
+    options.announce = checked.endpoint("entry.announce");
+    options.callers = checked.endpoint("entry.callers");
+    options.max_in_progress =
+        std::size_t(checked.integer("entry.max_in_progress"));
+    options.control = checked.endpoint_list("control.endpoints");
+    options.management = checked.endpoint("management.listen");
+    options.times = settings::load_timing(checked);
+    BOOST_LEAF_CHECK(settings::check_timing(options.times));
+    return options;
+}
+
+} // namespace oleanderhinge::entry
--- /dev/null
+++ b/oleanderhinge/entry/http_api.hpp
@@ -0,0 +1,86 @@
+// The callers' HTTP interface of an entry node.
+//
+//   POST /v1/chat/completions   whole or streamed answer of a model route
+//   GET  /v1/models             model routes that the customer may use
+//   *    /services/{route}/...  call to a plain service
+//
+// Example:
+//   http_api api{config, requests, limits};
+//   http_server server{io, {}, [&](auto r, auto& e) {
+//       return api.handle(std::move(r), e); }};
+#pragma once
+
+#include "oleanderhinge/entry/chat_api.hpp"
+#include "oleanderhinge/entry/config_client.hpp"
+#include "oleanderhinge/entry/request_service.hpp"
+#include "oleanderhinge/net/http_server.hpp"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <cstddef>
+#include <string>
+
+namespace oleanderhinge::entry
+{
+
+struct api_options {
+    // Requests in progress at this node; more are refused.
+    std::size_t max_in_progress = 2000;
+    // Stall limits of model requests.
+    base::duration token_stall = std::chrono::milliseconds(1500);
+    base::duration first_token_stall = std::chrono::milliseconds(5000);
+};
+
+// Thread-safe.
+class http_api
+{
+public:
+    http_api(
+        config_client& config, request_service& requests, api_options options);
+
+    boost::asio::awaitable<void>
+    handle(net::http_request request, net::http_exchange& exchange);
+
+private:
+    // What every request needs before it is dispatched.
+    struct admitted {
+        std::shared_ptr<const active_configuration> active;
+        const wire::customer* customer = nullptr;
+    };
+
+    // Authenticates; the verdict has code `none` on success.
+    base::verdict admit(const net::http_request& request, admitted& to) const;
+    // Finds the route and checks that it may be used and served.
+    base::verdict find_route(
+        const admitted& caller,
+        const base::route_id& id,
+        base::route_kind kind,
+        const wire::route*& to) const;
+
+    boost::asio::awaitable<void> chat(
+        const net::http_request& request,
+        const admitted& caller,
+        net::http_exchange& exchange);
+    boost::asio::awaitable<void> stream_answer(
+        base::request_id id,
+        const chat_request& chat,
+        std::shared_ptr<outbox> box,
+        net::http_exchange& exchange);
+    boost::asio::awaitable<void> whole_answer(
+        base::request_id id,
+        const chat_request& chat,
+        std::shared_ptr<outbox> box,
+        net::http_exchange& exchange);
+    boost::asio::awaitable<void> service(
+        const net::http_request& request,
+        const admitted& caller,
+        net::http_exchange& exchange);
+    boost::asio::awaitable<void>
+    models(const admitted& caller, net::http_exchange& exchange);
+
+    config_client& config;
+    request_service& requests;
+    const api_options options;
+};
+
+} // namespace oleanderhinge::entry
--- a/oleanderhinge/entry/metrics.cpp
+++ b/oleanderhinge/entry/metrics.cpp
@@ -43,8 +43,8 @@
         prometheus::BuildHistogram().Name(name).Help(help).Register(registry);
     std::array<prometheus::Histogram*, base::rank_count> found{};
     for (std::size_t i = 0; i < found.size(); ++i)
-        found[i] = &family.Add(
-            {{"rank", base::to_string(base::rank(i))}}, bounds);
+        found[i] =
+            &family.Add({{"rank", base::to_string(base::rank(i))}}, bounds);
     return found;
 }
 
@@ -56,7 +56,9 @@
           "oleanderhinge_entry_requests_in_progress",
           "Requests that have not been answered"))
     , links(gauge(
-          registry, "oleanderhinge_entry_links", "Open links to other processes"))
+          registry,
+          "oleanderhinge_entry_links",
+          "Open links to other processes"))
     , servers(gauge(
           registry,
           "oleanderhinge_entry_backend_servers",
@@ -94,9 +96,7 @@
           "oleanderhinge_entry_requests_total",
           "Finished requests by rank and outcome"))
     , attempts(counters(
-          registry,
-          "oleanderhinge_entry_attempts_total",
-          "Attempts by result"))
+          registry, "oleanderhinge_entry_attempts_total", "Attempts by result"))
     , retries(counters(
           registry,
           "oleanderhinge_entry_retries_total",
@@ -118,8 +118,7 @@
 {
 }
 
-void metrics::request_finished(
-    base::rank work_rank, const std::string& outcome)
+void metrics::request_finished(base::rank work_rank, const std::string& outcome)
 {
     this->requests
         .Add({{"rank", base::to_string(work_rank)}, {"outcome", outcome}})
--- a/oleanderhinge/entry/request_effects.cpp
+++ b/oleanderhinge/entry/request_effects.cpp
@@ -158,7 +158,8 @@
                 live, route, id, service_answer{a->answer, a->replayed}, to);
         } else if (const auto* f = std::get_if<call_failed_action>(&action)) {
             this->finish(live, route, id, request_failure{f->reason}, to);
-        } else if (const auto* r = std::get_if<ask_call_retry_action>(&action)) {
+        } else if (
+            const auto* r = std::get_if<ask_call_retry_action>(&action)) {
             to.ask_retry = retry_question{
                 r->reason,
                 route.idempotent,
@@ -221,7 +222,7 @@
     const auto status = this->links.send(item.agent, item.content);
     if (closes) {
         this->links.detach(item.agent, id);
-        this->routes.ended(item.server, now);
+        this->routes.ended(item.server);
     }
     // A closed link is reported by the table; a full one is not.
     if (status == net::send_status::full && !closes)
--- a/oleanderhinge/entry/request_service.cpp
+++ b/oleanderhinge/entry/request_service.cpp
@@ -28,8 +28,7 @@
     return {this->self, this->next_sequence++};
 }
 
-request_service::shard&
-request_service::shard_of(const base::request_id& id)
+request_service::shard& request_service::shard_of(const base::request_id& id)
 {
     return this->shards[id.sequence % this->shards.size()];
 }
@@ -77,9 +76,8 @@
     live.box = std::move(box);
     live.accepted = now;
     this->add(id, std::move(live));
-    this->with<service_call>(id, [](auto& call, effects&, auto at) {
-        return begin(call, at);
-    });
+    this->with<service_call>(
+        id, [](auto& call, effects&, auto at) { return begin(call, at); });
 }
 
 void request_service::caller_gone(base::request_id id)
@@ -202,8 +200,7 @@
         return;
     this->counters.claim(names[state]);
     this->with<service_call>(
-        {this->self, message.correlation},
-        [&](auto& call, effects&, auto now) {
+        {this->self, message.correlation}, [&](auto& call, effects&, auto now) {
             return on_claim_reply(call, message, now);
         });
 }
@@ -220,10 +217,9 @@
     const agent_links::lost_link& lost, bool was_open)
 {
     for (const auto& id : lost.requests) {
-        this->with<model_request>(
-            id, [&](auto& request, effects&, auto now) {
-                return entry::on_link_lost(request, lost.agent, now);
-            });
+        this->with<model_request>(id, [&](auto& request, effects&, auto now) {
+            return entry::on_link_lost(request, lost.agent, now);
+        });
         this->with<service_call>(id, [&](auto& call, effects&, auto now) {
             return on_call_link_lost(call, lost.agent, was_open, now);
         });
--- a/oleanderhinge/entry/request_service.hpp
+++ b/oleanderhinge/entry/request_service.hpp
@@ -161,8 +161,7 @@
         effects& to);
 
     void perform(base::request_id id, effects todo, base::time_point now);
-    void
-    send(base::request_id id, const outgoing& item, base::time_point now);
+    void send(base::request_id id, const outgoing& item, base::time_point now);
     void choose(const base::request_id& id, base::time_point now);
     void choose_chain(const model_request& request, base::time_point now);
     void choose_server(const service_call& call, base::time_point now);
--- a/oleanderhinge/entry/router.cpp
+++ b/oleanderhinge/entry/router.cpp
@@ -45,10 +45,10 @@
     routing::note_sent(this->view, server, now);
 }
 
-void router::ended(const base::backend_server_id& server, base::time_point now)
+void router::ended(const base::backend_server_id& server)
 {
     const std::lock_guard lock(this->view_mutex);
-    routing::note_ended(this->view, server, now);
+    routing::note_ended(this->view, server);
 }
 
 void router::outcome(
@@ -87,8 +87,7 @@
         chosen,
         routing::choose_chain(this->view, query, this->view_random, now));
     for (const auto& stage : chosen.stages)
-        routing::note_prompt(
-            this->view.prefixes, stage.server, query.prefixes);
+        routing::note_prompt(this->view.prefixes, stage.server, query.prefixes);
     return std::move(chosen.stages);
 }
 
--- a/oleanderhinge/entry/router.hpp
+++ b/oleanderhinge/entry/router.hpp
@@ -33,8 +33,8 @@
 
     // Commands.
 
-    void put(
-        const wire::announcement& message,
+    void
+    put(const wire::announcement& message,
         base::time_point expires,
         base::time_point now);
     void remove(const base::backend_server_id& server);
@@ -44,9 +44,11 @@
         const wire::load_report& load,
         base::time_point now);
     void sent(const base::backend_server_id& server, base::time_point now);
-    void ended(const base::backend_server_id& server, base::time_point now);
-    void
-    outcome(const base::backend_server_id& server, bool success, base::time_point now);
+    void ended(const base::backend_server_id& server);
+    void outcome(
+        const base::backend_server_id& server,
+        bool success,
+        base::time_point now);
     void request_succeeded();
 
     // Chooses with the view's random source, which is why they are commands.
--- /dev/null
+++ b/tests/harness/processes.cpp
@@ -0,0 +1,154 @@
+#include "tests/harness/processes.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <fcntl.h>
+#include <fstream>
+#include <set>
+#include <spawn.h>
+#include <sstream>
+#include <stdexcept>
+#include <sys/wait.h>
+#include <unistd.h>
+
+extern char** environ;
+
+namespace oleanderhinge::tests
+{
+
+namespace
+{
+
+std::filesystem::path make_folder()
+{
+    std::string name =
+        (std::filesystem::temp_directory_path() / "oleanderhinge-XXXXXX")
+            .string();
+    if (mkdtemp(name.data()) == nullptr)
+        throw std::runtime_error("cannot make a temporary folder");
+    return name;
+}
+
+int exit_code(int status)
+{
+    return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+}
+
+} // namespace
+
+processes::processes() : folder(make_folder()) {}
+
+processes::~processes()
+{
+    for (const auto& [name, pid] : this->running) {
+        ::kill(pid, SIGKILL);
+        ::waitpid(pid, nullptr, 0);
+    }
+    if (testing::Test::HasFailure()) {
+        std::fprintf(stderr, "files kept in %s\n", this->folder.c_str());
+        return;
+    }
+    std::error_code ignored;
+    std::filesystem::remove_all(this->folder, ignored);
+}
+
+void processes::start(
+    const std::string& name, const std::vector<std::string>& command)
+{
+    const std::string program =
+        std::string(OLEANDERHINGE_BINARY_DIR) + "/" + command.front();
+    std::vector<char*> arguments;
+    for (const auto& part : command)
+        arguments.push_back(const_cast<char*>(part.c_str()));
+    arguments.push_back(nullptr);
+    const auto log = this->path(name + ".log");
+    posix_spawn_file_actions_t files;
+    posix_spawn_file_actions_init(&files);
+    posix_spawn_file_actions_addopen(
+        &files, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+    posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
+    pid_t pid = 0;
+    const int failed = posix_spawn(
+        &pid, program.c_str(), &files, nullptr, arguments.data(), environ);
+    posix_spawn_file_actions_destroy(&files);
+    if (failed != 0)
+        throw std::runtime_error("cannot start " + program);
+    this->running[name] = pid;
+}
+
+void processes::signal(const std::string& name, int number)
+{
+    ::kill(this->running.at(name), number);
+}
+
+int processes::wait(const std::string& name)
+{
+    int status = 0;
+    ::waitpid(this->running.at(name), &status, 0);
+    this->running.erase(name);
+    return exit_code(status);
+}
+
+void processes::kill(const std::string& name)
+{
+    this->signal(name, SIGKILL);
+    this->wait(name);
+}
+
+bool processes::is_running(const std::string& name)
+{
+    const auto found = this->running.find(name);
+    if (found == this->running.end())
+        return false;
+    int status = 0;
+    if (::waitpid(found->second, &status, WNOHANG) == 0)
+        return true;
+    this->running.erase(found);
+    return false;
+}
+
+std::string
+processes::write(const std::string& file, const std::string& contents)
+{
+    std::ofstream(this->path(file)) << contents;
+    return this->path(file);
+}
+
+std::string processes::path(const std::string& file) const
+{
+    return (this->folder / file).string();
+}
+
+std::string processes::read(const std::string& file) const
+{
+    std::ifstream in(this->path(file));
+    std::ostringstream text;
+    text << in.rdbuf();
+    return text.str();
+}
+
+std::uint16_t processes::free_port()
+{
+    namespace asio = boost::asio;
+    // The kernel may hand out a port again before its process has bound it.
+    static std::set<std::uint16_t> given;
+    asio::io_context io;
+    while (true) {
+        asio::ip::tcp::acceptor tcp(
+            io, {asio::ip::address_v4::loopback(), 0});
+        const auto port = tcp.local_endpoint().port();
+        boost::system::error_code failed;
+        asio::ip::udp::socket udp(io, asio::ip::udp::v4());
+        udp.bind({asio::ip::address_v4::loopback(), port}, failed);
+        if (!failed && given.insert(port).second)
+            return port;
+    }
+}
+
+} // namespace oleanderhinge::tests
