--- a/oleanderhinge/wire/frame.cpp
+++ b/oleanderhinge/wire/frame.cpp
@@ -41,6 +41,8 @@
     "outcome_report",
     "outcome_ack",
     "consensus_message",
+    "model_summary",
+    "entry_heartbeat",
 };
 
 using payload_decoder = base::result<message> (*)(std::string_view);
--- a/oleanderhinge/wire/messages.hpp
+++ b/oleanderhinge/wire/messages.hpp
@@ -475,28 +475,59 @@
     }
 };
 
-// Entry to entry (UDP): announcements that changed, passed on by a registrar.
+// A backend server that a registrar still hears, in short form.
+struct server_heartbeat {
+    // Stable hash of the server's name and its agent's incarnation, see
+    // membership::heartbeat_key.
+    std::uint64_t key = 0;
+    // Time since the registrar heard the agent.
+    std::uint16_t age_ms = 0;
+    // Coarse load, see membership::load_step.
+    std::uint8_t load_step = 0;
+
+    bool operator==(const server_heartbeat&) const = default;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->key, this->age_ms, this->load_step);
+    }
+};
+
+// Entry to entry (UDP): announcements that changed, passed on by a registrar,
+// and the servers that it still hears.
 struct directory_update {
     base::vm_id sender;
     std::vector<announcement> changed;
+    // Time since the sender heard each of `changed`, in milliseconds; as many
+    // elements as `changed`.
+    std::vector<std::uint32_t> ages_ms;
+    std::vector<server_heartbeat> alive;
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(this->sender, this->changed);
+        archive(this->sender, this->changed, this->ages_ms, this->alive);
     }
 };
 
 // --- Configuration --------------------------------------------------------
 
-// Entry to control or to another entry: send updates after `have`.
+// Entry to control or to another entry: send updates after `have`. Sent again
+// on the same link when `below` changes.
 struct subscribe {
     base::revision have;
+    base::vm_id vm;
+    // Where the sender accepts subscribers itself, for redirects.
+    endpoint listen;
+    // VMs that get their configuration through the sender. A node that finds
+    // itself here would close a cycle and refuses.
+    std::vector<base::vm_id> below;
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(this->have);
+        archive(this->have, this->vm, this->listen, this->below);
     }
 };
 
@@ -636,6 +667,85 @@
     }
 };
 
+// --- Entry nodes among themselves (UDP) -------------------------------------
+
+// An entry node as others know it.
+struct entry_peer {
+    base::vm_id vm;
+    // UDP endpoint.
+    endpoint udp;
+
+    auto operator<=>(const entry_peer&) const = default;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->vm, this->udp);
+    }
+};
+
+// Entry to entry of the same data centre: the sender is alive.
+struct entry_heartbeat {
+    entry_peer self;
+    base::incarnation sender_incarnation;
+    base::data_centre_id data_centre;
+    // The sender shuts down; it must not be chosen as a registrar.
+    bool leaving = false;
+    // The sender does not know the receiver well: answer at once, with all
+    // known entry nodes.
+    bool wants_peers = false;
+    // Some or all entry nodes that the sender hears.
+    std::vector<entry_peer> known;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->self, this->sender_incarnation, this->data_centre);
+        archive(this->leaving, this->wants_peers, this->known);
+    }
+};
+
+// Servers of one model version in one data centre.
+struct model_total {
+    base::model_id model;
+    std::string version;
+    std::uint32_t servers = 0;
+    // Free slots of whole chains: those of the stage with the fewest.
+    std::uint32_t free_slots = 0;
+    // Layers with the fewest free slots; they bound the throughput.
+    base::layer_range worst_stage;
+
+    bool operator==(const model_total&) const = default;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->model, this->version, this->servers, this->free_slots);
+        archive(this->worst_stage);
+    }
+};
+
+// Entry to entry of another data centre: what the sender's data centre serves.
+struct model_summary {
+    base::data_centre_id data_centre;
+    // Incarnation and counter of the sender, which tell old summaries.
+    base::incarnation sender_incarnation;
+    std::uint64_t sequence = 0;
+    // Set by a receiver that passes it on inside its own data centre.
+    bool forwarded = false;
+    // Time since the summary was made, in milliseconds; a receiver that passes
+    // it on adds its holding time.
+    std::uint32_t age_ms = 0;
+    std::vector<model_total> models;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->data_centre, this->sender_incarnation, this->sequence);
+        archive(this->forwarded, this->age_ms, this->models);
+    }
+};
+
 using message = std::variant<
     hello,
     proof,
@@ -666,6 +776,8 @@
     claim_reply,
     outcome_report,
     outcome_ack,
-    consensus_message>;
+    consensus_message,
+    model_summary,
+    entry_heartbeat>;
 
 } // namespace oleanderhinge::wire
