--- /dev/null
+++ b/oleanderhinge/admission/queue.hpp
@@ -0,0 +1,211 @@
+// Bounded queue of one backend server, by rank and customer.
+//
+// The agent of the first stage of a chain, and of a plain service, submits
+// every request and carries out the returned actions. Each request ends in
+// exactly one grant or one refusal; a granted one holds a slot until `finish`
+// or `cancel`. See docs/decisions/0003-admission-and-routing.md.
+//
+// The functions are not thread-safe; the owner locks.
+//
+// Example:
+//   queue q = make_queue(queue_options{}, seed);
+//   for (const action& a : submit(q, work{...}, now))
+//       std::visit(carry_out, a);  // grant or refuse
+#pragma once
+
+#include "oleanderhinge/admission/limit.hpp"
+#include "oleanderhinge/base/ids.hpp"
+#include "oleanderhinge/base/random.hpp"
+#include "oleanderhinge/base/time.hpp"
+#include "oleanderhinge/base/verdict.hpp"
+#include "oleanderhinge/wire/configuration.hpp"
+#include "oleanderhinge/wire/messages.hpp"
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace oleanderhinge::admission
+{
+
+// A request that asks for a slot.
+struct work {
+    base::request_id request;
+    base::customer_id customer;
+    std::uint32_t customer_weight = 1;
+    base::rank work_rank = base::rank::standard;
+    // Tokens of the prompt and the most that may be generated. A call to a
+    // plain service leaves both at 0.
+    std::uint64_t prompt_tokens = 0;
+    std::uint64_t max_tokens = 0;
+    // Latest time of the first token (or of the start of a call) that is of
+    // use. The default means no limit but `queue_options::max_wait`.
+    base::time_point first_token_deadline = base::time_point::max();
+};
+
+struct grant {
+    base::request_id request;
+
+    bool operator==(const grant&) const = default;
+};
+
+// The request did not run here and never will.
+struct refuse {
+    base::request_id request;
+    // Always `not_run`, with `overloaded` or `deadline_exceeded`.
+    base::verdict reason;
+
+    bool operator==(const refuse&) const = default;
+};
+
+using action = std::variant<grant, refuse>;
+using actions = std::vector<action>;
+
+struct queue_options {
+    // Most requests that wait.
+    std::uint32_t max_queued = 256;
+    // Longest wait by rank, urgent first.
+    std::array<base::duration, base::rank_count> max_wait = {
+        std::chrono::seconds(5),
+        std::chrono::seconds(30),
+        std::chrono::seconds(120)};
+    limit_options limit;
+    // Slots above the limit that `submit_now` may use for urgent work, as a
+    // share of the limit.
+    double pass_headroom = 0.25;
+    // Bounds of the unspread `retry_after`; up to as much again is added at
+    // random, so that refused callers do not come back together.
+    std::chrono::milliseconds min_retry_after{100};
+    std::chrono::milliseconds max_retry_after{10000};
+    // Mechanisms that the benchmark switches off one at a time.
+    bool rank_shares = true;
+    bool fair_customers = true;
+    bool early_refusal = true;
+};
+
+namespace internal
+{
+
+struct waiting {
+    work item;
+    // Estimated tokens.
+    double cost = 0;
+    base::time_point since;
+    // Wait that was predicted on entry, in microseconds.
+    double predicted_us = 0;
+};
+
+struct customer_state {
+    std::uint32_t weight = 1;
+    // Tokens that the customer may still use in this round; negative after a
+    // request that cost more.
+    double deficit = 0;
+    std::deque<waiting> queued;
+    double queued_cost = 0;
+    std::uint32_t in_progress = 0;
+    // Round in which an idle customer has paid off its debt.
+    std::uint64_t forget_at_round = 0;
+    bool active = false;
+};
+
+struct rank_state {
+    // Tokens that the rank is owed from its share.
+    double credit = 0;
+    std::unordered_map<base::customer_id, customer_state> customers;
+    // Customers with queued work, in round-robin order.
+    std::list<base::customer_id> order;
+    std::uint32_t queued = 0;
+    double queued_cost = 0;
+    std::uint64_t round = 0;
+    // Smoothed ratio of measured to predicted wait.
+    double wait_ratio = 1;
+    // Smoothed ratio of generated tokens to `max_tokens`.
+    double generated_ratio = 0.5;
+};
+
+struct running {
+    base::rank work_rank = base::rank::standard;
+    base::customer_id customer;
+    double cost = 0;
+    std::uint64_t prompt_tokens = 0;
+    std::uint64_t max_tokens = 0;
+    base::time_point since;
+    // Whether the grant was paid from the rank's share.
+    bool owed = false;
+    // Whether the grant came from `submit_now`.
+    bool passed = false;
+};
+
+} // namespace internal
+
+// State of the queue. Read it through the functions below; the fields are for
+// tests.
+struct queue {
+    queue_options options;
+    wire::rank_shares shares;
+    adaptive_limit limit;
+    base::random_source random{0};
+    std::array<internal::rank_state, base::rank_count> ranks;
+    std::unordered_map<base::request_id, internal::running> in_progress;
+    // Rank and customer of each queued request.
+    std::unordered_map<
+        base::request_id,
+        std::pair<base::rank, base::customer_id>>
+        queued;
+    // Smoothed time that one token holds a slot, in microseconds.
+    double slot_us_per_token = 0;
+};
+
+// `seed` spreads `retry_after`.
+queue make_queue(const queue_options& options, std::uint64_t seed);
+
+// Asks for a slot. A request that is already queued or in progress changes
+// nothing and gives no action.
+actions submit(queue& q, const work& item, base::time_point now);
+
+// Grants or refuses at once, for stages after the head, which hold no queue.
+actions submit_now(queue& q, const work& item, base::time_point now);
+
+// Frees the slot of a granted request. `actual_tokens` counts prompt and
+// generated tokens; it corrects the customer's account. An unknown request
+// changes nothing.
+actions finish(
+    queue& q,
+    const base::request_id& request,
+    base::token_count actual_tokens,
+    base::time_point now);
+
+// Withdraws a request: a queued one is dropped without an action for it, a
+// granted one frees its slot and its estimated tokens are given back. Frees
+// slots for others.
+actions cancel(queue& q, const base::request_id& request, base::time_point now);
+
+// Refuses queued requests that can no longer be served in time. Call it every
+// 100 ms or at `next_expiry`.
+actions expire(queue& q, base::time_point now);
+
+// Least shares of the ranks, from the configuration.
+actions
+set_shares(queue& q, const wire::rank_shares& shares, base::time_point now);
+
+// One measured step or call; adapts the limit.
+actions observe_step(queue& q, base::duration latency, base::time_point now);
+
+// Changes the weight of a customer that the queue knows.
+void set_customer_weight(
+    queue& q, const base::customer_id& customer, std::uint32_t weight);
+
+wire::load_report load(const queue& q);
+
+bool is_queued(const queue& q, const base::request_id& request);
+bool is_in_progress(const queue& q, const base::request_id& request);
+
+// Customers that hold state, over all ranks.
+std::size_t customer_count(const queue& q);
+
+} // namespace oleanderhinge::admission
