Implement admission, routing and retry with their tests

The interfaces had no implementation yet, so agent and entry could compile but not link. Adds the queue with rank shares, deficit round robin, early refusal and shedding, the adaptive limit, the indexed view with ejection and prefix worth, the shortest-path choice of chains, and the retry budget. The limit starts at 2, because a window at 4 took the latency of a loaded engine for the unloaded one in the test with saturation at one request.

--- /dev/null
+++ b/oleanderhinge/admission/internal/dispatch.hpp
@@ -0,0 +1,43 @@
+// Steps of the queue that several of its public functions share.
+#pragma once
+
+#include "oleanderhinge/admission/queue.hpp"
+
+#include <string>
+
+namespace oleanderhinge::admission::internal
+{
+
+inline std::size_t index_of(base::rank value)
+{
+    return std::size_t(value);
+}
+
+// Estimated tokens of a request; at least 1.
+double estimate(const queue& q, const work& item);
+
+// Account that queues and pays for the request: its customer, or one for all
+// while fairness is switched off.
+base::customer_id account_of(const queue& q, const work& item);
+
+// Least share of a rank in [0, 1].
+double share_of(const queue& q, std::size_t rank);
+
+// Predicted wait of a new request in microseconds.
+double predicted_wait_us(const queue& q, const work& item, double cost);
+
+// Time to leave between a grant and the first token.
+double first_token_us(const queue& q);
+
+// A refusal with a spread `retry_after` around `wait_us`.
+refuse refusal(
+    queue& q,
+    const base::request_id& request,
+    base::failure_code code,
+    std::string detail,
+    double wait_us);
+
+// Grants queued work while slots are free.
+void dispatch(queue& q, base::time_point now, actions& out);
+
+} // namespace oleanderhinge::admission::internal
--- a/oleanderhinge/admission/limit.hpp
+++ b/oleanderhinge/admission/limit.hpp
@@ -3,19 +3,21 @@
 // The limit follows the measured step latency against the unloaded one. At the
 // end of each window of samples:
 //
-// - latency above `tolerance` x unloaded: the limit is multiplied by
-//   target / latency, at least by `max_decrease`. Where latency grows linearly
-//   with the batch, this lands at or below the target in one window per factor
-//   `max_decrease`;
-// - latency below the target and the limit in use: the limit grows by
-//   `increase`, at least by one. It passes the target by one such step at most
-//   and then alternates between the last two values.
+// - mean latency above target = `tolerance` x unloaded: the limit becomes
+//   (mean requests in progress) x target / latency, at least `max_decrease`
+//   of it. Where latency grows in proportion to the batch, this reaches the
+//   target in ceil(log(latency / target) / log(1 / max_decrease)) windows;
+// - latency at or below the target and the limit in use: the limit grows by
+//   half until the first decrease, then by `increase`, at least by one.
 //
-// The unloaded latency is lowered at once by a faster sample. It is raised
-// only by samples with few requests in progress, so that a long time of load
-// is not taken for the unloaded state. A server that becomes slower for good
-// first falls to `min`; samples at `min` count as unloaded, so the limit
-// recovers from there.
+// It therefore settles in a band of one `increase` step around the largest
+// number of requests whose latency meets the target, and always stays within
+// [min, max].
+//
+// The unloaded latency is the lowest mean of a window. Only a window with few
+// requests in progress raises it, so that a long time of load is not taken for
+// the unloaded state. A server that becomes slower for good first falls to
+// `min`; windows at `min` count as unloaded, so the limit recovers from there.
 //
 // Example:
 //   adaptive_limit limit = make_limit(limit_options{});
@@ -34,7 +36,8 @@
 struct limit_options {
     std::uint32_t min = 2;
     std::uint32_t max = 256;
-    std::uint32_t initial = 16;
+    // Small, so that the first windows show the unloaded latency.
+    std::uint32_t initial = 2;
     // Accepted ratio of measured to unloaded latency.
     double tolerance = 2.0;
     // Samples a decision is based on.
@@ -57,7 +60,10 @@
     // Samples of the present window.
     std::uint32_t samples = 0;
     double sum_us = 0;
+    double sum_in_progress = 0;
     std::uint32_t most_in_progress = 0;
+    // Whether the limit was ever lowered.
+    bool decreased = false;
 };
 
 adaptive_limit make_limit(const limit_options& options);
--- /dev/null
+++ b/oleanderhinge/admission/queue.cpp
@@ -0,0 +1,332 @@
+#include "oleanderhinge/admission/queue.hpp"
+
+#include "oleanderhinge/admission/internal/dispatch.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace oleanderhinge::admission
+{
+
+namespace
+{
+
+using namespace internal;
+
+constexpr double smoothing = 0.05;
+
+void smooth(double& value, double sample)
+{
+    value = value == 0 ? sample : value + smoothing * (sample - value);
+}
+
+std::string seconds_text(double us)
+{
+    return std::to_string(std::int64_t(us / 1000)) + " ms";
+}
+
+// Refusal of a request whose deadline cannot be met, before it costs anything.
+std::optional<refuse>
+early_refusal(queue& q, const work& item, double wait_us, base::time_point now)
+{
+    if (!q.options.early_refusal)
+        return std::nullopt;
+    const double allowed = std::min(
+        double((item.first_token_deadline - now).count()) - first_token_us(q),
+        double(q.options.max_wait[index_of(item.work_rank)].count()));
+    if (item.first_token_deadline <= now)
+        return refusal(
+            q,
+            item.request,
+            base::failure_code::deadline_exceeded,
+            "the deadline of the first token has passed",
+            0);
+    if (wait_us <= std::max(0.0, allowed))
+        return std::nullopt;
+    return refusal(
+        q,
+        item.request,
+        base::failure_code::overloaded,
+        "predicted wait of " + seconds_text(wait_us) +
+            " misses the deadline of the first token",
+        wait_us - allowed);
+}
+
+// Rank that gives up a place in a full queue to a request of rank `arriving`:
+// the least urgent one that holds more than its share of the places.
+std::size_t shed_rank(const queue& q, std::size_t arriving)
+{
+    for (std::size_t r = base::rank_count; r-- > arriving + 1;) {
+        const double places =
+            q.options.rank_shares
+                ? share_of(q, r) * double(q.options.max_queued)
+                : 0;
+        if (double(q.ranks[r].queued) > places)
+            return r;
+    }
+    const double own = share_of(q, arriving) * double(q.options.max_queued);
+    if (!q.options.rank_shares || double(q.ranks[arriving].queued) >= own)
+        return arriving;
+    // The arriving rank is below its share, so a more urgent one is above.
+    for (std::size_t r = 0; r < arriving; ++r)
+        if (double(q.ranks[r].queued) >
+            share_of(q, r) * double(q.options.max_queued))
+            return r;
+    return arriving;
+}
+
+// Makes room in a full queue. Returns false if the arriving request is itself
+// of the least worth.
+bool shed(queue& q, const work& item, double cost, actions& out)
+{
+    const auto arriving = index_of(item.work_rank);
+    const auto r = shed_rank(q, arriving);
+    const auto* worst = least_worth(q.ranks[r]);
+    if (worst == nullptr)
+        return false;
+    const auto victim = worst->item;
+    const auto account = account_of(q, victim);
+    if (r == arriving) {
+        const auto own = account_of(q, item);
+        const double own_backlog =
+            weighted_backlog(q.ranks[r], own) +
+            cost / double(std::max(1U, item.customer_weight));
+        if (own == account ||
+            own_backlog >= weighted_backlog(q.ranks[r], account))
+            return false;
+    }
+    erase(q.ranks[r], account, victim.request, q.mean_cost);
+    q.queued.erase(victim.request);
+    out.emplace_back(refusal(
+        q,
+        victim.request,
+        base::failure_code::overloaded,
+        "the queue is full and other work goes first",
+        predicted_wait_us(q, victim, q.mean_cost)));
+    return true;
+}
+
+void enqueue(queue& q, const work& item, double cost, base::time_point now)
+{
+    const auto account = account_of(q, item);
+    const double predicted = predicted_wait_us(q, item, cost);
+    push(
+        q.ranks[index_of(item.work_rank)],
+        account,
+        item.customer_weight,
+        waiting{item, cost, now, predicted},
+        q.mean_cost);
+    q.queued.emplace(item.request, location{item.work_rank, account});
+}
+
+// Corrects the accounts of a granted request that used `actual` tokens.
+void settle(queue& q, const running& done, double actual)
+{
+    auto& rank = q.ranks[index_of(done.item.work_rank)];
+    if (done.owed)
+        rank.credit += done.cost - actual;
+    release(rank, account_of(q, done.item), done.cost - actual, q.mean_cost);
+}
+
+void learn(queue& q, const running& done, double actual, base::time_point now)
+{
+    smooth(q.slot_us_per_token, double((now - done.since).count()) / actual);
+    if (done.item.max_tokens == 0)
+        return;
+    const double generated = actual - double(done.item.prompt_tokens);
+    smooth(
+        q.ranks[index_of(done.item.work_rank)].generated_ratio,
+        std::clamp(generated / double(done.item.max_tokens), 0.01, 1.0));
+}
+
+} // namespace
+
+queue make_queue(const queue_options& options, std::uint64_t seed)
+{
+    queue q;
+    q.options = options;
+    q.options.max_queued = std::max(1U, options.max_queued);
+    q.limit = make_limit(options.limit);
+    q.random = base::random_source{seed};
+    return q;
+}
+
+actions submit(queue& q, const work& item, base::time_point now)
+{
+    actions out;
+    if (is_queued(q, item.request) || is_in_progress(q, item.request))
+        return out;
+    const double cost = estimate(q, item);
+    smooth(q.mean_cost, cost);
+    const double wait = predicted_wait_us(q, item, cost);
+    if (auto refused = early_refusal(q, item, wait, now)) {
+        out.emplace_back(std::move(*refused));
+        return out;
+    }
+    if (q.queued.size() >= q.options.max_queued && !shed(q, item, cost, out)) {
+        out.emplace_back(refusal(
+            q,
+            item.request,
+            base::failure_code::overloaded,
+            "the queue is full",
+            wait));
+        return out;
+    }
+    enqueue(q, item, cost, now);
+    dispatch(q, now, out);
+    return out;
+}
+
+actions submit_now(queue& q, const work& item, base::time_point now)
+{
+    actions out;
+    if (is_queued(q, item.request) || is_in_progress(q, item.request))
+        return out;
+    const double headroom = item.work_rank == base::rank::urgent
+                                ? 2 * q.options.pass_headroom
+                                : q.options.pass_headroom;
+    const double ceiling = std::ceil(double(q.limit.current) * (1 + headroom));
+    if (double(q.in_progress.size()) >= ceiling) {
+        out.emplace_back(refusal(
+            q,
+            item.request,
+            base::failure_code::overloaded,
+            "all slots of this stage are in use",
+            q.mean_cost * q.slot_us_per_token / double(q.limit.current)));
+        return out;
+    }
+    const double cost = estimate(q, item);
+    smooth(q.mean_cost, cost);
+    q.in_progress.emplace(item.request, running{item, cost, now, false, true});
+    out.emplace_back(grant{item.request});
+    return out;
+}
+
+actions finish(
+    queue& q,
+    const base::request_id& request,
+    base::token_count actual_tokens,
+    base::time_point now)
+{
+    actions out;
+    const auto it = q.in_progress.find(request);
+    if (it == q.in_progress.end())
+        return out;
+    const running done = it->second;
+    q.in_progress.erase(it);
+    const double actual =
+        double(std::max<std::uint64_t>(1, actual_tokens.value()));
+    learn(q, done, actual, now);
+    if (!done.passed)
+        settle(q, done, actual);
+    dispatch(q, now, out);
+    return out;
+}
+
+actions cancel(queue& q, const base::request_id& request, base::time_point now)
+{
+    actions out;
+    if (const auto it = q.queued.find(request); it != q.queued.end()) {
+        const auto place = it->second;
+        q.queued.erase(it);
+        erase(
+            q.ranks[index_of(place.work_rank)],
+            place.account,
+            request,
+            q.mean_cost);
+        return out;
+    }
+    const auto it = q.in_progress.find(request);
+    if (it == q.in_progress.end())
+        return out;
+    const running dropped = it->second;
+    q.in_progress.erase(it);
+    if (!dropped.passed)
+        settle(q, dropped, 0);
+    dispatch(q, now, out);
+    return out;
+}
+
+actions expire(queue& q, base::time_point now)
+{
+    actions out;
+    const auto needed = base::duration(std::int64_t(first_token_us(q)));
+    for (std::size_t r = 0; r < base::rank_count; ++r) {
+        const auto max_wait = q.options.max_wait[r];
+        const auto late = find_queued(q.ranks[r], [&](const waiting& w) {
+            return now + needed > w.item.first_token_deadline ||
+                   now - w.since > max_wait;
+        });
+        for (const auto& [account, request] : late) {
+            erase(q.ranks[r], account, request, q.mean_cost);
+            q.queued.erase(request);
+            out.emplace_back(refusal(
+                q,
+                request,
+                base::failure_code::deadline_exceeded,
+                "the request waited too long in the queue",
+                q.mean_cost * q.slot_us_per_token));
+        }
+    }
+    dispatch(q, now, out);
+    return out;
+}
+
+actions
+set_shares(queue& q, const wire::rank_shares& shares, base::time_point now)
+{
+    actions out;
+    q.shares = shares;
+    dispatch(q, now, out);
+    return out;
+}
+
+actions observe_step(queue& q, base::duration latency, base::time_point now)
+{
+    actions out;
+    observe(q.limit, latency, std::uint32_t(q.in_progress.size()));
+    dispatch(q, now, out);
+    return out;
+}
+
+void observe_first_token(queue& q, base::duration since_grant)
+{
+    smooth(q.first_token_us, std::max(1.0, double(since_grant.count())));
+}
+
+wire::load_report load(const queue& q)
+{
+    wire::load_report report;
+    report.in_progress = std::uint32_t(q.in_progress.size());
+    report.limit = q.limit.current;
+    report.queued = std::uint32_t(q.queued.size());
+    double tokens = 0;
+    for (const auto& rank : q.ranks)
+        tokens += rank.queued_cost;
+    report.queued_tokens = base::token_count{std::uint64_t(tokens)};
+    report.step_us = std::uint32_t(std::min(q.limit.smoothed_us, 4e9));
+    return report;
+}
+
+bool is_queued(const queue& q, const base::request_id& request)
+{
+    return q.queued.contains(request);
+}
+
+bool is_in_progress(const queue& q, const base::request_id& request)
+{
+    return q.in_progress.contains(request);
+}
+
+std::size_t customer_count(const queue& q)
+{
+    std::size_t count = 0;
+    for (const auto& rank : q.ranks)
+        count += rank.customers.size();
+    return count;
+}
+
+} // namespace oleanderhinge::admission
--- a/oleanderhinge/admission/queue.hpp
+++ b/oleanderhinge/admission/queue.hpp
@@ -13,7 +13,9 @@
 //       std::visit(carry_out, a);  // grant or refuse
 #pragma once
 
+#include "oleanderhinge/admission/internal/rank_queue.hpp"
 #include "oleanderhinge/admission/limit.hpp"
+#include "oleanderhinge/admission/work.hpp"
 #include "oleanderhinge/base/ids.hpp"
 #include "oleanderhinge/base/random.hpp"
 #include "oleanderhinge/base/time.hpp"
@@ -23,49 +25,13 @@
 
 #include <array>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
-#include <deque>
-#include <list>
 #include <unordered_map>
-#include <variant>
-#include <vector>
 
 namespace oleanderhinge::admission
 {
 
-// A request that asks for a slot.
-struct work {
-    base::request_id request;
-    base::customer_id customer;
-    std::uint32_t customer_weight = 1;
-    base::rank work_rank = base::rank::standard;
-    // Tokens of the prompt and the most that may be generated. A call to a
-    // plain service leaves both at 0.
-    std::uint64_t prompt_tokens = 0;
-    std::uint64_t max_tokens = 0;
-    // Latest time of the first token (or of the start of a call) that is of
-    // use. The default means no limit but `queue_options::max_wait`.
-    base::time_point first_token_deadline = base::time_point::max();
-};
-
-struct grant {
-    base::request_id request;
-
-    bool operator==(const grant&) const = default;
-};
-
-// The request did not run here and never will.
-struct refuse {
-    base::request_id request;
-    // Always `not_run`, with `overloaded` or `deadline_exceeded`.
-    base::verdict reason;
-
-    bool operator==(const refuse&) const = default;
-};
-
-using action = std::variant<grant, refuse>;
-using actions = std::vector<action>;
-
 struct queue_options {
     // Most requests that wait.
     std::uint32_t max_queued = 256;
@@ -75,8 +41,9 @@
         std::chrono::seconds(30),
         std::chrono::seconds(120)};
     limit_options limit;
-    // Slots above the limit that `submit_now` may use for urgent work, as a
-    // share of the limit.
+    // Slots above the limit that `submit_now` may use, as a share of the limit;
+    // twice as many for urgent work. The head of the chain has queued the
+    // request already, and a refusal here would waste that wait.
     double pass_headroom = 0.25;
     // Bounds of the unspread `retry_after`; up to as much again is added at
     // random, so that refused callers do not come back together.
@@ -91,49 +58,11 @@
 namespace internal
 {
 
-struct waiting {
-    work item;
-    // Estimated tokens.
-    double cost = 0;
-    base::time_point since;
-    // Wait that was predicted on entry, in microseconds.
-    double predicted_us = 0;
-};
-
-struct customer_state {
-    std::uint32_t weight = 1;
-    // Tokens that the customer may still use in this round; negative after a
-    // request that cost more.
-    double deficit = 0;
-    std::deque<waiting> queued;
-    double queued_cost = 0;
-    std::uint32_t in_progress = 0;
-    // Round in which an idle customer has paid off its debt.
-    std::uint64_t forget_at_round = 0;
-    bool active = false;
-};
-
-struct rank_state {
-    // Tokens that the rank is owed from its share.
-    double credit = 0;
-    std::unordered_map<base::customer_id, customer_state> customers;
-    // Customers with queued work, in round-robin order.
-    std::list<base::customer_id> order;
-    std::uint32_t queued = 0;
-    double queued_cost = 0;
-    std::uint64_t round = 0;
-    // Smoothed ratio of measured to predicted wait.
-    double wait_ratio = 1;
-    // Smoothed ratio of generated tokens to `max_tokens`.
-    double generated_ratio = 0.5;
-};
-
+// A request that holds a slot.
 struct running {
-    base::rank work_rank = base::rank::standard;
-    base::customer_id customer;
+    work item;
+    // Tokens that were charged on entry.
     double cost = 0;
-    std::uint64_t prompt_tokens = 0;
-    std::uint64_t max_tokens = 0;
     base::time_point since;
     // Whether the grant was paid from the rank's share.
     bool owed = false;
@@ -141,6 +70,12 @@
     bool passed = false;
 };
 
+// Rank and customer account of a queued request.
+struct location {
+    base::rank work_rank = base::rank::standard;
+    base::customer_id account;
+};
+
 } // namespace internal
 
 // State of the queue. Read it through the functions below; the fields are for
@@ -152,13 +87,13 @@
     base::random_source random{0};
     std::array<internal::rank_state, base::rank_count> ranks;
     std::unordered_map<base::request_id, internal::running> in_progress;
-    // Rank and customer of each queued request.
-    std::unordered_map<
-        base::request_id,
-        std::pair<base::rank, base::customer_id>>
-        queued;
+    std::unordered_map<base::request_id, internal::location> queued;
     // Smoothed time that one token holds a slot, in microseconds.
     double slot_us_per_token = 0;
+    // Smoothed time from the grant to the first token, in microseconds.
+    double first_token_us = 0;
+    // Smoothed estimated tokens of a request; the quantum of a round.
+    double mean_cost = 0;
 };
 
 // `seed` spreads `retry_after`.
@@ -196,9 +131,9 @@
 // One measured step or call; adapts the limit.
 actions observe_step(queue& q, base::duration latency, base::time_point now);
 
-// Changes the weight of a customer that the queue knows.
-void set_customer_weight(
-    queue& q, const base::customer_id& customer, std::uint32_t weight);
+// Measured time from the grant to the first token, which a deadline has to
+// leave room for. Without it, the step latency is used.
+void observe_first_token(queue& q, base::duration since_grant);
 
 wire::load_report load(const queue& q);
 
--- /dev/null
+++ b/oleanderhinge/retry/budget.cpp
@@ -0,0 +1,130 @@
+#include "oleanderhinge/retry/budget.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace oleanderhinge::retry
+{
+
+namespace
+{
+
+using base::execution;
+using base::failure_code;
+
+// Seconds of the floor that can be saved up.
+constexpr double floor_burst_seconds = 10;
+
+void refill(budget& b, base::time_point now)
+{
+    const double seconds =
+        std::max(0.0, double((now - b.refilled).count()) / 1e6);
+    b.refilled = std::max(b.refilled, now);
+    // The floor alone fills the budget only up to its own burst.
+    const double burst = std::min(
+        b.options.max_saved, b.options.floor_per_second * floor_burst_seconds);
+    if (b.saved < burst)
+        b.saved =
+            std::min(burst, b.saved + seconds * b.options.floor_per_second);
+}
+
+// Whether another server may answer better than the one that failed.
+bool helps(failure_code code)
+{
+    switch (code) {
+    case failure_code::overloaded:
+    case failure_code::no_server:
+    case failure_code::server_leaving:
+    case failure_code::server_failed:
+    case failure_code::link_lost:
+        return true;
+    default:
+        return false;
+    }
+}
+
+bool is_allowed(
+    const base::verdict& failure, bool idempotent, std::uint32_t attempt)
+{
+    if (!helps(failure.code) || failure.state == execution::ran)
+        return false;
+    if (failure.state == execution::may_have_run && !idempotent)
+        return false;
+    // An overloaded server says when to come back. One other server is tried;
+    // more tries would only spread the overload.
+    return failure.code != failure_code::overloaded ||
+           failure.retry_after.count() == 0 || attempt < 2;
+}
+
+// Exponential back-off with full jitter. Attempt 2 goes to another server at
+// once, since the caller waits and the first failure says nothing about it.
+base::duration
+back_off(const budget& b, std::uint32_t attempt, base::random_source& random)
+{
+    if (attempt < 2)
+        return base::duration(0);
+    const auto doublings = std::min(attempt - 2, 20U);
+    const double ceiling = std::min(
+        double(b.options.max_delay.count()),
+        std::ldexp(double(b.options.base_delay.count()), int(doublings)));
+    return base::duration(std::int64_t(ceiling * random.unit()));
+}
+
+} // namespace
+
+const char* to_string(refusal value)
+{
+    switch (value) {
+    case refusal::none:
+        return "none";
+    case refusal::verdict:
+        return "verdict";
+    case refusal::budget_empty:
+        return "budget empty";
+    case refusal::attempts_exhausted:
+        return "attempts exhausted";
+    case refusal::out_of_time:
+        return "out of time";
+    }
+    return "unknown";
+}
+
+budget make_budget(const budget_options& options, base::time_point now)
+{
+    budget b;
+    b.options = options;
+    b.saved = std::min(
+        options.max_saved, options.floor_per_second * floor_burst_seconds);
+    b.refilled = now;
+    return b;
+}
+
+void note_success(budget& b)
+{
+    b.saved = std::min(b.options.max_saved, b.saved + b.options.success_share);
+}
+
+retry_decision may_retry(
+    budget& b,
+    const base::verdict& failure,
+    bool idempotent,
+    base::attempt_number attempt,
+    base::duration remaining,
+    base::random_source& random,
+    base::time_point now)
+{
+    refill(b, now);
+    if (!is_allowed(failure, idempotent, attempt.value()))
+        return {.reason = refusal::verdict};
+    if (attempt.value() >= b.options.max_attempts)
+        return {.reason = refusal::attempts_exhausted};
+    const auto delay = back_off(b, attempt.value(), random);
+    if (delay >= remaining)
+        return {.reason = refusal::out_of_time};
+    if (b.saved < 1)
+        return {.reason = refusal::budget_empty};
+    b.saved -= 1;
+    return {.retry = true, .delay = delay};
+}
+
+} // namespace oleanderhinge::retry
--- a/oleanderhinge/routing/choose.hpp
+++ b/oleanderhinge/routing/choose.hpp
@@ -55,7 +55,8 @@
 };
 
 // Fails with `unavailable` if no chain of usable servers covers the model; the
-// detail names the first layer that nothing reaches.
+// detail names how many layers are covered. A server that is ejected is used
+// only if its stage has no other.
 base::result<chain> choose_chain(
     const view& v,
     const chain_query& query,
--- a/oleanderhinge/routing/prefix_index.hpp
+++ b/oleanderhinge/routing/prefix_index.hpp
@@ -15,6 +15,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <list>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -47,7 +48,7 @@
 struct prefix_options {
     // Entries kept of each server, and servers kept of each prefix.
     std::size_t max_entries = 1024;
-    std::size_t max_servers = 8;
+    std::size_t max_servers = 16;
     // Factor on the worth of older entries at each gap.
     double gap_factor = 0.5;
 };
@@ -55,18 +56,20 @@
 namespace internal
 {
 
+struct prefix_entry {
+    // Gaps of the server when the entry was last confirmed.
+    std::uint32_t gaps = 0;
+    std::list<prefix_hash>::iterator place;
+};
+
 struct server_prefixes {
     base::incarnation agent_incarnation;
     std::uint64_t last_sequence = 0;
     // Gaps so far; an entry is worth gap_factor ^ (gaps - entry's gaps).
     std::uint32_t gaps = 0;
-    struct entry {
-        std::uint32_t gaps = 0;
-        // Order of use, for dropping the oldest.
-        std::uint64_t used = 0;
-    };
-    std::unordered_map<prefix_hash, entry> entries;
-    std::uint64_t uses = 0;
+    std::unordered_map<prefix_hash, prefix_entry> entries;
+    // Least recently confirmed first.
+    std::list<prefix_hash> by_age;
 };
 
 } // namespace internal
@@ -79,11 +82,13 @@
         holders;
 };
 
-// A late event (a sequence number already passed) only adds nothing and
-// removes what it evicts; an event of another incarnation starts anew.
+// A late event, whose sequence number has been passed, only removes what it
+// evicts, because what it adds may be gone by now. An event of another
+// incarnation starts anew.
 void apply_cache_event(prefix_index& index, const cache_event& event);
 
-// This node sent a prompt to the server, which will cache it.
+// This node sent a prompt to the server, which will cache it. Used where the
+// engine publishes no events.
 void note_prompt(
     prefix_index& index,
     const base::backend_server_id& server,
--- a/oleanderhinge/routing/view.hpp
+++ b/oleanderhinge/routing/view.hpp
@@ -77,10 +77,22 @@
     base::duration max_ejection_time = std::chrono::seconds(30);
     // Length of each step of the return (10%, 25%, 50%).
     base::duration return_step = std::chrono::seconds(1);
-    // Candidates that are sampled of each layer range.
+    // Candidates that are sampled of each layer range in the caller's data
+    // centre; one more comes from its region and one from anywhere.
     std::uint32_t candidates = 2;
-    // Most that a warm prefix is worth, as a share of the server's cost.
+    // Weights of slots in use and of waiting work in the cost of a server, in
+    // steps per limit. Waiting work delays the first token, so it weighs more.
+    double busy_weight = 2;
+    double waiting_weight = 8;
+    // Growth of the cost for each consecutive failure before ejection, for
+    // `failure_memory` after the last one. Without an end, a server that is
+    // never chosen again could never prove itself.
+    double failure_weight = 4;
+    base::duration failure_memory = std::chrono::seconds(1);
+    // Most that a warm prefix is worth, as a share of the server's cost, and
+    // the steps that the prefill of one block takes.
     double max_prefix_worth = 0.3;
+    double prefill_steps_per_block = 2;
     prefix_options prefixes;
     // Mechanisms that the benchmark switches off one at a time.
     bool load_correction = true;
@@ -102,22 +114,22 @@
 struct server_entry {
     server_info info;
     bool used = false;
-    // Requests that this node sent and that no report includes, oldest first.
+    // Requests that this node sent and that no report includes, oldest first,
+    // and the number that ended since the last report.
     std::vector<base::time_point> sent;
+    std::uint32_t ended = 0;
     std::uint32_t consecutive_failures = 0;
-    // Ejections in a row without a success in between; 0 means never ejected.
+    base::time_point last_failure;
+    // Ejections without a full return in between; 0 means not ejected.
     std::uint32_t ejections = 0;
     base::time_point ejected_until;
-    base::time_point last_failure;
 };
 
 // Model, version, adapter.
 using model_key = std::tuple<base::model_id, std::string, std::string>;
 
-struct model_groups {
-    std::uint32_t layer_count = 0;
-    std::map<base::layer_range, group> ranges;
-};
+// Ordered by first layer, as the search for a chain visits them.
+using layer_groups = std::map<base::layer_range, group>;
 
 } // namespace internal
 
@@ -127,15 +139,14 @@
     std::vector<internal::server_entry> servers;
     std::vector<internal::slot> unused;
     std::unordered_map<base::backend_server_id, internal::slot> by_id;
-    std::map<internal::model_key, internal::model_groups> models;
+    std::map<internal::model_key, internal::layer_groups> models;
     std::map<std::string, internal::group> services;
     prefix_index prefixes;
 };
 
 // Adds or replaces a server. A new incarnation resets what this node knows of
-// its load and failures. Returns false for an older incarnation-independent
-// duplicate that changes nothing but load and expiry.
-bool put_server(view& v, const server_info& info, base::time_point now);
+// its load and failures.
+void put_server(view& v, const server_info& info, base::time_point now);
 void remove_server(view& v, const base::backend_server_id& id);
 
 // A load report that arrived with an announcement or an answer. Ignored for an
@@ -151,8 +162,7 @@
 void note_sent(
     view& v, const base::backend_server_id& id, base::time_point now);
 // A request that this node sent has ended; it no longer counts as load.
-void note_ended(
-    view& v, const base::backend_server_id& id, base::time_point now);
+void note_ended(view& v, const base::backend_server_id& id);
 
 // Outcome of a request at the server, for ejection. A refusal for overload is
 // not a failure.
@@ -161,8 +171,12 @@
 void note_failure(
     view& v, const base::backend_server_id& id, base::time_point now);
 
+// Estimated requests at the server: its last report, plus what this node sent
+// since, less what ended since.
+double estimated_requests(const view& v, const base::backend_server_id& id);
+
 // Share of its normal traffic that the server gets at `now`: 0 while it is
-// ejected, leaving or expired, then 0.1, 0.25, 0.5, 1.
+// ejected, unknown, expired or not serving, then 0.1, 0.25, 0.5, 1.
 double traffic_share(
     const view& v, const base::backend_server_id& id, base::time_point now);
 
