agent: add the process beside a backend server

The chain had step rules and stand-ins but no process that connects them. It builds without warnings; no test was run yet.

--- /dev/null
+++ b/oleanderhinge/agent/internal/attempts.cpp
@@ -0,0 +1,244 @@
+// Carries out the actions of chain/execution.hpp.
+#include "oleanderhinge/agent/internal/runtime.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+
+namespace oleanderhinge::agent::internal
+{
+
+using timeline::event_kind;
+
+namespace
+{
+
+// Usual size of a token of English text, for the estimate of the prompt.
+constexpr std::size_t bytes_per_token = 4;
+
+std::string attempt_text(base::attempt_number attempt)
+{
+    return "attempt " + std::to_string(attempt.value());
+}
+
+std::string token_text(base::attempt_number attempt, base::token_index token)
+{
+    return attempt_text(attempt) + " token " + std::to_string(token.value());
+}
+
+std::string layers_text(const base::layer_range& layers)
+{
+    return " layers " + std::to_string(layers.first.value()) + "-" +
+           std::to_string(layers.end.value());
+}
+
+} // namespace
+
+shard& runtime::shard_of(const base::request_id& request)
+{
+    return this->shards[std::hash<base::request_id>{}(request) % shard_count];
+}
+
+void runtime::feed(const base::request_id& request, const chain::event& what)
+{
+    auto& s = this->shard_of(request);
+    std::vector<chain::action> actions;
+    {
+        const std::lock_guard lock(s.mutex);
+        actions = chain::advance(s.attempts, what, base::monotonic_now());
+    }
+    for (auto& a : actions)
+        std::visit([this](auto& one) { this->carry_out(std::move(one)); }, a);
+}
+
+void runtime::feed_all(const chain::event& what)
+{
+    for (auto& s : this->shards) {
+        std::vector<chain::action> actions;
+        {
+            const std::lock_guard lock(s.mutex);
+            actions = chain::advance(s.attempts, what, base::monotonic_now());
+        }
+        for (auto& a : actions)
+            std::visit(
+                [this](auto& one) { this->carry_out(std::move(one)); }, a);
+    }
+}
+
+void runtime::carry_out(const chain::request_slot& a)
+{
+    const auto now = base::monotonic_now();
+    slot_request wanted;
+    wanted.key = {a.request, a.attempt};
+    wanted.may_wait = a.head;
+    wanted.customer = a.customer;
+    wanted.customer_weight = a.customer_weight;
+    wanted.work_rank = a.work_rank;
+    wanted.prompt_tokens = a.prompt_bytes / bytes_per_token + 1;
+    wanted.max_tokens = a.max_tokens;
+    const auto budget =
+        a.first_token_budget_ms > 0 ? a.first_token_budget_ms : a.budget_ms;
+    wanted.deadline = now + std::chrono::milliseconds(budget);
+    slot_outcomes outcomes;
+    {
+        const std::lock_guard lock(this->slot_mutex);
+        outcomes = ask(this->slots, wanted, now);
+    }
+    this->deliver(outcomes);
+}
+
+void runtime::carry_out(const chain::release_slot& a)
+{
+    slot_outcomes outcomes;
+    {
+        const std::lock_guard lock(this->slot_mutex);
+        outcomes = give_back(
+            this->slots,
+            {a.request, a.attempt},
+            a.generated,
+            base::monotonic_now());
+    }
+    this->deliver(outcomes);
+}
+
+void runtime::carry_out(const chain::run_step& a)
+{
+    asio::co_spawn(this->io, this->run_on_engine(a), asio::detached);
+}
+
+asio::awaitable<void> runtime::run_on_engine(chain::run_step step)
+{
+    const auto begun = base::monotonic_now();
+    const auto limit = std::chrono::ceil<std::chrono::milliseconds>(std::max(
+        base::duration(std::chrono::milliseconds(1)),
+        std::min(this->options.step_limit, step.time_left)));
+    const auto outcome = co_await this->client.call(
+        this->options.backend, run_request(step), limit, net::reuse::allowed);
+    const auto taken = base::monotonic_now() - begun;
+    const auto event = to_step_finished(step, outcome);
+    if (event.failure.code == base::failure_code::none) {
+        this->numbers.steps_run.Increment();
+        this->numbers.step_seconds.Observe(
+            std::chrono::duration<double>(taken).count());
+        base::layer_range layers;
+        {
+            const std::lock_guard lock(this->status.mutex);
+            if (this->status.info)
+                layers = this->status.info->layers;
+        }
+        this->events.record(
+            event_kind::step_run,
+            step.request,
+            token_text(step.attempt, step.token) + layers_text(layers));
+        this->observe_latency(taken);
+    } else {
+        this->numbers.steps_failed.Increment();
+    }
+    this->feed(step.request, event);
+}
+
+void runtime::carry_out(const chain::forget_on_engine& a)
+{
+    asio::co_spawn(this->io, this->forget(a), asio::detached);
+}
+
+asio::awaitable<void> runtime::forget(chain::forget_on_engine what)
+{
+    // The engine drops what it was not told to drop when its memory is full,
+    // so a lost request does no harm.
+    co_await this->client.call(
+        this->options.backend,
+        forget_request(what),
+        std::chrono::ceil<std::chrono::milliseconds>(
+            this->options.control_limit),
+        net::reuse::allowed);
+}
+
+void runtime::carry_out(const chain::forward_step& a)
+{
+    if (a.try_number > 1)
+        this->numbers.steps_resent.Increment();
+    const auto id = this->stage_link(a.to);
+    {
+        const std::lock_guard lock(this->directory.mutex);
+        this->directory.used[id] = base::monotonic_now();
+    }
+    // What is not sent now is sent again after the step timeout.
+    this->links.send(id, a.message);
+}
+
+void runtime::carry_out(const chain::acknowledge& a)
+{
+    if (a.reason == chain::ack_reason::repeated) {
+        this->numbers.steps_repeated.Increment();
+        this->events.record(
+            event_kind::step_repeated,
+            a.message.request,
+            token_text(a.message.attempt, a.message.token));
+    } else if (a.reason == chain::ack_reason::fenced) {
+        this->numbers.steps_fenced.Increment();
+    }
+    this->send(a.to, a.message);
+}
+
+void runtime::carry_out(const chain::refuse_step&)
+{
+    this->numbers.steps_refused.Increment();
+}
+
+void runtime::carry_out(const chain::send_token& a)
+{
+    this->numbers.tokens.Increment();
+    this->send(a.to, a.message);
+}
+
+void runtime::carry_out(chain::grant a)
+{
+    this->numbers.attempts_granted.Increment();
+    this->events.record(
+        event_kind::attempt_granted,
+        a.message.request,
+        attempt_text(a.message.attempt) + " position " +
+            std::to_string(a.message.position));
+    a.message.load = this->load_now();
+    this->send(a.to, a.message);
+}
+
+void runtime::carry_out(chain::refuse a)
+{
+    this->numbers.attempts_refused.Increment();
+    this->events.record(
+        event_kind::attempt_refused,
+        a.message.request,
+        attempt_text(a.message.attempt) + ": " + a.message.reason.detail);
+    a.message.load = this->load_now();
+    this->send(a.to, a.message);
+}
+
+void runtime::carry_out(const chain::fail_attempt& a)
+{
+    this->numbers.attempts_failed.Increment();
+    this->events.record(
+        event_kind::attempt_failed,
+        a.message.request,
+        attempt_text(a.message.attempt) + ": " + a.message.reason.detail);
+    this->send(a.to, a.message);
+}
+
+void runtime::carry_out(chain::confirm_close a)
+{
+    a.message.load = this->load_now();
+    this->send(a.to, a.message);
+}
+
+void runtime::carry_out(const chain::fenced& a)
+{
+    this->numbers.attempts_fenced.Increment();
+    this->events.record(
+        event_kind::attempt_fenced,
+        a.request,
+        attempt_text(a.attempt) + " by " + attempt_text(a.by));
+}
+
+} // namespace oleanderhinge::agent::internal
--- /dev/null
+++ b/oleanderhinge/agent/internal/runtime.cpp
@@ -0,0 +1,289 @@
+#include "oleanderhinge/agent/internal/runtime.hpp"
+
+#include "oleanderhinge/base/random.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <spdlog/spdlog.h>
+
+#include <sstream>
+
+namespace oleanderhinge::agent::internal
+{
+
+namespace
+{
+
+// Kept connections to the backend server.
+constexpr std::size_t max_idle_connections = 64;
+// Steps are resent and queues are expired with this precision.
+constexpr std::chrono::milliseconds tick_interval{50};
+
+net::link_options
+link_options_of(const agent_options& options, base::incarnation own)
+{
+    net::link_options to;
+    to.cluster_secret = options.cluster_secret;
+    to.self.sender = wire::role::agent;
+    to.self.vm = options.vm;
+    to.self.sender_incarnation = own;
+    to.self.region = options.region;
+    to.self.data_centre = options.data_centre;
+    to.timing.busy_heartbeat = options.timing.link_busy_heartbeat;
+    to.timing.busy_silence = options.timing.link_busy_silence;
+    to.timing.idle_heartbeat = options.timing.link_idle_heartbeat;
+    to.timing.idle_silence = options.timing.link_idle_silence;
+    to.timing.handshake = options.timing.link_handshake;
+    return to;
+}
+
+} // namespace
+
+runtime::runtime(
+    asio::io_context& context,
+    agent_options chosen,
+    timeline::hybrid_clock& source,
+    timeline::recorder& recorder,
+    prometheus::Registry& registry)
+    : own_incarnation(base::entropy_seed())
+    , io(context)
+    , options(std::move(chosen))
+    , events(recorder)
+    , numbers(registry)
+    , strand(asio::make_strand(context))
+    , slots(make_slot_pool(this->options.slots))
+    , client(context, max_idle_connections)
+    , links(
+          context,
+          source,
+          link_options_of(this->options, this->own_incarnation),
+          {[this](auto id, const auto& peer) { this->on_opened(id, peer); },
+           [this](auto id, auto m) { this->on_received(id, std::move(m)); },
+           [this](auto id, auto reason, bool was_open) {
+               this->on_closed(id, reason, was_open);
+           }})
+    , datagrams(
+          context,
+          source,
+          this->options.cluster_secret,
+          [this](wire::message m, const wire::endpoint&) {
+              this->on_datagram(std::move(m));
+          })
+{
+    for (auto& s : this->shards) {
+        s.attempts = chain::make_attempt_table(
+            {this->options.server, this->own_incarnation, {}, 0},
+            this->options.execution);
+        s.attempts.refusal = this->refusal();
+        s.calls.server = this->options.server;
+        s.calls.agent_incarnation = this->own_incarnation;
+        s.calls.limits = this->options.calls;
+        s.calls.refusal = this->refusal();
+    }
+}
+
+runtime::~runtime()
+{
+    this->stop();
+}
+
+base::result<bound_endpoints> runtime::start()
+{
+    BOOST_LEAF_AUTO(link_port, this->links.listen(this->options.links));
+    BOOST_LEAF_AUTO(
+        datagram_port, this->datagrams.listen(this->options.announcements));
+    this->bound_links = link_port;
+    std::ostringstream detail;
+    detail << "agent of " << this->options.server << " incarnation "
+           << this->own_incarnation;
+    this->events.record(timeline::event_kind::process_started, detail.str());
+    asio::co_spawn(this->strand, this->watch_backend(), asio::detached);
+    asio::co_spawn(this->strand, this->keep_announcing(), asio::detached);
+    asio::co_spawn(this->io, this->keep_ticking(), asio::detached);
+    return bound_endpoints{link_port, datagram_port};
+}
+
+void runtime::begin_drain()
+{
+    asio::post(this->strand, [this] {
+        {
+            const std::lock_guard lock(this->status.mutex);
+            if (this->status.leaving)
+                return;
+            this->status.leaving = true;
+        }
+        this->events.record(
+            timeline::event_kind::process_draining,
+            "no new work is taken; work in progress goes on");
+        this->update_state();
+        this->intake_closed = true;
+        const std::lock_guard lock(this->directory.mutex);
+        for (const auto& [id, role] : this->directory.roles)
+            this->links.send(id, wire::go_away{});
+    });
+}
+
+void runtime::stop()
+{
+    if (this->stopped.exchange(true))
+        return;
+    this->events.record(timeline::event_kind::process_stopped, "stopped");
+    this->links.shutdown();
+    this->datagrams.shutdown();
+}
+
+bool runtime::idle() const
+{
+    for (const auto& s : this->shards) {
+        const std::lock_guard lock(s.mutex);
+        if (chain::open_attempts(s.attempts) > 0 || open_calls(s.calls) > 0)
+            return false;
+    }
+    return true;
+}
+
+bool runtime::drained() const
+{
+    return this->intake_closed && this->idle();
+}
+
+net::readiness runtime::ready() const
+{
+    const std::lock_guard lock(this->status.mutex);
+    return {
+        this->status.state == wire::server_state::serving, this->status.reason};
+}
+
+void runtime::update_metrics()
+{
+    std::size_t attempts = 0;
+    std::size_t calls = 0;
+    for (const auto& s : this->shards) {
+        const std::lock_guard lock(s.mutex);
+        attempts += chain::open_attempts(s.attempts);
+        calls += open_calls(s.calls);
+    }
+    const auto report = this->load_now();
+    this->numbers.attempts_open.Set(double(attempts));
+    this->numbers.calls_open.Set(double(calls));
+    this->numbers.slots_used.Set(report.in_progress);
+    this->numbers.slot_limit.Set(report.limit);
+    this->numbers.queued.Set(report.queued);
+    this->numbers.links.Set(double(this->links.size()));
+    this->numbers.serving.Set(this->ready().ready ? 1 : 0);
+}
+
+asio::awaitable<void> runtime::keep_ticking()
+{
+    asio::steady_timer timer(this->io);
+    while (!this->stopped) {
+        timer.expires_after(tick_interval);
+        co_await timer.async_wait(asio::use_awaitable);
+        this->feed_all(chain::ticked{});
+        this->feed_all_calls(call_ticked{});
+        slot_outcomes outcomes;
+        {
+            const std::lock_guard lock(this->slot_mutex);
+            outcomes = expire(this->slots, base::monotonic_now());
+        }
+        this->deliver(outcomes);
+        this->update_busy_links();
+    }
+}
+
+// --- Slots ----------------------------------------------------------------
+
+void runtime::deliver(const slot_outcomes& outcomes)
+{
+    const bool model = this->options.kind == base::route_kind::model;
+    for (const auto& o : outcomes) {
+        const auto& [request, attempt] = o.key;
+        if (model && o.refusal)
+            this->feed(
+                request, chain::slot_refused{request, attempt, *o.refusal});
+        else if (model)
+            this->feed(request, chain::slot_granted{request, attempt});
+        else if (o.refusal)
+            this->feed_call(
+                request, call_slot_refused{request, attempt, *o.refusal});
+        else
+            this->feed_call(request, call_slot_granted{request, attempt});
+    }
+}
+
+void runtime::observe_latency(base::duration latency)
+{
+    slot_outcomes outcomes;
+    {
+        const std::lock_guard lock(this->slot_mutex);
+        outcomes = observe(this->slots, latency, base::monotonic_now());
+    }
+    this->deliver(outcomes);
+}
+
+wire::load_report runtime::load_now() const
+{
+    const std::lock_guard lock(this->slot_mutex);
+    return load(this->slots);
+}
+
+} // namespace oleanderhinge::agent::internal
+
+namespace oleanderhinge::agent
+{
+
+agent::agent(
+    boost::asio::io_context& io,
+    agent_options options,
+    timeline::hybrid_clock& clock,
+    timeline::recorder& events,
+    prometheus::Registry& registry)
+    : state(std::make_unique<internal::runtime>(
+          io, std::move(options), clock, events, registry))
+{
+}
+
+const char* version()
+{
+    return OLEANDERHINGE_VERSION;
+}
+
+agent::~agent() = default;
+
+base::result<bound_endpoints> agent::start()
+{
+    return this->state->start();
+}
+
+void agent::begin_drain()
+{
+    this->state->begin_drain();
+}
+
+void agent::stop()
+{
+    this->state->stop();
+}
+
+void agent::update_metrics()
+{
+    this->state->update_metrics();
+}
+
+bool agent::drained() const
+{
+    return this->state->drained();
+}
+
+net::readiness agent::ready() const
+{
+    return this->state->ready();
+}
+
+base::incarnation agent::own_incarnation() const
+{
+    return this->state->own_incarnation;
+}
+
+} // namespace oleanderhinge::agent
--- /dev/null
+++ b/oleanderhinge/agent/internal/runtime.hpp
@@ -0,0 +1,183 @@
+// Joins the decision code of an agent to links, datagrams and HTTP.
+//
+// Attempts and calls are kept in shards by request, each under its own lock.
+// An event is applied with the lock of its shard held; the actions are carried
+// out after it was released. Changes of the server's own state run on one
+// strand.
+#pragma once
+
+#include "oleanderhinge/agent/agent.hpp"
+#include "oleanderhinge/agent/backend.hpp"
+#include "oleanderhinge/agent/calls.hpp"
+#include "oleanderhinge/agent/internal/metrics.hpp"
+#include "oleanderhinge/agent/options.hpp"
+#include "oleanderhinge/agent/orders.hpp"
+#include "oleanderhinge/agent/slots.hpp"
+#include "oleanderhinge/net/http_client.hpp"
+#include "oleanderhinge/net/link_table.hpp"
+#include "oleanderhinge/net/udp_endpoint.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <array>
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace oleanderhinge::agent::internal
+{
+
+namespace asio = boost::asio;
+
+inline constexpr std::size_t shard_count = 8;
+
+struct shard {
+    mutable std::mutex mutex;
+    chain::attempt_table attempts;
+    call_table calls;
+};
+
+// Links to other processes.
+struct link_directory {
+    std::mutex mutex;
+    std::map<net::link_id, wire::role> roles;
+    // Links that this agent opened, to the agents of other stages.
+    std::map<wire::endpoint, net::link_id> stages;
+    std::map<net::link_id, wire::endpoint> opened;
+    std::map<net::link_id, base::time_point> used;
+    std::set<net::link_id> busy;
+};
+
+// An entry node that announcement acknowledgments named.
+struct learned_entry {
+    base::time_point named_at;
+};
+
+// State of the backend server. Written on the strand only.
+struct server_status {
+    mutable std::mutex mutex;
+    wire::server_state state = wire::server_state::starting;
+    std::optional<backend_info> info;
+    // Why the server is not serving.
+    std::string reason = "the backend server has not answered yet";
+    bool leaving = false;
+    bool draining_by_order = false;
+    // An order changes what the engine holds.
+    bool reloading = false;
+    unsigned failed_probes = 0;
+    std::uint64_t sequence = 0;
+    base::revision highest_config;
+    order_guard orders;
+    std::map<wire::endpoint, learned_entry> learned;
+};
+
+class runtime
+{
+public:
+    runtime(
+        asio::io_context& context,
+        agent_options chosen,
+        timeline::hybrid_clock& source,
+        timeline::recorder& recorder,
+        prometheus::Registry& registry);
+    ~runtime();
+
+    base::result<bound_endpoints> start();
+    void begin_drain();
+    void stop();
+    void update_metrics();
+    bool drained() const;
+    net::readiness ready() const;
+
+    const base::incarnation own_incarnation;
+
+private:
+    // links.cpp
+    void on_opened(net::link_id id, const wire::hello& peer);
+    void on_received(net::link_id id, wire::message content);
+    void on_closed(net::link_id id, net::close_reason reason, bool was_open);
+    void from_entry(net::link_id id, wire::message content);
+    void from_agent(net::link_id id, wire::message content);
+    net::link_id stage_link(const wire::endpoint& to);
+    void send(chain::peer_link to, const wire::message& content);
+    void update_busy_links();
+
+    // attempts.cpp
+    shard& shard_of(const base::request_id& request);
+    void feed(const base::request_id& request, const chain::event& what);
+    void feed_all(const chain::event& what);
+    void carry_out(const chain::request_slot& a);
+    void carry_out(const chain::release_slot& a);
+    void carry_out(const chain::run_step& a);
+    void carry_out(const chain::forget_on_engine& a);
+    void carry_out(const chain::forward_step& a);
+    void carry_out(const chain::acknowledge& a);
+    void carry_out(const chain::refuse_step& a);
+    void carry_out(const chain::send_token& a);
+    void carry_out(chain::grant a);
+    void carry_out(chain::refuse a);
+    void carry_out(const chain::fail_attempt& a);
+    void carry_out(chain::confirm_close a);
+    void carry_out(const chain::fenced& a);
+    asio::awaitable<void> run_on_engine(chain::run_step step);
+    asio::awaitable<void> forget(chain::forget_on_engine what);
+
+    // calls_run.cpp
+    void feed_call(const base::request_id& request, const call_event& what);
+    void feed_all_calls(const call_event& what);
+    void carry_out(const request_call_slot& a);
+    void carry_out(const release_call_slot& a);
+    void carry_out(run_call a);
+    void carry_out(send_result a);
+    asio::awaitable<void> run_on_service(run_call what);
+
+    // Slots.
+    void deliver(const slot_outcomes& outcomes);
+    void observe_latency(base::duration latency);
+    wire::load_report load_now() const;
+
+    // server.cpp; on the strand, unless stated otherwise.
+    asio::awaitable<void> watch_backend();
+    asio::awaitable<void> probe_engine();
+    asio::awaitable<void> probe_service();
+    void backend_answered(const backend_info& info);
+    void backend_failed(const std::string& detail);
+    void update_state();
+    void announce();
+    void on_datagram(wire::message content);
+    void on_ack(const wire::announcement_ack& ack);
+    void on_order(const wire::server_order& order, base::duration age);
+    asio::awaitable<void> carry_out_order(wire::server_order order);
+    asio::awaitable<order_outcome> post_order(wire::server_order order);
+    asio::awaitable<void> wait_for_idle();
+    std::vector<wire::endpoint> announcement_targets(base::time_point now);
+    wire::announcement make_announcement();
+    std::optional<base::verdict> refusal() const;
+
+    asio::awaitable<void> keep_announcing();
+    asio::awaitable<void> keep_ticking();
+    bool idle() const;
+
+    asio::io_context& io;
+    const agent_options options;
+    timeline::recorder& events;
+    metrics numbers;
+    asio::strand<asio::io_context::executor_type> strand;
+    std::array<shard, shard_count> shards;
+    mutable std::mutex slot_mutex;
+    slot_pool slots;
+    link_directory directory;
+    server_status status;
+    std::atomic<bool> intake_closed{false};
+    std::atomic<bool> stopped{false};
+    wire::endpoint bound_links;
+    net::http_client client;
+    net::link_table links;
+    net::udp_endpoint datagrams;
+};
+
+} // namespace oleanderhinge::agent::internal
--- /dev/null
+++ b/oleanderhinge/agent/internal/server.cpp
@@ -0,0 +1,426 @@
+// State of the backend server: probes, announcements and orders.
+#include "oleanderhinge/agent/internal/runtime.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <sstream>
+
+namespace oleanderhinge::agent::internal
+{
+
+using timeline::event_kind;
+
+namespace
+{
+
+// Time between two probes of the backend server, until it serves and then.
+constexpr std::chrono::milliseconds starting_probe{100};
+constexpr std::chrono::milliseconds serving_probe{500};
+// A serving engine may miss one probe while it is under load.
+constexpr unsigned probes_until_lost = 2;
+// Entry nodes that no acknowledgment has named for this long are forgotten.
+constexpr std::chrono::seconds learned_for{30};
+// Bounds the datagrams of one announcement.
+constexpr std::size_t max_learned = 64;
+// Attempts in progress may go on for this long before an order changes what
+// the engine holds.
+constexpr std::chrono::seconds order_wait{10};
+constexpr std::chrono::milliseconds order_poll{20};
+
+const char* to_string(wire::server_state state)
+{
+    switch (state) {
+    case wire::server_state::starting:
+        return "starting";
+    case wire::server_state::serving:
+        return "serving";
+    case wire::server_state::leaving:
+        return "leaving";
+    }
+    return "unknown";
+}
+
+std::string order_text(const wire::server_order& order)
+{
+    std::ostringstream out;
+    out << "order " << order.number;
+    if (!order.model.value().empty())
+        out << " model " << order.model << " version " << order.version
+            << " layers " << order.layers.first << "-" << order.layers.end;
+    if (order.draining)
+        out << " draining";
+    return out.str();
+}
+
+// Whether the order changes what the engine holds.
+bool changes(const backend_info& info, const wire::server_order& order)
+{
+    if (order.model.value().empty())
+        return false;
+    return info.model != order.model || info.version != order.version ||
+           info.layers != order.layers ||
+           (!order.adapter.empty() &&
+            std::ranges::find(info.adapters, order.adapter) ==
+                info.adapters.end());
+}
+
+} // namespace
+
+// --- Probes ---------------------------------------------------------------
+
+asio::awaitable<void> runtime::watch_backend()
+{
+    asio::steady_timer timer(this->strand);
+    while (!this->stopped) {
+        if (this->options.kind == base::route_kind::model)
+            co_await this->probe_engine();
+        else
+            co_await this->probe_service();
+        bool serving = false;
+        {
+            const std::lock_guard lock(this->status.mutex);
+            serving = this->status.info.has_value();
+        }
+        timer.expires_after(serving ? serving_probe : starting_probe);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
+asio::awaitable<void> runtime::probe_engine()
+{
+    {
+        // The answer would describe the engine before or after the order.
+        const std::lock_guard lock(this->status.mutex);
+        if (this->status.reloading)
+            co_return;
+    }
+    // A fresh connection also proves that the engine still accepts new ones.
+    const auto outcome = co_await this->client.call(
+        this->options.backend,
+        info_request(),
+        std::chrono::ceil<std::chrono::milliseconds>(
+            this->options.control_limit),
+        net::reuse::never);
+    {
+        const std::lock_guard lock(this->status.mutex);
+        if (this->status.reloading)
+            co_return;
+    }
+    std::string fault;
+    const auto info = base::handle(
+        [&]() -> base::result<std::optional<backend_info>> {
+            BOOST_LEAF_AUTO(found, to_info(outcome));
+            return std::optional(found);
+        },
+        [&](const base::error& e) {
+            fault = e.detail;
+            return std::optional<backend_info>();
+        });
+    if (info)
+        this->backend_answered(*info);
+    else
+        this->backend_failed(fault);
+}
+
+asio::awaitable<void> runtime::probe_service()
+{
+    // Any HTTP answer shows that the service runs; it need not serve "/".
+    const auto outcome = co_await this->client.call(
+        this->options.backend,
+        {"GET", "/", {}, {}},
+        std::chrono::ceil<std::chrono::milliseconds>(
+            this->options.control_limit),
+        net::reuse::never);
+    if (outcome.failure == net::http_failure::none)
+        this->backend_answered({});
+    else
+        this->backend_failed("no answer from the service: " + outcome.detail);
+}
+
+void runtime::backend_answered(const backend_info& info)
+{
+    bool changed = false;
+    {
+        const std::lock_guard lock(this->status.mutex);
+        this->status.failed_probes = 0;
+        auto compared = info;
+        compared.last_order.reset();
+        changed = this->status.info != compared;
+        this->status.info = compared;
+        if (info.last_order)
+            learn(this->status.orders, *info.last_order);
+    }
+    if (!changed)
+        return;
+    if (this->options.slots.limit == 0 && info.batch > 0) {
+        const std::lock_guard lock(this->slot_mutex);
+        this->slots.options.limit = info.batch;
+    }
+    this->update_state();
+}
+
+void runtime::backend_failed(const std::string& detail)
+{
+    {
+        const std::lock_guard lock(this->status.mutex);
+        if (!this->status.info)
+            return;
+        if (++this->status.failed_probes < probes_until_lost)
+            return;
+        this->status.info.reset();
+        this->status.reason = detail;
+    }
+    this->update_state();
+    this->feed_all(chain::engine_lost{detail});
+}
+
+// --- State ----------------------------------------------------------------
+
+// Called by the owner of the status lock, or on the strand.
+std::optional<base::verdict> runtime::refusal() const
+{
+    using base::failure_code;
+    if (this->status.leaving || this->status.draining_by_order)
+        return base::not_run(
+            failure_code::server_leaving, "the server takes no new work");
+    if (!this->status.info || this->status.reloading)
+        return base::not_run(failure_code::not_ready, this->status.reason);
+    return {};
+}
+
+void runtime::update_state()
+{
+    chain::intake_changed intake;
+    std::string text;
+    {
+        const std::lock_guard lock(this->status.mutex);
+        auto& s = this->status;
+        const auto before = s.state;
+        if (s.leaving || s.draining_by_order)
+            s.state = wire::server_state::leaving;
+        else if (s.info && !s.reloading)
+            s.state = wire::server_state::serving;
+        else
+            s.state = wire::server_state::starting;
+        if (s.state == wire::server_state::serving)
+            s.reason.clear();
+        else if (s.state == wire::server_state::leaving)
+            s.reason = "the server is leaving";
+        intake.refusal = this->refusal();
+        if (s.info) {
+            intake.layers = s.info->layers;
+            intake.layer_count = s.info->layer_count;
+        }
+        if (before != s.state)
+            text = to_string(s.state);
+    }
+    this->feed_all(intake);
+    this->feed_all_calls(call_intake_changed{intake.refusal});
+    if (!text.empty()) {
+        this->events.record(
+            event_kind::server_changed,
+            this->options.server.value() + " is " + text);
+        spdlog::info("server {} is {}", this->options.server.value(), text);
+    }
+    this->announce();
+}
+
+// --- Announcements --------------------------------------------------------
+
+asio::awaitable<void> runtime::keep_announcing()
+{
+    asio::steady_timer timer(this->strand);
+    while (!this->stopped) {
+        this->announce();
+        timer.expires_after(this->options.timing.announce_interval);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
+wire::announcement runtime::make_announcement()
+{
+    wire::announcement a;
+    a.server = this->options.server;
+    a.agent_incarnation = this->own_incarnation;
+    a.vm = this->options.vm;
+    a.region = this->options.region;
+    a.data_centre = this->options.data_centre;
+    a.agent = this->bound_links;
+    a.kind = this->options.kind;
+    a.service = this->options.service;
+    a.load = this->load_now();
+    const std::lock_guard lock(this->status.mutex);
+    auto& s = this->status;
+    a.sequence = ++s.sequence;
+    a.state = s.state;
+    if (s.info) {
+        a.model = s.info->model;
+        a.version = s.info->version;
+        a.adapters = s.info->adapters;
+        a.layers = s.info->layers;
+        a.layer_count = s.info->layer_count;
+        a.accelerator = s.info->accelerator;
+        a.speed_percent = s.info->speed_percent;
+    }
+    a.highest_config = s.highest_config;
+    a.applied_order = s.orders.applied;
+    return a;
+}
+
+std::vector<wire::endpoint> runtime::announcement_targets(base::time_point now)
+{
+    auto targets = this->options.entry_nodes;
+    const std::lock_guard lock(this->status.mutex);
+    std::erase_if(this->status.learned, [&](const auto& item) {
+        return now - item.second.named_at > learned_for;
+    });
+    for (const auto& [node, item] : this->status.learned)
+        if (std::ranges::find(targets, node) == targets.end())
+            targets.push_back(node);
+    return targets;
+}
+
+void runtime::announce()
+{
+    if (this->stopped)
+        return;
+    const auto content = this->make_announcement();
+    for (const auto& to : this->announcement_targets(base::monotonic_now())) {
+        this->datagrams.send(to, content);
+        this->numbers.announcements.Increment();
+    }
+}
+
+void runtime::on_datagram(wire::message content)
+{
+    if (auto* ack = std::get_if<wire::announcement_ack>(&content))
+        asio::post(this->strand, [this, held = std::move(*ack)] {
+            this->on_ack(held);
+        });
+    else
+        this->numbers.unexpected_messages.Increment();
+}
+
+void runtime::on_ack(const wire::announcement_ack& ack)
+{
+    if (ack.server != this->options.server)
+        return;
+    {
+        const std::lock_guard lock(this->status.mutex);
+        auto& s = this->status;
+        // An answer to an announcement of a former incarnation.
+        if (ack.sequence > s.sequence)
+            return;
+        s.highest_config = std::max(s.highest_config, ack.config);
+        for (const auto& node : ack.entry_nodes)
+            if (s.learned.size() < max_learned || s.learned.contains(node))
+                s.learned[node] = {base::monotonic_now()};
+    }
+    for (const auto& order : ack.order)
+        this->on_order(order, std::chrono::milliseconds(ack.config_age_ms));
+}
+
+// --- Orders ---------------------------------------------------------------
+
+void runtime::on_order(const wire::server_order& order, base::duration age)
+{
+    if (order.server != this->options.server)
+        return;
+    order_decision decision = order_decision::old_number;
+    {
+        const std::lock_guard lock(this->status.mutex);
+        // Without the engine's own number, an order could be older than one
+        // that a former incarnation of this agent gave it.
+        if (!this->status.info)
+            return;
+        decision = consider(
+            this->status.orders,
+            order.number,
+            age,
+            this->options.timing.config_lease);
+    }
+    if (decision == order_decision::carry_out) {
+        asio::co_spawn(
+            this->strand, this->carry_out_order(order), asio::detached);
+    } else if (decision == order_decision::old_configuration) {
+        this->numbers.orders_refused.Increment();
+        this->events.record(
+            event_kind::order_refused,
+            order_text(order) + ": the configuration is too old");
+    }
+}
+
+asio::awaitable<void> runtime::carry_out_order(wire::server_order order)
+{
+    bool loads = false;
+    {
+        const std::lock_guard lock(this->status.mutex);
+        loads = !this->status.info || changes(*this->status.info, order);
+        this->status.draining_by_order = order.draining;
+        this->status.reloading = loads;
+        if (loads)
+            this->status.reason = "an order changes what the engine holds";
+    }
+    this->update_state();
+    if (loads)
+        co_await this->wait_for_idle();
+    auto outcome = order_outcome::applied;
+    if (this->options.kind == base::route_kind::model)
+        outcome = co_await this->post_order(order);
+    {
+        const std::lock_guard lock(this->status.mutex);
+        finish(this->status.orders, order.number, outcome);
+        this->status.reloading = false;
+        // What the engine holds now is asked anew.
+        if (loads)
+            this->status.info.reset();
+    }
+    const bool applied = outcome == order_outcome::applied;
+    (applied ? this->numbers.orders_applied : this->numbers.orders_refused)
+        .Increment();
+    auto text = order_text(order);
+    if (outcome == order_outcome::refused)
+        text += ": the engine refused it";
+    else if (outcome == order_outcome::unanswered)
+        text += ": the engine did not answer";
+    this->events.record(
+        applied ? event_kind::order_applied : event_kind::order_refused, text);
+    spdlog::info(
+        "{}: {}",
+        this->options.server.value(),
+        applied ? text + " applied" : text);
+    if (loads)
+        co_await this->probe_engine();
+    this->update_state();
+}
+
+asio::awaitable<order_outcome> runtime::post_order(wire::server_order order)
+{
+    const auto answer = co_await this->client.call(
+        this->options.backend,
+        order_request(order),
+        std::chrono::ceil<std::chrono::milliseconds>(
+            this->options.control_limit),
+        net::reuse::never);
+    if (answer.failure != net::http_failure::none ||
+        answer.answer.status >= 500)
+        co_return order_outcome::unanswered;
+    co_return answer.answer.status < 300 ? order_outcome::applied
+                                         : order_outcome::refused;
+}
+
+asio::awaitable<void> runtime::wait_for_idle()
+{
+    asio::steady_timer timer(this->strand);
+    const auto limit = base::monotonic_now() + order_wait;
+    while (!this->idle() && base::monotonic_now() < limit) {
+        timer.expires_after(order_poll);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
+} // namespace oleanderhinge::agent::internal
--- a/oleanderhinge/chain/execution.cpp
+++ b/oleanderhinge/chain/execution.cpp
@@ -617,4 +617,13 @@
     return count;
 }
 
+std::set<peer_link> entry_links(const attempt_table& table)
+{
+    std::set<peer_link> links;
+    for (const auto& id : table.active)
+        for (const auto& a : table.requests.at(id).attempts)
+            links.insert(a.entry);
+    return links;
+}
+
 } // namespace oleanderhinge::chain
--- a/oleanderhinge/chain/execution.hpp
+++ b/oleanderhinge/chain/execution.hpp
@@ -340,4 +340,7 @@
 // Open attempts, with those that are ending.
 std::size_t open_attempts(const attempt_table& table);
 
+// Links on which open attempts were opened.
+std::set<peer_link> entry_links(const attempt_table& table);
+
 } // namespace oleanderhinge::chain
--- a/standins/model_engine.cpp
+++ b/standins/model_engine.cpp
@@ -353,9 +353,12 @@
             const layer_span wanted{
                 order.at("first_layer").to_number<std::uint64_t>(),
                 order.at("end_layer").to_number<std::uint64_t>()};
-            if (wanted.end > wanted.first)
+            if (wanted.end > wanted.first &&
+                (wanted.first != this->span.first ||
+                 wanted.end != this->span.end)) {
                 this->span = wanted;
-            this->contexts.clear();
+                this->contexts.clear();
+            }
         }
         if (this->record.is_open())
             this->record << "order " << number << ' ' << model << std::endl;
