agent: take slots from the admission queue

Slots now come from admission::queue: ranks, customers, an adaptive limit that starts at the engine's batch, or a fixed one by admission.limit. Attempts are queued by ticket, since two attempts at one request may hold slots at a time. Compiled; not run.

--- a/oleanderhinge/agent/calls.cpp
+++ b/oleanderhinge/agent/calls.cpp
@@ -119,14 +119,14 @@
     auto* record = find(c.table, key);
     if (!record || record->phase != call_phase::queued) {
         // Cancelled while its grant was on the way.
-        c.out.emplace_back(release_call_slot{e.request, e.attempt, true});
+        c.out.emplace_back(release_call_slot{e.request, e.attempt, false});
         return;
     }
     if (record->expires_at <= c.now) {
         record->failure = base::not_run(
             base::failure_code::deadline_exceeded,
             "the time budget of the call is over");
-        c.out.emplace_back(release_call_slot{e.request, e.attempt, true});
+        c.out.emplace_back(release_call_slot{e.request, e.attempt, false});
         send_recorded(c, key, *record, record->reply_to);
         return end(c, key, *record);
     }
@@ -154,7 +154,11 @@
         return;
     record->failure = e.failure;
     record->answer = e.answer;
-    c.out.emplace_back(release_call_slot{e.request, e.attempt, true});
+    c.out.emplace_back(release_call_slot{
+        e.request,
+        e.attempt,
+        e.failure.state != base::execution::not_run ||
+            e.failure.code == base::failure_code::none});
     if (record->reply_to != peer_link{})
         send_recorded(c, key, *record, record->reply_to);
     end(c, key, *record);
--- a/oleanderhinge/agent/calls.hpp
+++ b/oleanderhinge/agent/calls.hpp
@@ -112,7 +112,8 @@
 struct release_call_slot {
     base::request_id request;
     base::attempt_number attempt;
-    bool held = false;
+    // Whether the service was asked, which is charged to the customer.
+    bool ran = false;
 };
 
 struct run_call {
--- a/oleanderhinge/agent/internal/attempts.cpp
+++ b/oleanderhinge/agent/internal/attempts.cpp
@@ -14,9 +14,6 @@
 namespace
 {
 
-// Usual size of a token of English text, for the estimate of the prompt.
-constexpr std::size_t bytes_per_token = 4;
-
 std::string attempt_text(base::attempt_number attempt)
 {
     return "attempt " + std::to_string(attempt.value());
@@ -75,7 +72,7 @@
     wanted.customer = a.customer;
     wanted.customer_weight = a.customer_weight;
     wanted.work_rank = a.work_rank;
-    wanted.prompt_tokens = a.prompt_bytes / bytes_per_token + 1;
+    wanted.prompt_tokens = a.prompt_tokens;
     wanted.max_tokens = a.max_tokens;
     const auto budget =
         a.first_token_budget_ms > 0 ? a.first_token_budget_ms : a.budget_ms;
@@ -96,7 +93,7 @@
         outcomes = give_back(
             this->slots,
             {a.request, a.attempt},
-            a.generated,
+            base::token_count(a.tokens),
             base::monotonic_now());
     }
     this->deliver(outcomes);
@@ -104,6 +101,11 @@
 
 void runtime::carry_out(const chain::run_step& a)
 {
+    if (a.second_of_head) {
+        const std::lock_guard lock(this->slot_mutex);
+        observe_first_token(
+            this->slots, {a.request, a.attempt}, base::monotonic_now());
+    }
     asio::co_spawn(this->io, this->run_on_engine(a), asio::detached);
 }
 
@@ -131,7 +133,9 @@
             event_kind::step_run,
             step.request,
             token_text(step.attempt, step.token) + layers_text(layers));
-        this->observe_latency(taken);
+        // Prefill takes longer than a step and depends on the prompt.
+        if (!step.prefill)
+            this->observe_latency(taken);
     } else {
         this->numbers.steps_failed.Increment();
     }
--- a/oleanderhinge/agent/internal/calls_run.cpp
+++ b/oleanderhinge/agent/internal/calls_run.cpp
@@ -58,7 +58,10 @@
     {
         const std::lock_guard lock(this->slot_mutex);
         outcomes = give_back(
-            this->slots, {a.request, a.attempt}, {}, base::monotonic_now());
+            this->slots,
+            {a.request, a.attempt},
+            base::token_count(a.ran ? 1 : 0),
+            base::monotonic_now());
     }
     this->deliver(outcomes);
 }
--- a/oleanderhinge/agent/internal/runtime.cpp
+++ b/oleanderhinge/agent/internal/runtime.cpp
@@ -52,7 +52,7 @@
     , events(recorder)
     , numbers(registry)
     , strand(asio::make_strand(context))
-    , slots(make_slot_pool(this->options.slots))
+    , slots(make_slot_pool(this->options.slots, base::entropy_seed()))
     , client(context, max_idle_connections)
     , links(
           context,
--- a/oleanderhinge/agent/internal/runtime.hpp
+++ b/oleanderhinge/agent/internal/runtime.hpp
@@ -150,6 +150,7 @@
     void announce();
     void on_datagram(wire::message content);
     void on_ack(const wire::announcement_ack& ack);
+    void apply_shares(const wire::rank_shares& shares);
     void on_order(const wire::server_order& order, base::duration age);
     asio::awaitable<void> carry_out_order(wire::server_order order);
     asio::awaitable<order_outcome> post_order(wire::server_order order);
--- a/oleanderhinge/agent/internal/server.cpp
+++ b/oleanderhinge/agent/internal/server.cpp
@@ -156,9 +156,9 @@
     }
     if (!changed)
         return;
-    if (this->options.slots.limit == 0 && info.batch > 0) {
+    {
         const std::lock_guard lock(this->slot_mutex);
-        this->slots.options.limit = info.batch;
+        set_batch(this->slots, info.batch);
     }
     this->update_state();
 }
@@ -320,10 +320,24 @@
             if (s.learned.size() < max_learned || s.learned.contains(node))
                 s.learned[node] = {base::monotonic_now()};
     }
+    this->apply_shares(ack.shares);
     for (const auto& order : ack.order)
         this->on_order(order, std::chrono::milliseconds(ack.config_age_ms));
 }
 
+void runtime::apply_shares(const wire::rank_shares& shares)
+{
+    slot_outcomes outcomes;
+    {
+        // An entry node with an older configuration must not undo a change.
+        const std::lock_guard lock(this->slot_mutex);
+        if (shares.modified < this->slots.queue.shares.modified)
+            return;
+        outcomes = set_shares(this->slots, shares, base::monotonic_now());
+    }
+    this->deliver(outcomes);
+}
+
 // --- Orders ---------------------------------------------------------------
 
 void runtime::on_order(const wire::server_order& order, base::duration age)
--- a/oleanderhinge/chain/execution.cpp
+++ b/oleanderhinge/chain/execution.cpp
@@ -11,6 +11,8 @@
 
 // Ended attempts that a record keeps for repeated `close_attempt` messages.
 constexpr std::size_t max_ended = 8;
+// Usual size of a token of English text, for the estimate of the prompt.
+constexpr std::size_t bytes_per_token = 4;
 
 using actions = std::vector<action>;
 
@@ -89,14 +91,28 @@
     c.table.forgetting.emplace_back(record.forget_at, id);
 }
 
+// Tokens that prefill reads.
+std::uint64_t prompt_tokens(const wire::open_attempt& m)
+{
+    return m.prompt.size() / bytes_per_token + m.delivered.size() + 1;
+}
+
+std::uint64_t tokens_used(const open_state& a)
+{
+    if (a.state == base::execution::not_run)
+        return 0;
+    const auto here = a.next_token.value() - a.opened.delivered.size();
+    return prompt_tokens(a.opened) +
+           std::max<std::uint64_t>(here, a.generated.value());
+}
+
 // Removes an attempt from the table and gives back what it holds.
 void remove(
     context& c, const base::request_id& id, base::attempt_number attempt)
 {
     auto& record = *find_request(c.table, id);
     auto& a = *find_attempt(record, attempt);
-    c.out.emplace_back(release_slot{
-        id, attempt, a.phase != attempt_phase::waiting, a.generated});
+    c.out.emplace_back(release_slot{id, attempt, tokens_used(a)});
     if (a.state != base::execution::not_run)
         c.out.emplace_back(forget_on_engine{id, attempt});
     if (a.closing != peer_link{})
@@ -216,9 +232,6 @@
 
 void request_slot_for(context& c, const wire::open_attempt& m)
 {
-    std::size_t bytes = m.prompt.size();
-    for (const auto& t : m.delivered)
-        bytes += t.size();
     c.out.emplace_back(request_slot{
         m.request,
         m.attempt,
@@ -226,7 +239,7 @@
         m.customer,
         m.customer_weight,
         m.work_rank,
-        bytes,
+        prompt_tokens(m),
         m.max_tokens,
         m.first_token_budget_ms,
         m.budget_ms});
@@ -276,7 +289,7 @@
     auto* a = find_attempt(c.table, e.request, e.attempt);
     if (!a || a->phase != attempt_phase::waiting) {
         // The attempt ended while its grant was on the way.
-        c.out.emplace_back(release_slot{e.request, e.attempt, true, {}});
+        c.out.emplace_back(release_slot{e.request, e.attempt, 0});
         return;
     }
     a->phase = attempt_phase::granted;
@@ -306,6 +319,8 @@
     step.next_layer = c.table.self.layers.first;
     step.activation = std::move(activation);
     step.prefill = token.value() == a.opened.delivered.size();
+    step.second_of_head =
+        is_head(a) && token.value() == a.opened.delivered.size() + 1;
     if (step.prefill) {
         step.prompt = a.opened.prompt;
         step.delivered = a.opened.delivered;
@@ -382,7 +397,6 @@
     std::string reason;
     if (last)
         reason = e.finish_reason.empty() ? "length" : e.finish_reason;
-    a.generated = base::token_count(a.generated.value() + 1);
     c.out.emplace_back(send_token{
         a.entry,
         {e.request, e.attempt, e.token, e.text, last, std::move(reason)}});
--- a/oleanderhinge/chain/execution.hpp
+++ b/oleanderhinge/chain/execution.hpp
@@ -159,8 +159,9 @@
     base::customer_id customer;
     std::uint32_t customer_weight = 1;
     base::rank work_rank = base::rank::standard;
-    // Bytes of prompt and delivered tokens, and the bound of the answer.
-    std::size_t prompt_bytes = 0;
+    // Estimated tokens of the prompt and those delivered, and the bound of the
+    // answer.
+    std::uint64_t prompt_tokens = 0;
     std::uint32_t max_tokens = 0;
     std::uint32_t first_token_budget_ms = 0;
     std::uint32_t budget_ms = 0;
@@ -170,8 +171,9 @@
 struct release_slot {
     base::request_id request;
     base::attempt_number attempt;
-    bool held = false;
-    base::token_count generated;
+    // Tokens to charge to the customer: of the prompt and generated ones; 0 if
+    // no step ran.
+    std::uint64_t tokens = 0;
 };
 
 struct run_step {
@@ -180,6 +182,9 @@
     base::token_index token;
     base::layer_index next_layer;
     std::string activation;
+    // The first token of the attempt is known to the head: it begins the
+    // second one.
+    bool second_of_head = false;
     // With the first step of an attempt only: what prefill needs.
     bool prefill = false;
     std::string prompt;
--- a/tests/harness/http.cpp
+++ b/tests/harness/http.cpp
@@ -45,9 +45,8 @@
 boost::system::error_code run(asio::io_context& io, Start start)
 {
     boost::system::error_code result = asio::error::timed_out;
-    start([&](boost::system::error_code failed, auto&&...) {
-        result = failed;
-    });
+    start(
+        [&](boost::system::error_code failed, auto&&...) { result = failed; });
     io.restart();
     io.run();
     return result;
--- a/tests/harness/processes.cpp
+++ b/tests/harness/processes.cpp
@@ -42,7 +42,10 @@
 
 } // namespace
 
-processes::processes() : folder(make_folder()) {}
+processes::processes()
+    : folder(make_folder())
+{
+}
 
 processes::~processes()
 {
@@ -71,7 +74,11 @@
     posix_spawn_file_actions_t files;
     posix_spawn_file_actions_init(&files);
     posix_spawn_file_actions_addopen(
-        &files, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+        &files,
+        STDOUT_FILENO,
+        log.c_str(),
+        O_WRONLY | O_CREAT | O_APPEND,
+        0600);
     posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
     pid_t pid = 0;
     const int failed = posix_spawn(
@@ -140,8 +147,7 @@
     static std::set<std::uint16_t> given;
     asio::io_context io;
     while (true) {
-        asio::ip::tcp::acceptor tcp(
-            io, {asio::ip::address_v4::loopback(), 0});
+        asio::ip::tcp::acceptor tcp(io, {asio::ip::address_v4::loopback(), 0});
         const auto port = tcp.local_endpoint().port();
         boost::system::error_code failed;
         asio::ip::udp::socket udp(io, asio::ip::udp::v4());
