--- a/oleanderhinge/storage/log_store.hpp
+++ b/oleanderhinge/storage/log_store.hpp
@@ -13,9 +13,10 @@
 
 #include "oleanderhinge/base/ids.hpp"
 #include "oleanderhinge/storage/file_system.hpp"
+#include "oleanderhinge/storage/internal/files.hpp"
 #include "oleanderhinge/storage/record.hpp"
 
-#include <map>
+#include <memory>
 #include <optional>
 
 namespace oleanderhinge::storage
@@ -107,12 +108,6 @@
     const store_counters& counters() const { return this->counts; }
 
 private:
-    struct segment {
-        std::uint64_t number = 0;
-        // Index that the next record had when the segment was started.
-        base::log_index first;
-    };
-
     log_store(file_system& files_in, store_options options_in)
         : files(files_in)
         , options(options_in)
@@ -121,8 +116,10 @@
 
     base::result<void> start_segment();
     base::result<void> write_batch();
-    base::result<void> replace_file(
-        const std::string& name, std::string_view magic, std::string_view body);
+    base::result<void>
+    replace_file(const std::string& name, std::string_view body);
+    base::result<void>
+    recover_log(const std::vector<std::string>& names, recovered_state& state);
     base::result<void> remove_covered(base::log_index last);
     base::result<void> remove_all_segments();
     base::result<void> usable() const;
@@ -130,7 +127,7 @@
 
     file_system& files;
     store_options options;
-    std::vector<segment> segments;
+    std::vector<internal::segment_header> segments;
     std::unique_ptr<file> active;
     std::uint64_t active_size = 0;
     std::vector<record> collected;
