Add Raft as a pure state machine

Cause: control state needs a log that survives the loss of a minority. Change: pre-vote, lease tied to the term, no commit of older terms by counting,

members named by VM and disk, forming of the cluster, bounded windows. Conclusion: complete in function, proved only by the node tests so far.

--- /dev/null
+++ b/oleanderhinge/consensus/internal/leader.cpp
@@ -0,0 +1,308 @@
+#include "oleanderhinge/consensus/internal/context.hpp"
+
+#include <algorithm>
+#include <functional>
+
+namespace oleanderhinge::consensus::internal
+{
+
+namespace
+{
+
+bool window_is_open(const context& c, const progress& p)
+{
+    const auto& bounds = c.state.bounds;
+    const auto waiting = p.next.value() - 1 - p.match.value();
+    return waiting < bounds.in_flight_entries &&
+           p.in_flight_bytes < bounds.in_flight_bytes;
+}
+
+void send_entries(
+    context& c, const vm_id& to, progress& p, std::vector<entry> entries)
+{
+    append_request r;
+    r.previous = log_index{p.next.value() - 1};
+    r.previous_term = *term_at(c.state.log, r.previous);
+    r.committed = c.state.committed;
+    r.sent_us = c.now.time_since_epoch().count();
+    r.lease_age_ms = lease_age_ms(c);
+    p.last_previous = r.previous;
+    if (!entries.empty()) {
+        std::size_t bytes = 0;
+        for (const auto& e : entries)
+            bytes += e.payload.size();
+        p.next = entries.back().index.next();
+        p.in_flight.emplace_back(entries.back().index, bytes);
+        p.in_flight_bytes += bytes;
+    }
+    r.entries = std::move(entries);
+    send_to(c, to, p.disk, std::move(r));
+}
+
+void clear_in_flight(progress& p)
+{
+    p.in_flight.clear();
+    p.in_flight_bytes = 0;
+}
+
+void release_in_flight(progress& p)
+{
+    while (!p.in_flight.empty() && p.in_flight.front().first <= p.match) {
+        p.in_flight_bytes -= p.in_flight.front().second;
+        p.in_flight.pop_front();
+    }
+}
+
+void transfer_if_caught_up(context& c)
+{
+    auto& state = c.state;
+    if (!state.leading.transfer_until)
+        return;
+    for (const auto& m : members_of(state)) {
+        const auto peer = state.leading.peers.find(m.vm);
+        if (!m.voter || peer == state.leading.peers.end() ||
+            peer->second.match != last_index(state.log))
+            continue;
+        send_to(c, m.vm, m.disk, timeout_now{});
+        // Gives up the lease for the rest of the term: the receiver campaigns
+        // without regard to it, and its request may arrive late.
+        become_follower(c, {}, {});
+        return;
+    }
+}
+
+} // namespace
+
+void acknowledge(context& c, progress& p, std::int64_t sent_us)
+{
+    const base::time_point sent{base::duration(sent_us)};
+    if (sent > c.now)
+        return;
+    if (!p.acknowledged || *p.acknowledged < sent)
+        p.acknowledged = sent;
+}
+
+void become_leader(context& c)
+{
+    auto& state = c.state;
+    state.role = role::leader;
+    state.leader = state.self;
+    state.leader_disk = state.disk;
+    state.campaign = {};
+    // No evidence from an earlier term counts for this lease.
+    state.leading = {};
+    state.leading.since = c.now;
+    state.leading.last_heartbeat = c.now;
+    state.leading.opened = last_index(state.log).next();
+    refresh_peers(c);
+    std::vector<std::pair<entry_kind, std::string>> payloads;
+    payloads.emplace_back(entry_kind::no_op, std::string());
+    // The initial membership is not in any log yet.
+    if (membership_index(state.log) == log_index{})
+        payloads.emplace_back(
+            entry_kind::membership, encode_membership(members_of(state)));
+    append_as_leader(c, std::move(payloads));
+}
+
+void append_as_leader(
+    context& c, std::vector<std::pair<entry_kind, std::string>> payloads)
+{
+    auto& state = c.state;
+    std::vector<entry> added;
+    added.reserve(payloads.size());
+    bool has_membership = false;
+    for (auto& [kind, payload] : payloads) {
+        has_membership = has_membership || kind == entry_kind::membership;
+        added.push_back(
+            {state.vote.current,
+             last_index(state.log).next(),
+             kind,
+             std::move(payload)});
+        append(state.log, added.back());
+    }
+    // The own write and the sends run in parallel; the own copy counts once
+    // `persisted` reports it.
+    write_entries(c, {}, std::move(added));
+    if (has_membership)
+        refresh_peers(c);
+    for (auto& [vm, p] : state.leading.peers)
+        replicate(c, vm, p, false);
+}
+
+void replicate(context& c, const vm_id& to, progress& p, bool heartbeat)
+{
+    auto& state = c.state;
+    if (!p.snapshot && p.next <= state.log.base) {
+        p.snapshot = state.snapshot->last;
+        p.snapshot_offset = 0;
+        p.chunk_sent = {};
+    }
+    if (p.snapshot) {
+        send_chunk(c, to, p, heartbeat);
+        return;
+    }
+    bool sent = false;
+    while (p.next <= last_index(state.log) && window_is_open(c, p) &&
+           (!p.probing || p.in_flight.empty())) {
+        send_entries(
+            c,
+            to,
+            p,
+            copy(
+                state.log,
+                p.next,
+                state.bounds.append_entries,
+                state.bounds.append_bytes));
+        sent = true;
+    }
+    if (heartbeat && !sent)
+        send_entries(c, to, p, {});
+}
+
+void lead_tick(context& c)
+{
+    auto& state = c.state;
+    const auto proved = lease_start(state, c.now);
+    const auto since =
+        std::max(proved.value_or(state.leading.since), state.leading.since);
+    if (c.now >= since + state.times.lease) {
+        ++state.counts.lease_losses;
+        become_follower(c, {}, {});
+        return;
+    }
+    if (state.leading.transfer_until && c.now >= *state.leading.transfer_until)
+        state.leading.transfer_until.reset();
+    if (c.now >= state.leading.last_heartbeat + state.times.heartbeat) {
+        state.leading.last_heartbeat = c.now;
+        for (auto& [vm, p] : state.leading.peers)
+            replicate(c, vm, p, true);
+    }
+    promote_learners(c);
+    transfer_if_caught_up(c);
+}
+
+void on_proposals(context& c, proposals&& p)
+{
+    auto& state = c.state;
+    std::vector<std::pair<entry_kind, std::string>> payloads;
+    auto room = state.bounds.uncommitted_entries;
+    const auto used = last_index(state.log).value() - state.committed.value();
+    room -= std::min(room, std::size_t(used));
+    auto index = last_index(state.log);
+    for (auto& item : p.batch) {
+        const auto refuse = [&](reject_reason reason) {
+            c.actions.emplace_back(rejected{item.tag, reason});
+        };
+        if (state.role != role::leader) {
+            refuse(reject_reason::not_leader);
+        } else if (item.command.size() > state.bounds.command_bytes) {
+            refuse(reject_reason::too_large);
+        } else if (payloads.size() >= room || state.leading.transfer_until) {
+            refuse(reject_reason::busy);
+        } else {
+            index = index.next();
+            c.actions.emplace_back(
+                accepted{item.tag, index, state.vote.current});
+            payloads.emplace_back(entry_kind::command, std::move(item.command));
+        }
+    }
+    if (!payloads.empty())
+        append_as_leader(c, std::move(payloads));
+}
+
+void on_read(context& c, const read_requested& r)
+{
+    if (c.state.role != role::leader) {
+        c.actions.emplace_back(rejected{r.tag, reject_reason::not_leader});
+        return;
+    }
+    c.state.leading.reads.push_back(r.tag);
+}
+
+void answer_reads(context& c)
+{
+    auto& state = c.state;
+    // Before the no-op is committed, entries that an earlier leader
+    // acknowledged may be missing from `committed`.
+    if (state.role != role::leader || state.leading.reads.empty() ||
+        state.committed < state.leading.opened || !holds_lease(state, c.now))
+        return;
+    for (const auto tag : state.leading.reads)
+        c.actions.emplace_back(read_ready{tag, state.committed});
+    state.leading.reads.clear();
+}
+
+void on_append_reply(context& c, const vm_id& from, const append_reply& r)
+{
+    auto& state = c.state;
+    const auto found = state.leading.peers.find(from);
+    if (state.role != role::leader || found == state.leading.peers.end())
+        return;
+    auto& p = found->second;
+    acknowledge(c, p, r.sent_us);
+    if (p.snapshot)
+        return;
+    if (r.accepted) {
+        p.match = std::max(p.match, std::min(r.match, last_index(state.log)));
+        p.next = std::max(p.next, p.match.next());
+        p.probing = false;
+        release_in_flight(p);
+        advance_commit(c);
+        if (state.role != role::leader)
+            return;
+    } else {
+        const bool stale =
+            r.refused <= p.match || (p.probing && r.refused != p.last_previous);
+        if (stale)
+            return;
+        p.next = std::max(p.match.next(), std::min(r.match.next(), r.refused));
+        p.probing = true;
+        clear_in_flight(p);
+    }
+    replicate(c, from, p, false);
+    transfer_if_caught_up(c);
+}
+
+void advance_commit(context& c)
+{
+    auto& state = c.state;
+    if (state.role != role::leader)
+        return;
+    std::vector<log_index> matches;
+    for (const auto& m : members_of(state)) {
+        if (!m.voter)
+            continue;
+        const auto peer = state.leading.peers.find(m.vm);
+        if (m.vm == state.self)
+            matches.push_back(state.durable);
+        else if (peer != state.leading.peers.end())
+            matches.push_back(peer->second.match);
+    }
+    const auto needed = quorum_size(members_of(state));
+    if (matches.size() < needed)
+        return;
+    std::sort(matches.begin(), matches.end(), std::greater<>());
+    const auto index = matches[needed - 1];
+    // Only entries of the own term are committed by counting; older ones
+    // follow with them.
+    if (index <= state.committed ||
+        term_at(state.log, index) != state.vote.current)
+        return;
+    commit_up_to(c, index);
+    const bool removed =
+        find_member(members_of(state), state.self) == nullptr &&
+        membership_index(state.log) <= state.committed;
+    if (removed)
+        become_follower(c, {}, {});
+}
+
+void on_transfer(context& c)
+{
+    auto& state = c.state;
+    if (state.role != role::leader)
+        return;
+    state.leading.transfer_until = c.now + state.times.election_min;
+    transfer_if_caught_up(c);
+}
+
+} // namespace oleanderhinge::consensus::internal
--- /dev/null
+++ b/oleanderhinge/consensus/internal/snapshot.cpp
@@ -0,0 +1,159 @@
+#include "oleanderhinge/consensus/internal/context.hpp"
+
+#include <algorithm>
+
+namespace oleanderhinge::consensus::internal
+{
+
+namespace
+{
+
+// Adds a chunk to the incoming snapshot; returns the bytes received without a
+// gap.
+std::uint64_t collect(context& c, snapshot_chunk& m)
+{
+    auto& incoming = c.state.incoming;
+    if (!incoming || incoming->leader_term != c.state.vote.current ||
+        incoming->last != m.last)
+        incoming = incoming_snapshot{c.state.vote.current, m.last, {}};
+    const auto have = incoming->data.size();
+    if (m.offset == have && m.data.size() <= m.size - have)
+        incoming->data += m.data;
+    return incoming->data.size();
+}
+
+void install(context& c, const snapshot_chunk& m, std::string data)
+{
+    auto& state = c.state;
+    snapshot_content content{
+        m.last,
+        m.last_term,
+        m.members,
+        std::make_shared<const std::string>(std::move(data))};
+    reset(state.log, m.last, m.last_term, m.members);
+    state.committed = m.last;
+    state.applied = m.last;
+    state.verified = m.last;
+    state.snapshot = content;
+    ++state.counts.snapshots_installed;
+    // Writes under way concern the log that is dropped.
+    for (auto& [ticket, last] : state.tickets)
+        last = {};
+    state.durable = {};
+    const auto ticket = ++state.last_ticket;
+    state.tickets.emplace_back(ticket, m.last);
+    c.actions.emplace_back(install_snapshot{ticket, std::move(content)});
+    send_after(
+        c,
+        ticket,
+        state.leader,
+        state.leader_disk,
+        snapshot_reply{m.last, m.size, m.sent_us});
+}
+
+} // namespace
+
+void send_chunk(context& c, const vm_id& to, progress& p, bool heartbeat)
+{
+    const auto& snapshot = *c.state.snapshot;
+    if (snapshot.last != *p.snapshot) {
+        p.snapshot = snapshot.last;
+        p.snapshot_offset = 0;
+        p.chunk_sent = {};
+    }
+    // A chunk is repeated if no reply came; in between, empty chunks keep the
+    // follower's election timer from running out.
+    const bool due = c.now >= p.chunk_sent + c.state.times.heartbeat * 2 ||
+                     p.chunk_sent == base::time_point{};
+    if (!due && !heartbeat)
+        return;
+    snapshot_chunk m;
+    m.last = snapshot.last;
+    m.last_term = snapshot.last_term;
+    m.members = snapshot.members;
+    m.size = snapshot.data->size();
+    m.offset = p.snapshot_offset;
+    if (due) {
+        m.data = snapshot.data->substr(m.offset, c.state.bounds.chunk_bytes);
+        p.chunk_sent = c.now;
+    }
+    m.sent_us = c.now.time_since_epoch().count();
+    m.lease_age_ms = lease_age_ms(c);
+    send_to(c, to, p.disk, std::move(m));
+}
+
+void on_chunk(
+    context& c, const vm_id& from, incarnation disk, snapshot_chunk&& m)
+{
+    auto& state = c.state;
+    heard_leader(c, from, disk, m.sent_us, m.lease_age_ms);
+    const auto reply = [&](std::uint64_t received) {
+        send_to(c, from, disk, snapshot_reply{m.last, received, m.sent_us});
+    };
+    if (term_at(state.log, m.last) == m.last_term) {
+        // The log leads up to the snapshot already.
+        state.verified = std::max(state.verified, m.last);
+        commit_up_to(c, m.last);
+        reply(m.size);
+        return;
+    }
+    if (m.last <= state.committed) {
+        reply(m.size);
+        return;
+    }
+    if (m.size > state.bounds.snapshot_bytes)
+        return;
+    const auto received = collect(c, m);
+    if (received < m.size) {
+        reply(received);
+        return;
+    }
+    auto data = std::move(state.incoming->data);
+    state.incoming.reset();
+    install(c, m, std::move(data));
+}
+
+void on_snapshot_reply(context& c, const vm_id& from, const snapshot_reply& r)
+{
+    auto& state = c.state;
+    const auto found = state.leading.peers.find(from);
+    if (state.role != role::leader || found == state.leading.peers.end())
+        return;
+    auto& p = found->second;
+    acknowledge(c, p, r.sent_us);
+    if (!p.snapshot || r.last != *p.snapshot)
+        return;
+    if (r.received >= state.snapshot->data->size() &&
+        r.last == state.snapshot->last) {
+        p.next = std::max(p.match, r.last).next();
+        p.snapshot.reset();
+        p.probing = true;
+        p.in_flight.clear();
+        p.in_flight_bytes = 0;
+    } else if (r.received != p.snapshot_offset) {
+        p.snapshot_offset = r.received;
+        p.chunk_sent = {};
+    }
+    replicate(c, from, p, false);
+}
+
+void on_snapshot_taken(context& c, snapshot_taken&& s)
+{
+    auto& state = c.state;
+    const bool is_old = s.last <= state.log.base ||
+                        (state.snapshot && s.last <= state.snapshot->last);
+    if (is_old || s.last > state.applied)
+        return;
+    state.snapshot = snapshot_content{
+        s.last,
+        *term_at(state.log, s.last),
+        membership_at(state.log, s.last),
+        std::move(s.data)};
+    const auto trailing = state.bounds.trailing_entries;
+    if (s.last.value() <= trailing)
+        return;
+    compact(state.log, log_index{s.last.value() - trailing});
+    state.durable = std::max(state.durable, state.log.base);
+}
+
+} // namespace oleanderhinge::consensus::internal
--- a/oleanderhinge/consensus/log.hpp
+++ b/oleanderhinge/consensus/log.hpp
@@ -2,11 +2,10 @@
 // memberships that they carry.
 #pragma once
 
-#include "oleanderhinge/consensus/types.hpp"
+#include "oleanderhinge/consensus/messages.hpp"
 
 #include <deque>
 #include <optional>
-#include <span>
 
 namespace oleanderhinge::consensus
 {
@@ -34,8 +33,11 @@
 const entry& entry_at(const log& l, log_index index);
 const membership& current_membership(const log& l);
 log_index membership_index(const log& l);
+// The membership in force at `index`, which is `base` or later.
+const membership& membership_at(const log& l, log_index index);
 
-// Appends an entry whose index is `last_index` + 1.
+// Appends an entry whose index is `last_index` + 1. A membership takes effect
+// at once, committed or not.
 void append(log& l, entry e);
 // Removes the entries from `from` on.
 void truncate(log& l, log_index from);
--- a/oleanderhinge/consensus/node_state.hpp
+++ b/oleanderhinge/consensus/node_state.hpp
@@ -26,19 +26,16 @@
     // Sent and unacknowledged: last index and bytes of each message.
     std::deque<std::pair<log_index, std::size_t>> in_flight;
     std::size_t in_flight_bytes = 0;
-    log_index in_flight_from;
+    // `previous` of the last message; while probing, a refusal of any other
+    // message is out of date.
+    log_index last_previous;
     // Set while a snapshot is sent: its last index and the acknowledged bytes.
     std::optional<log_index> snapshot;
     std::uint64_t snapshot_offset = 0;
     // Latest sending time among the messages that this disk acknowledged in
     // the leader's term.
     std::optional<base::time_point> acknowledged;
-    base::time_point last_sent;
-};
-
-struct pending_read {
-    std::uint64_t tag = 0;
-    base::time_point requested;
+    base::time_point chunk_sent;
 };
 
 struct leader_state {
@@ -46,15 +43,15 @@
     // The no-op that opened the term.
     log_index opened;
     std::map<vm_id, progress> peers;
-    std::vector<pending_read> reads;
-    // The receiver of a transfer, while it is still catching up.
-    std::optional<vm_id> transfer_to;
+    // Tags of reads that wait for the lease or for `opened`.
+    std::vector<std::uint64_t> reads;
+    // Set while a transfer waits for its receiver to catch up.
+    std::optional<base::time_point> transfer_until;
     base::time_point last_heartbeat;
 };
 
 struct candidate_state {
     bool pre_vote = true;
-    bool transfer = false;
     std::set<vm_id> granted;
 };
 
@@ -110,6 +107,7 @@
 
     consensus::role role = role::follower;
     vm_id leader;
+    incarnation leader_disk;
     base::time_point election_deadline;
     // Votes are refused until this time: a leader may hold a lease.
     base::time_point vote_barred_until;
--- /dev/null
+++ b/oleanderhinge/consensus/queries.cpp
@@ -0,0 +1,97 @@
+#include "oleanderhinge/consensus/queries.hpp"
+
+#include <algorithm>
+
+namespace oleanderhinge::consensus
+{
+
+const membership& members_of(const node_state& state)
+{
+    return current_membership(state.log);
+}
+
+const member* find_member(const membership& members, const vm_id& vm)
+{
+    const auto found =
+        std::find_if(members.begin(), members.end(), [&](const member& m) {
+            return m.vm == vm;
+        });
+    return found == members.end() ? nullptr : &*found;
+}
+
+bool is_admitted(const node_state& state)
+{
+    const auto* self = find_member(members_of(state), state.self);
+    return self != nullptr && self->disk == state.disk;
+}
+
+bool is_voter(const node_state& state)
+{
+    const auto* self = find_member(members_of(state), state.self);
+    return self != nullptr && self->disk == state.disk && self->voter;
+}
+
+std::size_t voter_count(const membership& members)
+{
+    return std::size_t(
+        std::count_if(members.begin(), members.end(), [](const member& m) {
+            return m.voter;
+        }));
+}
+
+std::size_t quorum_size(const membership& members)
+{
+    return voter_count(members) / 2 + 1;
+}
+
+std::optional<base::time_point>
+lease_start(const node_state& state, base::time_point now)
+{
+    if (state.role != role::leader)
+        return std::nullopt;
+    std::vector<base::time_point> times;
+    for (const auto& m : members_of(state)) {
+        if (!m.voter)
+            continue;
+        if (m.vm == state.self) {
+            times.push_back(now);
+            continue;
+        }
+        const auto peer = state.leading.peers.find(m.vm);
+        if (peer != state.leading.peers.end() && peer->second.acknowledged)
+            times.push_back(*peer->second.acknowledged);
+    }
+    const auto needed = quorum_size(members_of(state));
+    if (times.size() < needed)
+        return std::nullopt;
+    std::sort(times.rbegin(), times.rend());
+    return times[needed - 1];
+}
+
+bool holds_lease(const node_state& state, base::time_point now)
+{
+    const auto start = lease_start(state, now);
+    return start && now < *start + state.times.lease;
+}
+
+std::optional<base::duration>
+lease_age(const node_state& state, base::time_point now)
+{
+    if (state.role == role::leader) {
+        const auto start = lease_start(state, now);
+        if (!start)
+            return std::nullopt;
+        return now - *start;
+    }
+    if (!state.leader_heard)
+        return std::nullopt;
+    return state.leader_lease_age + (now - *state.leader_heard);
+}
+
+bool has_quorum(const node_state& state, base::time_point now)
+{
+    const auto age = lease_age(state, now);
+    return age && *age < state.times.lease;
+}
+
+} // namespace oleanderhinge::consensus
--- a/oleanderhinge/consensus/queries.hpp
+++ b/oleanderhinge/consensus/queries.hpp
@@ -15,6 +15,7 @@
 bool is_admitted(const node_state& state);
 bool is_voter(const node_state& state);
 
+std::size_t voter_count(const membership& members);
 // Voters that a majority needs.
 std::size_t quorum_size(const membership& members);
 
