Add replica::node with a decision and a disk thread

Cause: control needs the replicated log behind its interface. Change: core turns inputs into events, batches proposals of a round, carries out actions; the disk thread writes waiting jobs with one sync; counters and status are published after each round.

--- /dev/null
+++ b/oleanderhinge/replica/internal/core.cpp
@@ -0,0 +1,350 @@
+#include "oleanderhinge/replica/internal/core.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <utility>
+
+namespace oleanderhinge::replica::internal
+{
+
+namespace
+{
+
+// Ticks in one heartbeat interval.
+constexpr int ticks_per_heartbeat = 3;
+
+void end_process(const std::string& reason)
+{
+    spdlog::critical("replicated log: {}", reason);
+    spdlog::shutdown();
+    std::_Exit(EXIT_FAILURE);
+}
+
+node_setup with_defaults(node_setup setup)
+{
+    if (!setup.fatal)
+        setup.fatal = &end_process;
+    if (!setup.network)
+        setup.network = [](const base::vm_id&, wire::consensus_message) {};
+    return setup;
+}
+
+} // namespace
+
+consensus::member to_consensus(const member& m)
+{
+    return {m.vm, {}, m.link, m.admin, m.voter, false};
+}
+
+std::vector<member> to_members(const consensus::membership& members)
+{
+    std::vector<member> out;
+    for (const auto& m : members)
+        out.push_back({m.vm, m.link, m.admin, m.voter});
+    return out;
+}
+
+core::core(
+    node_setup setup_in,
+    state_machine machine_in,
+    consensus::node_state state_in,
+    std::unique_ptr<storage::log_store> store)
+    : setup(with_defaults(std::move(setup_in)))
+    , machine(std::move(machine_in))
+    , state(std::move(state_in))
+    , disk(
+          std::move(store),
+          {[this](std::uint64_t ticket) { this->add(persisted_input{ticket}); },
+           [this](const consensus::snapshot_content& content) {
+               this->add(snapshot_input{content});
+           },
+           [this](const std::string& reason) { this->setup.fatal(reason); }})
+{
+    this->publish();
+    this->thread = std::thread([this] { this->run(); });
+}
+
+core::~core()
+{
+    this->stop();
+}
+
+void core::add(input in)
+{
+    {
+        const std::lock_guard lock(this->inbox_mutex);
+        if (!this->stopping) {
+            if (auto* p = std::get_if<propose_input>(&in)) {
+                p->refused =
+                    this->waiting_proposals >= this->setup.waiting_proposals;
+                if (!p->refused)
+                    ++this->waiting_proposals;
+            }
+            this->inbox.push_back(std::move(in));
+            this->wake.notify_one();
+            return;
+        }
+    }
+    refuse(in);
+}
+
+void core::refuse(input& in)
+{
+    if (auto* p = std::get_if<propose_input>(&in))
+        p->done({propose_state::unavailable, {}, {}});
+    else if (auto* b = std::get_if<barrier_input>(&in))
+        b->done({false});
+    else if (auto* a = std::get_if<add_input>(&in))
+        a->done({propose_state::unavailable, {}, {}});
+    else if (auto* r = std::get_if<remove_input>(&in))
+        r->done({propose_state::unavailable, {}, {}});
+    else if (auto* h = std::get_if<hand_over_input>(&in))
+        h->done({false});
+}
+
+void core::stop()
+{
+    {
+        const std::lock_guard lock(this->inbox_mutex);
+        this->stopping = true;
+        this->wake.notify_one();
+    }
+    if (this->thread.joinable())
+        this->thread.join();
+    this->disk.stop();
+}
+
+void core::run()
+{
+    if (this->state.snapshot)
+        this->machine.restore(
+            this->state.snapshot->last, *this->state.snapshot->data);
+    const auto interval = this->setup.times.heartbeat / ticks_per_heartbeat;
+    for (;;) {
+        std::deque<input> inputs;
+        bool ends = false;
+        {
+            std::unique_lock lock(this->inbox_mutex);
+            this->wake.wait_for(lock, interval, [&] {
+                return this->stopping || !this->inbox.empty();
+            });
+            inputs.swap(this->inbox);
+            this->waiting_proposals = 0;
+            ends = this->stopping;
+        }
+        if (ends) {
+            for (auto& in : inputs)
+                refuse(in);
+            break;
+        }
+        this->run_round(std::move(inputs));
+    }
+    this->waiting.close();
+    this->finish_hand_over(false);
+}
+
+void core::run_round(std::deque<input> inputs)
+{
+    consensus::proposals batch;
+    for (auto& in : inputs)
+        std::visit([&](auto& i) { this->take(i, batch); }, in);
+    if (!batch.batch.empty())
+        this->advance(std::move(batch));
+    const auto now = this->setup.clock();
+    if (now >= this->next_tick) {
+        this->next_tick =
+            now + this->setup.times.heartbeat / ticks_per_heartbeat;
+        this->advance(consensus::tick{});
+        this->waiting.expire(now);
+        if (std::any_of(
+                this->handing_over.begin(),
+                this->handing_over.end(),
+                [&](const waiting_barrier& w) { return w.deadline <= now; }))
+            this->finish_hand_over(false);
+    }
+    this->take_snapshot_if_due();
+    this->publish();
+}
+
+void core::take(propose_input& in, consensus::proposals& batch)
+{
+    if (in.refused) {
+        in.done({propose_state::unavailable, {}, {}});
+        return;
+    }
+    const auto deadline = this->setup.clock() + this->setup.propose_limit;
+    const auto tag = this->waiting.add(
+        waiting_proposal{std::move(in.done), deadline, {}, {}});
+    batch.batch.push_back({tag, std::move(in.command)});
+}
+
+void core::take(barrier_input& in, consensus::proposals&)
+{
+    const auto deadline = this->setup.clock() + this->setup.propose_limit;
+    const auto tag =
+        this->waiting.add(waiting_barrier{std::move(in.done), deadline});
+    this->advance(consensus::read_requested{tag});
+}
+
+void core::take(add_input& in, consensus::proposals&)
+{
+    const auto deadline = this->setup.clock() + this->setup.membership_limit;
+    const auto tag = this->waiting.add(
+        waiting_proposal{std::move(in.done), deadline, in.added.vm, {}});
+    this->advance(consensus::member_added{tag, to_consensus(in.added)});
+}
+
+void core::take(remove_input& in, consensus::proposals&)
+{
+    const auto deadline = this->setup.clock() + this->setup.membership_limit;
+    const auto tag = this->waiting.add(
+        waiting_proposal{std::move(in.done), deadline, {}, {}});
+    this->advance(consensus::member_removed{tag, in.removed});
+}
+
+void core::take(packed_input& in, consensus::proposals&)
+{
+    ++this->counts.messages_received;
+    if (in.packed.group != this->setup.group)
+        return;
+    std::optional<consensus::message> m;
+    base::handle(
+        [&]() -> base::result<void> {
+            BOOST_LEAF_ASSIGN(m, consensus::decode(in.packed));
+            return {};
+        },
+        [&](const base::error&) { ++this->counts.messages_malformed; });
+    if (m)
+        this->advance(
+            consensus::message_received{std::move(in.from), std::move(*m)});
+}
+
+void core::take(hand_over_input& in, consensus::proposals&)
+{
+    if (this->state.role != consensus::role::leader) {
+        in.done({true});
+        return;
+    }
+    this->handing_over.push_back(
+        {std::move(in.done),
+         this->setup.clock() + this->setup.times.election_min});
+    this->advance(consensus::transfer_requested{});
+}
+
+void core::take(persisted_input& in, consensus::proposals&)
+{
+    this->advance(consensus::persisted{in.ticket});
+}
+
+void core::take(snapshot_input& in, consensus::proposals&)
+{
+    this->snapshot_under_way = false;
+    ++this->counts.snapshots_taken;
+    this->advance(consensus::snapshot_taken{in.content.last, in.content.data});
+}
+
+void core::advance(consensus::event what)
+{
+    auto actions =
+        consensus::step(this->state, std::move(what), this->setup.clock());
+    for (auto& a : actions)
+        std::visit([&](auto& item) { this->carry_out(item); }, a);
+}
+
+void core::carry_out(consensus::send& a)
+{
+    ++this->counts.messages_sent;
+    this->setup.network(a.to, consensus::encode(this->setup.group, a.content));
+}
+
+void core::carry_out(consensus::persist& a)
+{
+    this->disk.add(std::move(a));
+}
+
+void core::carry_out(consensus::apply& a)
+{
+    for (const auto& e : a.entries) {
+        std::string reply;
+        if (e.kind == consensus::entry_kind::command) {
+            reply = this->machine.apply(e.index, e.payload);
+            ++this->counts.applied;
+            this->bytes_since_snapshot += e.payload.size();
+        }
+        ++this->entries_since_snapshot;
+        this->waiting.on_applied(e, std::move(reply));
+        if (e.kind != consensus::entry_kind::membership)
+            continue;
+        base::handle(
+            [&]() -> base::result<void> {
+                BOOST_LEAF_AUTO(
+                    members, consensus::decode_membership(e.payload));
+                this->waiting.on_members(members);
+                return {};
+            },
+            [&](const base::error& error) { this->setup.fatal(error.detail); });
+    }
+}
+
+void core::carry_out(consensus::install_snapshot& a)
+{
+    this->machine.restore(a.snapshot.last, *a.snapshot.data);
+    this->entries_since_snapshot = 0;
+    this->bytes_since_snapshot = 0;
+    this->disk.add(std::move(a));
+}
+
+void core::carry_out(consensus::accepted& a)
+{
+    this->waiting.on_accepted(a);
+}
+
+void core::carry_out(consensus::rejected& a)
+{
+    this->waiting.on_rejected(a);
+}
+
+void core::carry_out(consensus::read_ready& a)
+{
+    // All committed entries were applied by earlier actions.
+    this->waiting.on_read_ready(a.tag);
+}
+
+void core::carry_out(consensus::role_changed& a)
+{
+    const bool leads = a.now == consensus::role::leader;
+    if (this->was_leader && !leads) {
+        this->waiting.on_leadership_lost();
+        this->finish_hand_over(true);
+    }
+    this->was_leader = leads;
+}
+
+void core::finish_hand_over(bool ok)
+{
+    for (auto& w : std::exchange(this->handing_over, {}))
+        w.done({ok});
+}
+
+void core::take_snapshot_if_due()
+{
+    const bool is_due =
+        this->entries_since_snapshot >= this->setup.snapshot_entries ||
+        this->bytes_since_snapshot >= this->setup.snapshot_bytes;
+    if (!is_due || this->snapshot_under_way)
+        return;
+    this->snapshot_under_way = true;
+    this->entries_since_snapshot = 0;
+    this->bytes_since_snapshot = 0;
+    const auto last = this->state.applied;
+    const auto& log = this->state.log;
+    this->disk.add(save_snapshot{consensus::snapshot_content{
+        last,
+        *consensus::term_at(log, last),
+        consensus::membership_at(log, last),
+        std::make_shared<const std::string>(this->machine.take_snapshot())}});
+}
+
+} // namespace oleanderhinge::replica::internal
--- /dev/null
+++ b/oleanderhinge/replica/internal/core_status.cpp
@@ -0,0 +1,91 @@
+// What `node::status` and `node::counters` show.
+#include "oleanderhinge/replica/internal/core.hpp"
+
+namespace oleanderhinge::replica::internal
+{
+
+namespace
+{
+
+member_role role_of(const consensus::node_state& state)
+{
+    if (!consensus::is_admitted(state))
+        return member_role::awaiting_admission;
+    if (state.role == consensus::role::leader)
+        return member_role::leader;
+    if (!consensus::is_voter(state))
+        return member_role::learner;
+    return state.role == consensus::role::candidate ? member_role::candidate
+                                                    : member_role::follower;
+}
+
+} // namespace
+
+published_status core::describe(base::time_point now) const
+{
+    published_status out;
+    auto& v = out.values;
+    v.role = role_of(this->state);
+    v.current_term = this->state.vote.current;
+    v.leader = this->state.leader;
+    v.last = consensus::last_index(this->state.log);
+    v.committed = this->state.committed;
+    v.applied = this->state.applied;
+    v.members = to_members(consensus::members_of(this->state));
+    if (const auto age = consensus::lease_age(this->state, now))
+        out.proved = now - *age;
+    return out;
+}
+
+void core::publish()
+{
+    auto fresh = this->describe(this->setup.clock());
+    const auto& c = this->state.counts;
+    this->counts.elections = c.elections;
+    this->counts.leader_changes = c.leader_changes;
+    this->counts.lease_losses = c.lease_losses;
+    this->counts.entries = c.entries_appended;
+    this->counts.snapshots_installed = c.snapshots_installed;
+    this->counts.readmissions = c.readmissions;
+    bool differs = false;
+    {
+        const std::lock_guard lock(this->status_mutex);
+        const auto& old = this->published.values;
+        differs = old.role != fresh.values.role ||
+                  old.leader != fresh.values.leader ||
+                  old.current_term != fresh.values.current_term ||
+                  old.members != fresh.values.members;
+        this->published = std::move(fresh);
+        this->published_counts = this->counts;
+    }
+    if (differs && this->setup.changed)
+        this->setup.changed(this->status());
+}
+
+log_status core::status() const
+{
+    const auto now = this->setup.clock();
+    const std::lock_guard lock(this->status_mutex);
+    auto out = this->published.values;
+    if (!this->published.proved) {
+        out.lease_age_ms = UINT32_MAX;
+        return out;
+    }
+    const auto age = now - *this->published.proved;
+    out.quorum = age < this->setup.times.lease;
+    out.lease_age_ms = std::uint32_t(
+        std::chrono::duration_cast<std::chrono::milliseconds>(age).count());
+    return out;
+}
+
+node_counters core::counters() const
+{
+    const auto stored = this->disk.counters();
+    const std::lock_guard lock(this->status_mutex);
+    auto out = this->published_counts;
+    out.syncs = stored.syncs;
+    out.bytes = stored.bytes;
+    return out;
+}
+
+} // namespace oleanderhinge::replica::internal
--- /dev/null
+++ b/oleanderhinge/replica/internal/disk_worker.cpp
@@ -0,0 +1,157 @@
+#include "oleanderhinge/replica/internal/disk_worker.hpp"
+
+#include "oleanderhinge/wire/archive.hpp"
+
+#include <utility>
+
+namespace oleanderhinge::replica::internal
+{
+
+storage::record to_record(const consensus::entry& e)
+{
+    return {e.index, e.entry_term, std::uint8_t(e.kind), e.payload};
+}
+
+consensus::entry to_entry(storage::record r)
+{
+    return {
+        r.record_term,
+        r.index,
+        consensus::entry_kind(r.kind),
+        std::move(r.payload)};
+}
+
+storage::snapshot to_stored(const consensus::snapshot_content& content)
+{
+    storage::snapshot out{content.last, content.last_term, {}};
+    wire::output_archive archive(out.data);
+    archive(content.members, *content.data);
+    return out;
+}
+
+base::result<consensus::snapshot_content> from_stored(storage::snapshot s)
+{
+    using parts = std::pair<consensus::membership, std::string>;
+    BOOST_LEAF_AUTO(p, wire::from_bytes<parts>(s.data));
+    return consensus::snapshot_content{
+        s.last,
+        s.last_term,
+        std::move(p.first),
+        std::make_shared<const std::string>(std::move(p.second))};
+}
+
+disk_worker::disk_worker(
+    std::unique_ptr<storage::log_store> store_in, disk_events events_in)
+    : store(std::move(store_in))
+    , events(std::move(events_in))
+    , published(this->store->counters())
+    , thread([this] { this->run(); })
+{
+}
+
+disk_worker::~disk_worker()
+{
+    this->stop();
+}
+
+void disk_worker::add(disk_job job)
+{
+    const std::lock_guard lock(this->mutex);
+    this->waiting.push_back(std::move(job));
+    this->wake.notify_one();
+}
+
+void disk_worker::stop()
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        this->stopping = true;
+        this->wake.notify_one();
+    }
+    if (this->thread.joinable())
+        this->thread.join();
+}
+
+storage::store_counters disk_worker::counters() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->published;
+}
+
+void disk_worker::run()
+{
+    for (;;) {
+        std::deque<disk_job> jobs;
+        {
+            std::unique_lock lock(this->mutex);
+            this->published = this->store->counters();
+            this->wake.wait(
+                lock, [&] { return this->stopping || !this->waiting.empty(); });
+            if (this->stopping)
+                return;
+            jobs.swap(this->waiting);
+        }
+        const auto reason = base::handle(
+            [&]() -> base::result<std::string> {
+                BOOST_LEAF_CHECK(this->write(jobs));
+                return std::string();
+            },
+            [](const base::error& e) { return e.detail; });
+        if (!reason.empty()) {
+            this->events.failed(reason);
+            return;
+        }
+    }
+}
+
+base::result<void> disk_worker::write(const std::deque<disk_job>& jobs)
+{
+    for (const auto& job : jobs) {
+        BOOST_LEAF_CHECK(
+            std::visit([&](const auto& j) { return this->write_one(j); }, job));
+    }
+    return this->report();
+}
+
+// Syncs what was collected and reports it.
+base::result<void> disk_worker::report()
+{
+    BOOST_LEAF_CHECK(this->store->sync());
+    if (this->written_ticket != this->reported_ticket)
+        this->events.persisted(this->written_ticket);
+    this->reported_ticket = this->written_ticket;
+    return {};
+}
+
+base::result<void> disk_worker::write_one(const consensus::persist& job)
+{
+    if (job.vote) {
+        BOOST_LEAF_CHECK(
+            this->store->save_vote({job.vote->current, job.vote->voted_for}));
+    }
+    if (job.truncate_from)
+        this->store->truncate_from(*job.truncate_from);
+    for (const auto& e : job.entries)
+        this->store->append(to_record(e));
+    this->written_ticket = job.ticket;
+    return {};
+}
+
+base::result<void>
+disk_worker::write_one(const consensus::install_snapshot& job)
+{
+    BOOST_LEAF_CHECK(this->report());
+    BOOST_LEAF_CHECK(this->store->install_snapshot(to_stored(job.snapshot)));
+    this->written_ticket = job.ticket;
+    return {};
+}
+
+base::result<void> disk_worker::write_one(const save_snapshot& job)
+{
+    BOOST_LEAF_CHECK(this->report());
+    BOOST_LEAF_CHECK(this->store->save_snapshot(to_stored(job.content)));
+    this->events.snapshot_saved(job.content);
+    return {};
+}
+
+} // namespace oleanderhinge::replica::internal
--- /dev/null
+++ b/oleanderhinge/replica/internal/disk_worker.hpp
@@ -0,0 +1,81 @@
+// The thread that writes to the disk. Jobs that wait together share one sync.
+#pragma once
+
+#include "oleanderhinge/consensus/events.hpp"
+#include "oleanderhinge/storage/log_store.hpp"
+
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <variant>
+
+namespace oleanderhinge::replica::internal
+{
+
+// A snapshot of the own state machine.
+struct save_snapshot {
+    consensus::snapshot_content content;
+};
+
+using disk_job = std::
+    variant<consensus::persist, consensus::install_snapshot, save_snapshot>;
+
+// Called on the disk thread.
+struct disk_events {
+    // Everything up to this ticket is durable.
+    std::function<void(std::uint64_t ticket)> persisted;
+    std::function<void(const consensus::snapshot_content&)> snapshot_saved;
+    // A write or sync failed; the thread has ended and nothing more becomes
+    // durable.
+    std::function<void(const std::string& reason)> failed;
+};
+
+class disk_worker
+{
+public:
+    disk_worker(std::unique_ptr<storage::log_store> store, disk_events events);
+    ~disk_worker();
+    disk_worker(const disk_worker&) = delete;
+    disk_worker& operator=(const disk_worker&) = delete;
+
+    // Thread-safe; keeps the order.
+    void add(disk_job job);
+    // Ends the thread after the round under way; waiting jobs are dropped.
+    void stop();
+
+    storage::store_counters counters() const;
+
+private:
+    void run();
+    base::result<void> write(const std::deque<disk_job>& jobs);
+    base::result<void> write_one(const consensus::persist& job);
+    base::result<void> write_one(const consensus::install_snapshot& job);
+    base::result<void> write_one(const save_snapshot& job);
+    base::result<void> report();
+
+    const std::unique_ptr<storage::log_store> store;
+    const disk_events events;
+    // Ticket of the last job that is written and not yet reported.
+    std::uint64_t written_ticket = 0;
+    std::uint64_t reported_ticket = 0;
+
+    mutable std::mutex mutex;
+    std::condition_variable wake;
+    std::deque<disk_job> waiting;
+    storage::store_counters published;
+    bool stopping = false;
+
+    std::thread thread;
+};
+
+// Conversion between the log and what is on disk.
+storage::record to_record(const consensus::entry& e);
+consensus::entry to_entry(storage::record r);
+storage::snapshot to_stored(const consensus::snapshot_content& content);
+// Fails with `corrupt` if the contents do not parse.
+base::result<consensus::snapshot_content> from_stored(storage::snapshot s);
+
+} // namespace oleanderhinge::replica::internal
--- a/oleanderhinge/replica/node.hpp
+++ b/oleanderhinge/replica/node.hpp
@@ -33,9 +33,11 @@
     consensus::limits bounds;
     storage::store_options files;
     std::uint32_t group = 0;
-    // For election timeouts and for the incarnation of a fresh folder; zero
-    // asks the operating system.
+    // For election timeouts; zero asks the operating system.
     std::uint64_t seed = 0;
+    // Incarnation of a fresh folder, for tests; zero draws one from the
+    // operating system. It must differ from all earlier ones of the cluster.
+    base::incarnation fresh_disk;
     // A snapshot is taken after this many entries or bytes of commands.
     std::uint64_t snapshot_entries = 50000;
     std::uint64_t snapshot_bytes = std::uint64_t(64) << 20;
@@ -100,6 +102,7 @@
     void hand_over(std::function<void(barrier_result)> done);
 
     // Ends both threads. Outstanding proposals get `unknown`, barriers fail.
+    // Later calls are answered at once, on the thread of the caller.
     void stop();
 
     node_counters counters() const;
--- /dev/null
+++ b/oleanderhinge/replica/node_test.cpp
@@ -0,0 +1,278 @@
+// Guards against a node that loses acknowledged commands over restarts, answers
+// without a quorum, or does not take a member with a lost disk back. The
+// protocol itself is tested without threads in consensus/.
+#include "oleanderhinge/replica/node.hpp"
+#include "oleanderhinge/storage/memory_file_system.hpp"
+
+#include <gtest/gtest.h>
+
+#include <condition_variable>
+#include <future>
+#include <map>
+#include <set>
+
+namespace oleanderhinge::replica
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+// Limit for conditions that come true much earlier.
+constexpr auto patience = 30s;
+
+base::vm_id vm(int i)
+{
+    return base::vm_id{"control-" + std::to_string(i)};
+}
+
+// Nodes in one process; messages are handed over directly.
+class cluster
+{
+public:
+    explicit cluster(int size)
+    {
+        for (int i = 1; i <= size; ++i)
+            this->initial.push_back({vm(i), {"127.0.0.1", 1}, {}, true});
+        for (int i = 1; i <= size; ++i)
+            this->start(i);
+    }
+    ~cluster()
+    {
+        for (auto& [id, n] : this->hosts)
+            this->stop(n);
+    }
+
+    void start(int i)
+    {
+        auto& h = this->hosts[i];
+        node_setup setup;
+        setup.self = vm(i);
+        if (i <= int(this->initial.size()))
+            setup.initial = this->initial;
+        setup.snapshot_entries = this->snapshot_entries;
+        setup.bounds.trailing_entries = 10;
+        setup.fatal = [&h](const std::string& reason) {
+            const std::lock_guard lock(h.mutex);
+            h.fatal = reason;
+        };
+        setup.network = [this,
+                         i](const base::vm_id& to, wire::consensus_message m) {
+            this->pass(i, to, std::move(m));
+        };
+        h.applied.clear();
+        state_machine machine;
+        machine.apply = [&h](base::log_index, const std::string& command) {
+            const std::lock_guard lock(h.mutex);
+            h.applied.push_back(command);
+            return "did " + command;
+        };
+        machine.take_snapshot = [&h] {
+            const std::lock_guard lock(h.mutex);
+            std::string all;
+            for (const auto& c : h.applied)
+                all += c + "\n";
+            return all;
+        };
+        machine.restore = [&h](base::log_index, const std::string& all) {
+            const std::lock_guard lock(h.mutex);
+            h.applied.clear();
+            for (std::size_t at = 0; at < all.size();) {
+                const auto end = all.find('\n', at);
+                h.applied.push_back(all.substr(at, end - at));
+                at = end + 1;
+            }
+        };
+        auto made = base::handle(
+            [&]() -> base::result<std::shared_ptr<node>> {
+                BOOST_LEAF_AUTO(n, node::open(setup, h.files, machine));
+                return std::shared_ptr<node>(std::move(n));
+            },
+            [](const base::error& e) {
+                ADD_FAILURE() << e.detail;
+                return std::shared_ptr<node>();
+            });
+        const std::lock_guard lock(h.mutex);
+        h.running = std::move(made);
+    }
+
+    void stop(int i) { this->stop(this->hosts[i]); }
+
+    // Drops everything from and to the node.
+    void isolate(int i, bool isolated)
+    {
+        const std::lock_guard lock(this->cut_mutex);
+        if (isolated)
+            this->cut.insert(i);
+        else
+            this->cut.erase(i);
+    }
+
+    std::shared_ptr<node> at(int i)
+    {
+        auto& h = this->hosts[i];
+        const std::lock_guard lock(h.mutex);
+        return h.running;
+    }
+
+    std::vector<std::string> applied(int i)
+    {
+        auto& h = this->hosts[i];
+        const std::lock_guard lock(h.mutex);
+        return h.applied;
+    }
+
+    std::string fatal(int i)
+    {
+        auto& h = this->hosts[i];
+        const std::lock_guard lock(h.mutex);
+        return h.fatal;
+    }
+
+    storage::memory_file_system& files(int i) { return this->hosts[i].files; }
+
+    // Waits until `condition` holds.
+    template <class Condition>
+    bool eventually(Condition&& condition)
+    {
+        const auto limit = base::monotonic_now() + patience;
+        std::unique_lock lock(this->traffic_mutex);
+        while (!condition()) {
+            if (base::monotonic_now() > limit)
+                return false;
+            this->traffic.wait_for(lock, 5ms);
+        }
+        return true;
+    }
+
+    // Number of the node that leads with its lease, besides `except`.
+    int leader(int except = 0)
+    {
+        int found = 0;
+        EXPECT_TRUE(this->eventually([&] {
+            for (auto& [id, h] : this->hosts) {
+                const auto n = this->at(id);
+                if (id == except || !n)
+                    continue;
+                const auto s = n->status();
+                if (s.role == member_role::leader && s.quorum)
+                    found = id;
+            }
+            return found != 0;
+        }));
+        return found;
+    }
+
+    propose_result propose(int i, const std::string& command)
+    {
+        auto answer = std::make_shared<std::promise<propose_result>>();
+        this->at(i)->propose(
+            command, [answer](propose_result r) { answer->set_value(r); });
+        return answer->get_future().get();
+    }
+
+    bool barrier(int i)
+    {
+        auto answer = std::make_shared<std::promise<bool>>();
+        this->at(i)->read_barrier(
+            [answer](barrier_result r) { answer->set_value(r.ok); });
+        return answer->get_future().get();
+    }
+
+    std::uint64_t snapshot_entries = 50;
+    std::vector<member> initial;
+
+private:
+    struct host {
+        std::mutex mutex;
+        std::shared_ptr<node> running;
+        storage::memory_file_system files;
+        std::vector<std::string> applied;
+        std::string fatal;
+    };
+
+    void stop(host& h)
+    {
+        std::shared_ptr<node> old;
+        {
+            const std::lock_guard lock(h.mutex);
+            old = std::move(h.running);
+            h.running.reset();
+        }
+        if (old)
+            old->stop();
+    }
+
+    void pass(int from, const base::vm_id& to, wire::consensus_message m)
+    {
+        {
+            const std::lock_guard lock(this->cut_mutex);
+            if (this->cut.contains(from))
+                return;
+            for (const int i : this->cut) {
+                if (vm(i) == to)
+                    return;
+            }
+        }
+        for (auto& [id, h] : this->hosts) {
+            if (vm(id) != to)
+                continue;
+            // A node is not destroyed here: its own thread may be the caller.
+            const auto n = this->at(id);
+            if (n)
+                n->receive(vm(from), std::move(m));
+            break;
+        }
+        this->traffic.notify_all();
+    }
+
+    std::map<int, host> hosts;
+    std::mutex cut_mutex;
+    std::set<int> cut;
+    std::mutex traffic_mutex;
+    std::condition_variable traffic;
+};
+
+TEST(node, a_single_member_applies_and_keeps_commands)
+{
+    cluster c(1);
+    ASSERT_EQ(c.leader(), 1);
+    for (int i = 0; i < 120; ++i) {
+        const auto command = "c" + std::to_string(i);
+        const auto r = c.propose(1, command);
+        ASSERT_EQ(r.state, propose_state::applied);
+        ASSERT_EQ(r.reply, "did " + command);
+    }
+    EXPECT_TRUE(c.barrier(1));
+    const auto before = c.applied(1);
+    c.stop(1);
+    base::random_source random(1);
+    c.files(1).crash(storage::unsynced::lost, random);
+    c.start(1);
+    ASSERT_EQ(c.leader(), 1);
+    EXPECT_TRUE(c.barrier(1));
+    EXPECT_EQ(c.applied(1), before);
+}
+
+TEST(node, three_members_survive_the_loss_of_the_leader)
+{
+    cluster c(3);
+    const int first = c.leader();
+    for (int i = 0; i < 200; ++i)
+        ASSERT_EQ(
+            c.propose(first, "a" + std::to_string(i)).state,
+            propose_state::applied);
+    c.isolate(first, true);
+    const int second = c.leader(first);
+    ASSERT_NE(second, first);
+    EXPECT_EQ(c.propose(second, "b").state, propose_state::applied);
+    // The isolated leader has lost its lease and answers nothing.
+    EXPECT_FALSE(c.barrier(first));
+    EXPECT_NE(c.propose(first, "x").state, propose_state::applied);
+    c.isolate(first, false);
+    EXPECT_TRUE(
+        c.eventually([&] { return c.applied(first) == c.applied(second); }));
+}
+
+} // namespace
+} // namespace oleanderhinge::replica
