Prove the log store over every crash point and fix recovery

With the folder sync at its old place the recovery table fails. Conclusion: nothing acknowledged is lost at any single stop of the script.

--- a/oleanderhinge/storage/internal/recovery.cpp
+++ b/oleanderhinge/storage/internal/recovery.cpp
@@ -150,6 +150,14 @@
 base::result<bool> leads_up_to(
     const recovered_log& log, base::log_index last, base::term last_term)
 {
+    // A snapshot is saved only after all batches before it are synced, so a
+    // torn batch before the end of the snapshot cannot be a torn write.
+    if (log.next <= last && log.cut_bytes != 0)
+        return damage(
+            log.segments.back().number,
+            log.active_size,
+            "bad batch before the end of the snapshot at " +
+                std::to_string(last.value()));
     if (log.next <= last)
         return false;
     const auto begin =
--- a/oleanderhinge/storage/memory_file_system.cpp
+++ b/oleanderhinge/storage/memory_file_system.cpp
@@ -173,8 +173,6 @@
 {
     if (mode == unsynced::lost || node.present == node.durable)
         return node.durable;
-    if (mode == unsynced::kept)
-        return node.present;
     if (!node.present.starts_with(node.durable))
         return random.below(2) == 0 ? node.durable : node.present;
     const auto added = node.present.size() - node.durable.size();
@@ -193,6 +191,11 @@
 void memory_file_system::crash(unsynced mode, base::random_source& random)
 {
     const std::lock_guard lock(this->mutex);
+    this->limit = UINT64_MAX;
+    this->sync_fails = false;
+    ++this->generation;
+    if (mode == unsynced::kept)
+        return;
     std::set<std::string> all;
     for (const auto& [name, node] : this->present)
         all.insert(name);
@@ -211,9 +214,6 @@
     }
     this->present = after;
     this->durable = after;
-    this->limit = UINT64_MAX;
-    this->sync_fails = false;
-    ++this->generation;
 }
 
 void memory_file_system::wipe()
--- a/oleanderhinge/storage/memory_file_system.hpp
+++ b/oleanderhinge/storage/memory_file_system.hpp
@@ -20,7 +20,7 @@
 // What a power loss does to unsynced bytes and names.
 enum class unsynced : std::uint8_t {
     lost,
-    // Survives as if synced, as after the end of the process alone.
+    // Only the process ended: everything is still there, and still unsynced.
     kept,
     // Each name independently is old or new; of unsynced bytes a part
     // survives, and a part of that is zero.
@@ -51,7 +51,8 @@
     void stop_after(std::uint64_t count);
     // The next sync of a file fails once and makes nothing durable.
     void fail_next_sync();
-    // Power loss: applies `mode`, forgets open files and removes the limit.
+    // End of the process or power loss: applies `mode`, forgets open files and
+    // removes the limit.
     void crash(unsynced mode, base::random_source& random);
     // Removes everything: the disk was replaced.
     void wipe();
--- a/oleanderhinge/storage/recovery.cpp
+++ b/oleanderhinge/storage/recovery.cpp
@@ -81,6 +81,9 @@
 {
     opened out;
     out.store.reset(new log_store(files, options));
+    // After the end of the process alone, a rename may be unsynced. It must be
+    // durable before anything is removed because of it.
+    BOOST_LEAF_CHECK(files.sync_folder());
     BOOST_LEAF_AUTO(names, files.list());
     for (const auto& name : names) {
         if (name.ends_with(".tmp"))
@@ -89,8 +92,6 @@
     BOOST_LEAF_CHECK(read_identity(files, names, disk, out.state));
     BOOST_LEAF_CHECK(read_replaced_files(files, names, out.state));
     BOOST_LEAF_CHECK(out.store->recover_log(names, out.state));
-    // After the end of the process alone, what was read may be unsynced.
-    BOOST_LEAF_CHECK(files.sync_folder());
     return out;
 }
 
@@ -128,6 +129,7 @@
     if (log.cut_bytes != 0)
         BOOST_LEAF_CHECK(this->files.truncate(name, log.active_size));
     BOOST_LEAF_ASSIGN(this->active, this->files.open_append(name));
+    // The last batch may be unsynced for the same reason.
     BOOST_LEAF_CHECK(this->active->sync());
     return this->remove_covered(covered);
 }
