--- a/standins/model_engine.cpp
+++ b/standins/model_engine.cpp
@@ -22,6 +22,7 @@
 #include <atomic>
 #include <fstream>
 #include <iostream>
+#include <limits>
 #include <map>
 #include <mutex>
 #include <string>
@@ -41,6 +42,9 @@
 // An engine holds at most this many contexts; the oldest is dropped.
 constexpr std::size_t max_contexts = 4096;
 
+// Runs until a fault that is not wanted.
+constexpr auto never = std::numeric_limits<std::uint64_t>::max();
+
 struct options {
     std::string listen = "127.0.0.1:0";
     std::string model = "bench-assistant";
@@ -50,11 +54,11 @@
     std::uint32_t layer_count = 8;
     std::string accelerator = "a100";
     std::uint32_t speed_percent = 100;
-    std::uint32_t step_ms = 5;
+    std::uint32_t step_ms = 2;
     std::uint32_t batch = 8;
     bool honour_fencing = true;
-    std::uint64_t freeze_after = 0;
-    std::uint64_t fail_after = 0;
+    std::uint64_t freeze_after = never;
+    std::uint64_t fail_after = never;
     std::string record;
 };
 
@@ -209,9 +213,9 @@
         if (bad || !parsed.is_object())
             co_return co_await reply_error(exchange, 400, "malformed JSON");
         const auto number = ++this->runs;
-        if (this->config.freeze_after && number > this->config.freeze_after)
+        if (number > this->config.freeze_after)
             co_await wait(std::chrono::hours(1));
-        if (this->config.fail_after && number > this->config.fail_after)
+        if (number > this->config.fail_after)
             co_return co_await reply_error(exchange, 500, "engine failure");
         ++this->running;
         co_await wait(this->step_time());
--- a/standins/plain_service.cpp
+++ b/standins/plain_service.cpp
@@ -11,6 +11,7 @@
 
 #include <fstream>
 #include <iostream>
+#include <limits>
 #include <map>
 #include <mutex>
 #include <string>
@@ -24,11 +25,14 @@
 namespace wire = oleanderhinge::wire;
 namespace base = oleanderhinge::base;
 
+// Runs until a fault that is not wanted.
+constexpr auto never = std::numeric_limits<std::uint64_t>::max();
+
 struct options {
     std::string listen = "127.0.0.1:0";
     std::string record;
     std::uint32_t delay_ms = 0;
-    std::uint64_t fail_after = 0;
+    std::uint64_t fail_after = never;
 };
 
 class service
@@ -76,7 +80,7 @@
             co_await timer.async_wait(asio::use_awaitable);
         }
         // Fails after the booking took place, as a real service may.
-        if (this->config.fail_after && number > this->config.fail_after)
+        if (number > this->config.fail_after)
             co_return (void) co_await exchange.respond(
                 500, "text/plain", "service failure\n");
         const json::object answer{{"reservation", number}, {"part", part}};
--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -213,9 +213,7 @@
             "--layers",
             std::to_string(first) + "-" + std::to_string(first + layers_each),
             "--layer-count",
-            std::to_string(stages * layers_each),
-            "--step-ms",
-            "1",
+            std::to_string(this->layer_count),
             "--record",
             this->run.path("record-" + std::to_string(i))};
         command.insert(command.end(), extra.begin(), extra.end());
@@ -352,6 +350,7 @@
         return chosen;
     }
 
+    std::uint32_t layer_count = stages * layers_each;
     entry_side& entry;
     processes run;
     std::vector<wire::stage> chain;
@@ -415,12 +414,18 @@
         base::execution expected;
     };
     const fault faults[] = {
-        {"hangs at the third step",
+        {"hangs at the first step",
+         {"--freeze-after", "0"},
+         base::execution::may_have_run},
+        {"hangs after steps that ran",
          {"--freeze-after", "2"},
+         base::execution::ran},
+        {"fails at the first step",
+         {"--fail-after", "0"},
          base::execution::may_have_run},
-        {"fails at the third step",
+        {"fails after steps that ran",
          {"--fail-after", "2"},
-         base::execution::may_have_run},
+         base::execution::ran},
     };
     for (const auto& f : faults) {
         SCOPED_TRACE(f.name);
@@ -480,7 +485,8 @@
 {
     entry_side entry;
     fleet servers(entry);
-    servers.start_engine(0, {"--layer-count", "8", "--step-ms", "20"});
+    servers.layer_count = layers_each;
+    servers.start_engine(0, {"--step-ms", "20"});
     servers.start_agent(0);
     servers.connect(1);
     const auto m = servers.message_for(1, 1, "long report about the cabinet");
