--- a/oleanderhinge/agent/slots.cpp
+++ b/oleanderhinge/agent/slots.cpp
@@ -107,7 +107,9 @@
     if (found == pool.tickets.end())
         return {};
     const auto ticket = found->second;
-    auto actions = used.value() > 0
+    // `finish` knows only granted work; queued work leaves by `cancel`.
+    const bool granted = pool.holders.at(ticket).granted_at.has_value();
+    auto actions = granted && used.value() > 0
                        ? admission::finish(pool.queue, ticket, used, now)
                        : admission::cancel(pool.queue, ticket, now);
     forget(pool, ticket);
