--- /dev/null
+++ b/oleanderhinge/control_state/commands.cpp
@@ -0,0 +1,118 @@
+#include "oleanderhinge/control_state/commands.hpp"
+
+#include "oleanderhinge/control_state/internal/claims.hpp"
+#include "oleanderhinge/control_state/internal/plans.hpp"
+#include "oleanderhinge/wire/archive.hpp"
+
+#include <algorithm>
+#include <stdexcept>
+#include <utility>
+
+namespace oleanderhinge::control_state
+{
+
+namespace
+{
+
+// First byte of an encoded command; commands in the log outlive a release.
+constexpr char command_version = 1;
+
+void advance_clock(state& target, std::uint64_t now_ms)
+{
+    target.clock_ms = std::max(target.clock_ms, now_ms);
+}
+
+std::uint64_t before(const state& target, std::uint64_t retention_ms)
+{
+    return target.clock_ms - std::min(target.clock_ms, retention_ms);
+}
+
+struct applier {
+    state& target;
+
+    reply operator()(const create_plan& item) const
+    {
+        advance_clock(this->target, item.now_ms);
+        return internal::apply_create(this->target, item);
+    }
+    reply operator()(const confirm_plan& item) const
+    {
+        advance_clock(this->target, item.now_ms);
+        return internal::apply_confirm(this->target, item);
+    }
+    reply operator()(const claim& item) const
+    {
+        advance_clock(this->target, item.now_ms);
+        return internal::apply_claim(this->target, item);
+    }
+    reply operator()(const record_outcome& item) const
+    {
+        return internal::apply_outcome(this->target, item);
+    }
+    reply operator()(const expire& item) const
+    {
+        advance_clock(this->target, item.now_ms);
+        return expire_reply{
+            internal::expire_claims(
+                this->target, before(this->target, item.claim_retention_ms)),
+            internal::expire_plans(
+                this->target, before(this->target, item.plan_retention_ms))};
+    }
+};
+
+void advance_index(state& target, base::log_index index)
+{
+    if (index <= target.applied)
+        throw std::logic_error(
+            "command at index " + std::to_string(index.value()) +
+            " after index " + std::to_string(target.applied.value()));
+    target.applied = index;
+}
+
+} // namespace
+
+reply apply(state& target, const command& item, base::log_index index)
+{
+    advance_index(target, index);
+    return std::visit(applier{target}, item);
+}
+
+reply apply_encoded(
+    state& target, std::string_view bytes, base::log_index index)
+{
+    return base::handle(
+        [&]() -> base::result<reply> {
+            BOOST_LEAF_AUTO(item, decode_command(bytes));
+            return apply(target, item, index);
+        },
+        [&](const base::error& failure) -> reply {
+            advance_index(target, index);
+            return malformed_command{failure.detail};
+        });
+}
+
+std::string encode(const command& item)
+{
+    return command_version + wire::to_bytes(item);
+}
+
+base::result<command> decode_command(std::string_view bytes)
+{
+    if (bytes.empty() || bytes.front() != command_version)
+        return base::fail(
+            base::error_code::unsupported_version,
+            "the command has an unknown version");
+    return wire::from_bytes<command>(bytes.substr(1));
+}
+
+std::string encode(const reply& item)
+{
+    return wire::to_bytes(item);
+}
+
+base::result<reply> decode_reply(std::string_view bytes)
+{
+    return wire::from_bytes<reply>(bytes);
+}
+
+} // namespace oleanderhinge::control_state
--- /dev/null
+++ b/oleanderhinge/control_state/commands_test.cpp
@@ -0,0 +1,647 @@
+#include "oleanderhinge/base/hash.hpp"
+#include "oleanderhinge/control_state/commands.hpp"
+#include "oleanderhinge/control_state/queries.hpp"
+#include "oleanderhinge/control_state/snapshot.hpp"
+#include "oleanderhinge/control_state/validate.hpp"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <cstdio>
+#include <cstring>
+#include <functional>
+
+namespace oleanderhinge::control_state
+{
+
+namespace
+{
+
+using testing::ElementsAre;
+using testing::HasSubstr;
+using wire::claim_state;
+
+constexpr std::uint64_t day_ms = 24ULL * 3600 * 1000;
+
+wire::route model_route(const std::string& id)
+{
+    wire::route made;
+    made.id = base::route_id{id};
+    made.model = base::model_id{"hinge-llm"};
+    made.layer_count = 32;
+    return made;
+}
+
+wire::customer customer(const std::string& id, char digit = 'a')
+{
+    wire::customer made;
+    made.id = base::customer_id{id};
+    made.credential_sha256 = std::string(64, digit);
+    return made;
+}
+
+// Applies commands one after the other, as a node does.
+struct machine {
+    state now;
+    std::uint64_t clock_ms = 10 * day_ms;
+
+    template <class Reply, class Command>
+    Reply run(const Command& item)
+    {
+        return std::get<Reply>(
+            apply_encoded(this->now, encode(item), this->now.applied.next()));
+    }
+    plan_reply create(const std::string& id, std::vector<wire::change> intents)
+    {
+        return this->run<plan_reply>(
+            create_plan{base::plan_id{id}, std::move(intents), this->clock_ms});
+    }
+    confirm_reply confirm(const std::string& id)
+    {
+        return this->run<confirm_reply>(
+            confirm_plan{base::plan_id{id}, this->clock_ms});
+    }
+    confirm_reply force(const std::string& id, wire::change item)
+    {
+        this->create(id, {std::move(item)});
+        return this->confirm(id);
+    }
+    claim_result take(
+        const std::string& key,
+        std::uint64_t owner,
+        std::uint8_t digest = 1,
+        std::uint64_t max_claims = 100)
+    {
+        return this->run<claim_result>(claim{
+            this->key(key),
+            {digest},
+            {base::incarnation{7}, owner},
+            this->clock_ms,
+            day_ms,
+            max_claims,
+            1 << 20});
+    }
+    outcome_result finish(
+        const std::string& key,
+        std::uint64_t owner,
+        base::verdict failure,
+        const std::string& body = "done")
+    {
+        return this->run<outcome_result>(record_outcome{
+            this->key(key),
+            {base::incarnation{7}, owner},
+            std::move(failure),
+            {201, {}, body},
+            1 << 20});
+    }
+    expire_reply drop_old()
+    {
+        return this->run<expire_reply>(expire{this->clock_ms, day_ms, day_ms});
+    }
+
+    static claim_key key(const std::string& text)
+    {
+        return {base::customer_id{"c"}, base::route_id{"book"}, text};
+    }
+};
+
+// A UUIDv7 key of the given time.
+std::string uuid_at(std::uint64_t ms)
+{
+    char text[80];
+    std::snprintf(
+        text,
+        sizeof(text),
+        "%08llx-%04llx-7abc-8def-0123456789ab",
+        static_cast<unsigned long long>(ms >> 16),
+        static_cast<unsigned long long>(ms & 0xffff));
+    return text;
+}
+
+base::verdict answered()
+{
+    return {base::execution::ran, base::failure_code::none, "", {}};
+}
+
+} // namespace
+
+// Guards against both of two racing operators winning, and against a conflict
+// that does not say what changed.
+TEST(Plans, OfTwoPlansWithEqualBaseOneWins)
+{
+    machine m;
+    auto slower = model_route("diagnose");
+    slower.request_timeout_ms = 90000;
+    const auto first =
+        m.create("p1", {wire::put_route{model_route("diagnose")}});
+    const auto second = m.create("p2", {wire::put_route{slower}});
+    EXPECT_EQ(first.content.base_revision, second.content.base_revision);
+    EXPECT_EQ(m.confirm("p1").result, confirm_reply::outcome::confirmed);
+    const auto lost = m.confirm("p2");
+    EXPECT_EQ(lost.result, confirm_reply::outcome::conflict);
+    EXPECT_THAT(
+        lost.content.conflicts,
+        ElementsAre(plan_conflict{"route diagnose", base::revision{1}}));
+    EXPECT_EQ(m.now.config.at, base::revision{1});
+}
+
+// Guards against false conflicts between plans that touch other objects.
+TEST(Plans, PlansOnOtherObjectsBothWin)
+{
+    machine m;
+    m.create("p1", {wire::put_route{model_route("a")}});
+    m.create("p2", {wire::put_route{model_route("b")}});
+    EXPECT_EQ(m.confirm("p1").content.confirmed_at, base::revision{1});
+    EXPECT_EQ(m.confirm("p2").content.confirmed_at, base::revision{2});
+}
+
+// Guards against a resent confirm that makes a second revision or reports a
+// conflict with itself.
+TEST(Plans, ResentConfirmGetsTheFirstResult)
+{
+    machine m;
+    const auto first = m.force("p1", wire::put_route{model_route("a")});
+    m.force("p2", wire::remove_route{base::route_id{"a"}});
+    const auto again = m.confirm("p1");
+    EXPECT_EQ(again.result, confirm_reply::outcome::confirmed);
+    EXPECT_TRUE(again.repeated);
+    EXPECT_EQ(again.content, first.content);
+    EXPECT_EQ(m.now.config.at, base::revision{2});
+    EXPECT_TRUE(m.now.config.routes.empty());
+}
+
+// Guards against a second plan from a resent create, and against an id that
+// stands for two plans.
+TEST(Plans, ResentCreateReturnsTheFirstPlan)
+{
+    machine m;
+    const wire::change intent = wire::put_route{model_route("a")};
+    const auto first = m.create("p1", {intent});
+    m.force("p2", wire::put_route{model_route("a")});
+    const auto again = m.create("p1", {intent});
+    EXPECT_EQ(again.result, plan_reply::outcome::repeated);
+    EXPECT_EQ(again.content, first.content);
+    EXPECT_EQ(
+        m.create("p1", {wire::put_route{model_route("b")}}).result,
+        plan_reply::outcome::id_taken);
+}
+
+// Guards against a removed object coming back through an older plan.
+TEST(Plans, RemovalConflictsWithAnOlderPlan)
+{
+    machine m;
+    m.force("p1", wire::put_route{model_route("a")});
+    m.create("old", {wire::put_route{model_route("a")}});
+    m.force("p2", wire::remove_route{base::route_id{"a"}});
+    m.drop_old();
+    const auto lost = m.confirm("old");
+    EXPECT_EQ(lost.result, confirm_reply::outcome::conflict);
+    EXPECT_THAT(
+        lost.content.conflicts,
+        ElementsAre(plan_conflict{"route a", base::revision{2}}));
+}
+
+// Guards against two customers with one credential, and a customer of a route
+// that is gone, through plans that touch different objects.
+TEST(Plans, ReferencesAreCheckedAtTheConfirm)
+{
+    machine m;
+    m.force("r", wire::put_route{model_route("a")});
+    auto user = customer("u", 'b');
+    user.routes = {base::route_id{"a"}};
+    m.create("uses", {wire::put_customer{user}});
+    m.create("twin", {wire::put_customer{customer("twin", 'c')}});
+    m.force("other", wire::put_customer{customer("other", 'c')});
+    m.force("gone", wire::remove_route{base::route_id{"a"}});
+    EXPECT_THAT(
+        m.confirm("uses").content.conflicts,
+        ElementsAre(plan_conflict{"route a", base::revision{3}}));
+    EXPECT_THAT(
+        m.confirm("twin").content.conflicts,
+        ElementsAre(plan_conflict{"customer other", base::revision{2}}));
+}
+
+TEST(Plans, PlanShowsBeforeAndAfter)
+{
+    machine m;
+    m.force("p1", wire::put_shares{{40, 20, 10, {}}});
+    const auto made = m.create(
+        "p2",
+        {wire::put_shares{{60, 20, 10, {}}},
+         wire::put_route{model_route("a")}});
+    ASSERT_EQ(made.content.changes.size(), 2U);
+    const auto before =
+        std::get<wire::put_shares>(*made.content.changes[0].before);
+    EXPECT_EQ(before.value.urgent, 40U);
+    EXPECT_FALSE(made.content.changes[1].before);
+}
+
+// Guards against an order number that goes back when an order is removed and
+// made again.
+TEST(Plans, FencingNumberGrowsAcrossRemoval)
+{
+    machine m;
+    wire::server_order order{.server = base::backend_server_id{"s1"}};
+    order.draining = true;
+    std::uint64_t last = 0;
+    for (int round = 0; round < 3; ++round) {
+        const auto name = std::to_string(round);
+        m.force("put" + name, wire::put_order{order});
+        const auto number = m.now.config.orders.begin()->second.number.value();
+        EXPECT_GT(number, last);
+        last = number;
+        m.force("remove" + name, wire::remove_order{order.server});
+    }
+}
+
+// Guards against an expired plan that takes effect long after it was shown.
+TEST(Plans, ExpiredPlanIsUnknown)
+{
+    machine m;
+    m.create("p1", {wire::put_route{model_route("a")}});
+    m.clock_ms += day_ms + 1;
+    EXPECT_EQ(m.drop_old().plans, 1U);
+    EXPECT_EQ(m.confirm("p1").result, confirm_reply::outcome::unknown_plan);
+    EXPECT_EQ(m.now.plan_bytes, 0U);
+}
+
+struct bad_intent {
+    const char* name;
+    std::function<wire::change()> make;
+    const char* message;
+};
+
+wire::change changed_route(const std::function<void(wire::route&)>& edit)
+{
+    auto value = model_route("r");
+    edit(value);
+    return wire::put_route{value};
+}
+
+wire::change changed_customer(const std::function<void(wire::customer&)>& edit)
+{
+    auto value = customer("c");
+    edit(value);
+    return wire::put_customer{value};
+}
+
+wire::change service_route(const std::function<void(wire::route&)>& edit)
+{
+    return changed_route([&](wire::route& r) {
+        r.kind = base::route_kind::service;
+        r.model = {};
+        r.layer_count = 0;
+        r.service = "rota-app";
+        edit(r);
+    });
+}
+
+// Guards against intents that no node could carry out, and against messages
+// that do not name field, value and what is allowed.
+TEST(Validation, RefusesMalformedIntents)
+{
+    const std::vector<bad_intent> table{
+        {"shares",
+         [] {
+             return wire::put_shares{{60, 30, 20, {}}};
+         },
+         "rank shares: urgent, standard and deferrable sum to 110, must be at "
+         "most 100"},
+        {"layers",
+         [] { return changed_route([](auto& r) { r.layer_count = 0; }); },
+         "route r: layer_count is 0, must be 1 to 4096"},
+        {"model",
+         [] { return changed_route([](auto& r) { r.model = {}; }); },
+         "route r: model is '', must be 1 to 128"},
+        {"model service",
+         [] { return changed_route([](auto& r) { r.service = "x"; }); },
+         "service is 'x', must be empty for a model route"},
+        {"rank",
+         [] {
+             return changed_route([](auto& r) { r.work_rank = base::rank(9); });
+         },
+         "rank is 9, must be 0 to 2"},
+        {"timeout",
+         [] {
+             return changed_route([](auto& r) { r.request_timeout_ms = 0; });
+         },
+         "request_timeout_ms is 0, must be 1 to 3600000"},
+        {"id",
+         [] {
+             return changed_route(
+                 [](auto& r) { r.id = base::route_id{"a/b\n"}; });
+         },
+         "id is 'a/b?', must be 1 to 128 letters"},
+        {"service",
+         [] { return service_route([](auto& r) { r.service.clear(); }); },
+         "service is '', must be 1 to 128"},
+        {"service isolation",
+         [] {
+             return service_route([](auto& r) {
+                 r.isolation = wire::isolation_policy::serve_last;
+             });
+         },
+         "isolation is 'serve_last', only allowed for a model route"},
+        {"service layers",
+         [] { return service_route([](auto& r) { r.layer_count = 4; }); },
+         "layer_count is 4, must be 0 to 0"},
+        {"weight",
+         [] { return changed_customer([](auto& c) { c.weight = 0; }); },
+         "customer c: weight is 0, must be 1 to 1000000"},
+        {"credential",
+         [] {
+             return changed_customer(
+                 [](auto& c) { c.credential_sha256 = "xyz"; });
+         },
+         "credential_sha256 has 3 characters, must be 64 hexadecimal digits"},
+        {"routes",
+         [] {
+             return changed_customer(
+                 [](auto& c) { c.routes = {base::route_id{"none"}}; });
+         },
+         "routes has 'none', must be a route of the configuration"},
+        {"order",
+         [] {
+             wire::server_order o{.server = base::backend_server_id{"s"}};
+             o.model = base::model_id{"m"};
+             o.layers = {base::layer_index{8}, base::layer_index{8}};
+             return wire::put_order{o};
+         },
+         "server s: layers is 8 to 8, first must be below end"},
+        {"removal",
+         [] { return wire::remove_customer{base::customer_id{"x"}}; },
+         "customer x: there is no such customer to remove"},
+    };
+    for (const auto& row : table) {
+        machine m;
+        const auto refused = m.create("p", {row.make()});
+        EXPECT_EQ(refused.result, plan_reply::outcome::invalid) << row.name;
+        EXPECT_THAT(refused.faults, ElementsAre(HasSubstr(row.message)))
+            << row.name;
+        EXPECT_TRUE(m.now.plans.empty()) << row.name;
+    }
+}
+
+TEST(Validation, RefusesEmptyAndDoubleIntents)
+{
+    EXPECT_THAT(
+        validate({}, {}), ElementsAre(HasSubstr("has 0 entries, must have 1")));
+    EXPECT_THAT(
+        validate(
+            {},
+            {wire::put_route{model_route("a")},
+             wire::put_route{model_route("a")}}),
+        ElementsAre(HasSubstr("route a: the object is named by two intents")));
+    EXPECT_THAT(
+        validate(
+            {},
+            {wire::put_customer{customer("a")},
+             wire::put_customer{customer("b")}}),
+        testing::Contains(HasSubstr("is that of customer")));
+}
+
+// Guards against a lost answer to a claim that blocks its own request.
+TEST(Claims, ResentClaimOfTheOwnerIsGrantedAgain)
+{
+    machine m;
+    EXPECT_EQ(m.take("k", 1).state, claim_state::granted);
+    const auto again = m.take("k", 1);
+    EXPECT_EQ(again.state, claim_state::granted);
+    EXPECT_TRUE(again.repeated);
+    EXPECT_EQ(m.now.claims.size(), 1U);
+}
+
+// Guards against two requests that may both send one call.
+TEST(Claims, SecondRequestWaitsAndGetsTheOutcome)
+{
+    machine m;
+    m.take("k", 1);
+    const auto waiting = m.take("k", 2);
+    EXPECT_EQ(waiting.state, claim_state::in_progress);
+    EXPECT_EQ(waiting.failure.state, base::execution::may_have_run);
+    EXPECT_FALSE(m.finish("k", 2, answered()).stored);
+    EXPECT_TRUE(m.finish("k", 1, answered()).stored);
+    const auto later = m.take("k", 2);
+    EXPECT_EQ(later.state, claim_state::finished);
+    EXPECT_EQ(later.answer.body, "done");
+    // Also the owner must not send the call again.
+    EXPECT_EQ(m.take("k", 1).state, claim_state::finished);
+}
+
+// Guards against a late report that replaces what a caller was told.
+TEST(Claims, FirstOutcomeStays)
+{
+    machine m;
+    m.take("k", 1);
+    m.finish("k", 1, answered());
+    const auto late =
+        m.finish("k", 1, base::not_run(base::failure_code::fenced, "late"));
+    EXPECT_TRUE(late.stored);
+    EXPECT_EQ(m.take("k", 2).state, claim_state::finished);
+}
+
+TEST(Claims, NotRunReleasesTheClaim)
+{
+    machine m;
+    m.take("k", 1);
+    const auto refused = base::not_run(base::failure_code::no_server, "none");
+    EXPECT_TRUE(m.finish("k", 1, refused).stored);
+    EXPECT_EQ(m.now.claim_bytes, 0U);
+    EXPECT_EQ(m.take("k", 2).state, claim_state::granted);
+    // A resent release of the first owner must not free the second's claim.
+    EXPECT_FALSE(m.finish("k", 1, refused).stored);
+    EXPECT_EQ(m.take("k", 3).state, claim_state::in_progress);
+}
+
+TEST(Claims, KeyOfAnotherRequestIsRefused)
+{
+    machine m;
+    m.take("k", 1, 1);
+    EXPECT_EQ(m.take("k", 2, 9).state, claim_state::digest_mismatch);
+    EXPECT_EQ(m.take("k", 1, 9).state, claim_state::digest_mismatch);
+}
+
+// Guards against early eviction, which would allow a second run.
+TEST(Claims, FullTableRefusesNewClaimsAndKeepsOldOnes)
+{
+    machine m;
+    EXPECT_EQ(m.take("a", 1, 1, 2).state, claim_state::granted);
+    EXPECT_EQ(m.take("b", 2, 1, 2).state, claim_state::granted);
+    const auto full = m.take("c", 3, 1, 2);
+    EXPECT_EQ(full.state, claim_state::full);
+    EXPECT_EQ(full.failure.state, base::execution::not_run);
+    EXPECT_EQ(m.take("a", 1, 1, 2).state, claim_state::granted);
+    EXPECT_EQ(m.now.claims.size(), 2U);
+}
+
+TEST(Claims, LargeAnswerIsRecordedWithoutItsBody)
+{
+    machine m;
+    m.take("k", 1);
+    m.finish("k", 1, answered(), std::string(max_answer_bytes + 1, 'x'));
+    const auto later = m.take("k", 2);
+    EXPECT_EQ(later.state, claim_state::finished);
+    EXPECT_EQ(later.failure.state, base::execution::ran);
+    EXPECT_TRUE(later.answer.body.empty());
+}
+
+// Guards against a second run after the claim of a UUIDv7 key has expired,
+// also when the clock of the caller runs ahead.
+TEST(Claims, ExpiredUuidIsRefusedWhateverTheCallersClock)
+{
+    for (const std::int64_t lead_ms : {-60'000, 0, 60'000}) {
+        machine m;
+        const auto key = uuid_at(m.clock_ms + std::uint64_t(lead_ms));
+        ASSERT_EQ(m.take(key, 1).state, claim_state::granted);
+        m.finish(key, 1, answered());
+        for (int step = 0; step < 30; ++step) {
+            m.clock_ms += day_ms / 20;
+            m.drop_old();
+            EXPECT_THAT(
+                m.take(key, 2).state,
+                testing::AnyOf(claim_state::finished, claim_state::expired));
+        }
+        EXPECT_EQ(m.take(key, 2).state, claim_state::expired);
+        EXPECT_EQ(m.take(key, 2).failure.state, base::execution::may_have_run);
+        EXPECT_TRUE(m.now.claims.empty());
+    }
+}
+
+// Guards against claims that a leader with a slow clock would grant again.
+TEST(Claims, ClockOfALaterLeaderDoesNotGoBack)
+{
+    machine m;
+    const auto key = uuid_at(m.clock_ms);
+    m.take(key, 1);
+    m.clock_ms += day_ms + 1;
+    m.drop_old();
+    m.clock_ms -= day_ms;
+    EXPECT_EQ(m.take(key, 2).state, claim_state::expired);
+}
+
+TEST(Claims, RefusesKeysWithBadTimeOrLength)
+{
+    machine m;
+    EXPECT_EQ(
+        m.take(uuid_at(m.clock_ms + max_key_lead_ms + 1), 1).state,
+        claim_state::expired);
+    for (const auto& key : {std::string(), std::string(max_key + 1, 'k')}) {
+        const auto refused = m.take(key, 1);
+        EXPECT_EQ(refused.state, claim_state::unavailable);
+        EXPECT_EQ(refused.failure.code, base::failure_code::invalid_request);
+    }
+}
+
+TEST(Updates, DeltaIfKeptElseWhole)
+{
+    machine m;
+    const auto rounds = max_kept_changes + 50;
+    for (std::size_t i = 0; i < rounds; ++i)
+        m.force(
+            "p" + std::to_string(i),
+            wire::put_route{model_route("r" + std::to_string(i % 7))});
+    EXPECT_EQ(m.now.changes.size(), max_kept_changes);
+    const auto old = update_since(m.now, base::revision{49});
+    ASSERT_EQ(old.full.size(), 1U);
+    EXPECT_EQ(old.full[0], m.now.config);
+    const auto delta = update_since(m.now, base::revision{50});
+    EXPECT_TRUE(delta.full.empty());
+    EXPECT_EQ(delta.changes.size(), max_kept_changes);
+    const auto newest = update_since(m.now, m.now.config.at);
+    EXPECT_TRUE(newest.full.empty() && newest.changes.empty());
+    EXPECT_EQ(update_since(m.now, m.now.config.at.next()).full.size(), 1U);
+}
+
+// Guards against a node that goes back to an older configuration after a
+// restart from snapshot and log.
+TEST(Snapshot, RestartAfterHundredsOfChangesNeverGoesBack)
+{
+    machine live;
+    std::vector<std::string> log;
+    std::string snapshot;
+    std::size_t snapshot_at = 0;
+    for (int i = 0; i < 400; ++i) {
+        const auto name = std::to_string(i);
+        const std::vector<command> items{
+            create_plan{
+                base::plan_id{name},
+                {wire::put_route{model_route("r" + std::to_string(i % 11))}},
+                live.clock_ms},
+            confirm_plan{base::plan_id{name}, live.clock_ms}};
+        for (const auto& item : items) {
+            log.push_back(encode(item));
+            apply(live.now, item, base::log_index{log.size()});
+        }
+        if (i == 150) {
+            snapshot = encode_snapshot(live.now);
+            snapshot_at = log.size();
+        }
+        if (i % 40 != 39 || snapshot.empty())
+            continue;
+        auto restarted = decode_snapshot(snapshot).value();
+        for (auto at = snapshot_at; at < log.size(); ++at)
+            apply_encoded(restarted, log[at], base::log_index{at + 1});
+        EXPECT_EQ(restarted, live.now);
+        EXPECT_EQ(restarted.config.at, base::revision{std::uint64_t(i) + 1});
+    }
+    EXPECT_THROW(
+        apply_encoded(live.now, log.back(), base::log_index{log.size()}),
+        std::logic_error);
+}
+
+TEST(Snapshot, MalformedCommandOnlyMovesTheIndex)
+{
+    state s;
+    const auto answer = apply_encoded(s, "\x09garbage", base::log_index{4});
+    EXPECT_TRUE(std::holds_alternative<malformed_command>(answer));
+    state expected;
+    expected.applied = base::log_index{4};
+    EXPECT_EQ(s, expected);
+}
+
+machine filled()
+{
+    machine m;
+    m.force("p1", wire::put_route{model_route("a")});
+    m.force("p2", wire::put_customer{customer("c")});
+    m.create("p3", {wire::remove_route{base::route_id{"a"}}});
+    m.take("k1", 1);
+    m.take("k2", 2);
+    m.finish("k2", 2, answered());
+    return m;
+}
+
+// Guards against crashes and unbounded allocation on damaged snapshots.
+TEST(Snapshot, DamageIsFound)
+{
+    const auto bytes = encode_snapshot(filled().now);
+    EXPECT_EQ(decode_snapshot(bytes).value(), filled().now);
+    EXPECT_TRUE(rc::check([&](std::uint8_t flip) {
+        auto damaged = bytes;
+        const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
+        damaged[at] = char(damaged[at] ^ char(flip));
+        const auto size = *rc::gen::inRange<std::size_t>(0, bytes.size() + 1);
+        damaged.resize(size);
+        RC_ASSERT(bool(decode_snapshot(damaged)) == (damaged == bytes));
+    }));
+}
+
+// The same with a correct checksum, as a faulty writer would leave it.
+TEST(Snapshot, ArbitraryContentsAreBounded)
+{
+    const auto bytes = encode_snapshot(filled().now);
+    EXPECT_TRUE(rc::check([&](std::uint32_t value) {
+        auto damaged = bytes.substr(0, bytes.size() - 4);
+        const auto at = *rc::gen::inRange<std::size_t>(5, damaged.size() - 4);
+        std::memcpy(damaged.data() + at, &value, sizeof(value));
+        const auto checksum = base::crc32c(damaged);
+        damaged.append(reinterpret_cast<const char*>(&checksum), 4);
+        const auto decoded = decode_snapshot(damaged);
+        if (decoded)
+            RC_ASSERT(
+                encode_snapshot(decoded.value()).size() <= damaged.size() * 2);
+    }));
+}
+
+} // namespace oleanderhinge::control_state
--- /dev/null
+++ b/oleanderhinge/control_state/snapshot.cpp
@@ -0,0 +1,128 @@
+#include "oleanderhinge/control_state/snapshot.hpp"
+
+#include "oleanderhinge/base/hash.hpp"
+#include "oleanderhinge/control_state/internal/sizes.hpp"
+#include "oleanderhinge/wire/archive.hpp"
+
+#include <cereal/types/deque.hpp>
+
+#include <cstring>
+#include <utility>
+
+namespace oleanderhinge::control_state
+{
+
+namespace
+{
+
+constexpr std::string_view magic = "OHCS";
+constexpr std::uint8_t format_version = 1;
+constexpr std::size_t prefix_size = 5;
+constexpr std::size_t checksum_size = 4;
+
+// The fields in the order of the format. The byte counts are not stored, they
+// follow from the contents.
+template <class Archive, class State>
+void transfer(Archive& archive, State& value)
+{
+    archive(value.applied, value.clock_ms, value.config, value.changes);
+    archive(value.changes_after, value.removals, value.removals_after);
+    archive(value.plans, value.claims, value.claims_after_ms);
+}
+
+const char* broken_plan(const state& decoded)
+{
+    for (const auto& [id, kept] : decoded.plans) {
+        if (kept.id != id)
+            return "a plan is kept under another id";
+        if (kept.status > plan_status::conflicted)
+            return "the status of a plan is unknown";
+        if (kept.base_revision > decoded.config.at ||
+            kept.confirmed_at > decoded.config.at)
+            return "a plan is newer than the configuration";
+    }
+    return nullptr;
+}
+
+// The invariant that `decoded` breaks; null if there is none.
+const char* broken_invariant(const state& decoded)
+{
+    if (decoded.changes.size() > max_kept_changes)
+        return "too many changes";
+    if (decoded.plans.size() > max_plans)
+        return "too many plans";
+    if (decoded.removals.size() > max_removals)
+        return "too many removals";
+    if (decoded.changes_after > decoded.config.at ||
+        decoded.removals_after > decoded.config.at)
+        return "forgotten changes are newer than the configuration";
+    auto last = decoded.changes_after.next();
+    for (const auto& [at, item] : decoded.changes) {
+        if (at < last || at > decoded.config.at)
+            return "the changes are not in order";
+        last = at;
+    }
+    for (const auto& [name, at] : decoded.removals)
+        if (at > decoded.config.at)
+            return "a removal is newer than the configuration";
+    return broken_plan(decoded);
+}
+
+base::result<state> parse(std::string_view bytes)
+{
+    state decoded;
+    try {
+        wire::input_archive archive(bytes);
+        transfer(archive, decoded);
+        if (archive.remaining() != 0)
+            return base::fail(
+                base::error_code::malformed, "snapshot: bytes left over");
+    } catch (const std::exception& e) {
+        return base::fail(
+            base::error_code::malformed, std::string("snapshot: ") + e.what());
+    }
+    if (const char* broken = broken_invariant(decoded))
+        return base::fail(
+            base::error_code::corrupt, std::string("snapshot: ") + broken);
+    for (const auto& [id, kept] : decoded.plans)
+        decoded.plan_bytes += internal::size_of(kept);
+    for (const auto& [key, kept] : decoded.claims)
+        decoded.claim_bytes += internal::size_of(key, kept);
+    return decoded;
+}
+
+} // namespace
+
+std::string encode_snapshot(const state& from)
+{
+    std::string bytes(magic);
+    bytes.push_back(char(format_version));
+    wire::output_archive archive(bytes);
+    transfer(archive, from);
+    const std::uint32_t checksum = base::crc32c(bytes);
+    archive(checksum);
+    return bytes;
+}
+
+base::result<state> decode_snapshot(std::string_view bytes)
+{
+    if (bytes.size() < prefix_size + checksum_size ||
+        bytes.substr(0, magic.size()) != magic)
+        return base::fail(
+            base::error_code::malformed, "snapshot: no control snapshot");
+    const auto version = std::uint8_t(bytes[magic.size()]);
+    if (version != format_version)
+        return base::fail(
+            base::error_code::unsupported_version,
+            "snapshot: format version " + std::to_string(version) +
+                ", expected " + std::to_string(format_version));
+    std::uint32_t checksum = 0;
+    const auto covered = bytes.substr(0, bytes.size() - checksum_size);
+    std::memcpy(&checksum, bytes.data() + covered.size(), sizeof(checksum));
+    if (checksum != base::crc32c(covered))
+        return base::fail(
+            base::error_code::corrupt, "snapshot: wrong checksum");
+    return parse(covered.substr(prefix_size));
+}
+
+} // namespace oleanderhinge::control_state
--- /dev/null
+++ b/oleanderhinge/control_state/validate.cpp
@@ -0,0 +1,328 @@
+#include "oleanderhinge/control_state/validate.hpp"
+
+#include "oleanderhinge/control_state/state.hpp"
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string_view>
+#include <variant>
+
+namespace oleanderhinge::control_state
+{
+
+namespace
+{
+
+constexpr std::size_t max_faults = 50;
+// Layers of a model; the largest known models have fewer than 200.
+constexpr std::uint32_t max_layers = 4096;
+constexpr std::uint32_t max_timeout_ms = 3'600'000;
+constexpr std::uint32_t max_weight = 1'000'000;
+constexpr std::size_t max_customer_routes = 64;
+constexpr std::size_t credential_digits = 64;
+
+constexpr std::string_view id_marks = "._-";
+// Names of models and versions often hold a path or a tag.
+constexpr std::string_view name_marks = "._-:/@+";
+
+bool consists_of(std::string_view text, std::string_view marks)
+{
+    return std::all_of(text.begin(), text.end(), [marks](char c) {
+        return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+               (c >= '0' && c <= '9') || marks.find(c) != marks.npos;
+    });
+}
+
+// A text from a client for a message: shortened and without control
+// characters.
+std::string quoted(std::string_view text)
+{
+    constexpr std::size_t shown = 40;
+    std::string out = "'";
+    for (const char c : text.substr(0, shown))
+        out += c >= ' ' && c <= '~' ? c : '?';
+    return out + (text.size() > shown ? "...'" : "'");
+}
+
+class checker
+{
+public:
+    checker(
+        const wire::configuration& base_config,
+        const std::vector<wire::change>& items)
+        : config(base_config)
+        , intents(items)
+    {
+        for (const auto& item : this->intents)
+            this->note(item);
+    }
+
+    std::vector<std::string> run()
+    {
+        if (this->intents.empty() || this->intents.size() > max_plan_intents)
+            this->faults.push_back(
+                "intents: the list has " +
+                std::to_string(this->intents.size()) +
+                " entries, must have 1 to " + std::to_string(max_plan_intents));
+        for (const auto& item : this->intents) {
+            if (this->faults.size() >= max_faults)
+                break;
+            this->object = wire::object_name(item);
+            if (!this->seen.insert(this->object).second)
+                this->fault("the object is named by two intents, must be one");
+            std::visit([this](const auto& value) { this->check(value); }, item);
+        }
+        this->faults.resize(std::min(this->faults.size(), max_faults));
+        return std::move(this->faults);
+    }
+
+private:
+    // Routes and credentials as they will be after the whole plan.
+    void note(const wire::change& item)
+    {
+        if (const auto* put = std::get_if<wire::put_route>(&item))
+            this->added_routes.insert(put->value.id);
+        else if (const auto* removed = std::get_if<wire::remove_route>(&item))
+            this->removed_routes.insert(removed->id);
+        else if (const auto* customer = std::get_if<wire::put_customer>(&item))
+            this->note_customer(customer->value);
+        else if (const auto* gone = std::get_if<wire::remove_customer>(&item))
+            this->replaced.insert(gone->id);
+    }
+
+    void note_customer(const wire::customer& value)
+    {
+        this->replaced.insert(value.id);
+        this->credentials[value.credential_sha256].insert(value.id);
+    }
+
+    void fault(const std::string& text)
+    {
+        this->faults.push_back(this->object + ": " + text);
+    }
+
+    void check_id(const char* field, const std::string& id)
+    {
+        if (id.empty() || id.size() > max_text || !consists_of(id, id_marks))
+            this->fault(
+                std::string(field) + " is " + quoted(id) + ", must be 1 to " +
+                std::to_string(max_text) +
+                " letters, digits, '.', '_' and '-'");
+    }
+
+    void check_name(const char* field, const std::string& name, bool required)
+    {
+        if ((required && name.empty()) || name.size() > max_text ||
+            !consists_of(name, name_marks))
+            this->fault(
+                std::string(field) + " is " + quoted(name) + ", must be " +
+                (required ? "1" : "0") + " to " + std::to_string(max_text) +
+                " letters, digits and any of ._-:/@+");
+    }
+
+    void check_range(
+        const char* field,
+        std::uint64_t value,
+        std::uint64_t smallest,
+        std::uint64_t largest)
+    {
+        if (value < smallest || value > largest)
+            this->fault(
+                std::string(field) + " is " + std::to_string(value) +
+                ", must be " + std::to_string(smallest) + " to " +
+                std::to_string(largest));
+    }
+
+    void check_empty(const char* field, const std::string& text, const char* of)
+    {
+        if (!text.empty())
+            this->fault(
+                std::string(field) + " is " + quoted(text) +
+                ", must be empty for " + of);
+    }
+
+    void check_model_route(const wire::route& value)
+    {
+        this->check_name("model", value.model.value(), true);
+        this->check_name("version", value.version, false);
+        this->check_name("adapter", value.adapter, false);
+        this->check_range("layer_count", value.layer_count, 1, max_layers);
+        this->check_empty("service", value.service, "a model route");
+        if (value.idempotent)
+            this->fault("idempotent is true, only allowed for a service route");
+    }
+
+    void check_service_route(const wire::route& value)
+    {
+        this->check_name("service", value.service, true);
+        this->check_empty("model", value.model.value(), "a service route");
+        this->check_empty("version", value.version, "a service route");
+        this->check_empty("adapter", value.adapter, "a service route");
+        this->check_range("layer_count", value.layer_count, 0, 0);
+        if (value.isolation == wire::isolation_policy::serve_last)
+            this->fault(
+                "isolation is 'serve_last', only allowed for a model route");
+    }
+
+    void check(const wire::put_route& item)
+    {
+        const auto& value = item.value;
+        this->check_id("id", value.id.value());
+        if (value.kind == base::route_kind::model)
+            this->check_model_route(value);
+        else if (value.kind == base::route_kind::service)
+            this->check_service_route(value);
+        else
+            this->check_range("kind", std::uint64_t(value.kind), 0, 1);
+        this->check_range(
+            "rank", std::uint64_t(value.work_rank), 0, base::rank_count - 1);
+        this->check_range("isolation", std::uint64_t(value.isolation), 0, 1);
+        this->check_range(
+            "first_token_target_ms",
+            value.first_token_target_ms,
+            0,
+            max_timeout_ms);
+        this->check_range(
+            "token_target_ms", value.token_target_ms, 0, max_timeout_ms);
+        this->check_range(
+            "request_timeout_ms", value.request_timeout_ms, 1, max_timeout_ms);
+    }
+
+    void check(const wire::remove_route& item)
+    {
+        if (!this->config.routes.contains(item.id))
+            this->fault("there is no such route to remove");
+    }
+
+    void check(const wire::put_customer& item)
+    {
+        const auto& value = item.value;
+        this->check_id("id", value.id.value());
+        this->check_range("weight", value.weight, 1, max_weight);
+        this->check_credential(value);
+        if (value.routes.size() > max_customer_routes)
+            this->fault(
+                "routes has " + std::to_string(value.routes.size()) +
+                " entries, must have at most " +
+                std::to_string(max_customer_routes));
+        else
+            for (const auto& route : value.routes)
+                if (!this->will_exist(route))
+                    this->fault(
+                        "routes has " + quoted(route.value()) +
+                        ", must be a route of the configuration or the plan");
+    }
+
+    void check_credential(const wire::customer& value)
+    {
+        const auto& digits = value.credential_sha256;
+        const bool hexadecimal =
+            std::all_of(digits.begin(), digits.end(), [](char c) {
+                return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f');
+            });
+        if (digits.size() != credential_digits || !hexadecimal)
+            this->fault(
+                "credential_sha256 has " + std::to_string(digits.size()) +
+                " characters, must be 64 hexadecimal digits in lower case");
+        else if (const auto* other = this->same_credential(value))
+            this->fault(
+                "credential_sha256 is that of customer " + other->value() +
+                ", must be unique");
+    }
+
+    // Another customer that has the same credential after the plan.
+    const base::customer_id* same_credential(const wire::customer& value)
+    {
+        if (!this->indexed) {
+            for (const auto& [id, present] : this->config.customers)
+                if (!this->replaced.contains(id))
+                    this->credentials[present.credential_sha256].insert(id);
+            this->indexed = true;
+        }
+        for (const auto& id : this->credentials[value.credential_sha256])
+            if (id != value.id)
+                return &id;
+        return nullptr;
+    }
+
+    bool will_exist(const base::route_id& id) const
+    {
+        return this->added_routes.contains(id) ||
+               (this->config.routes.contains(id) &&
+                !this->removed_routes.contains(id));
+    }
+
+    void check(const wire::remove_customer& item)
+    {
+        if (!this->config.customers.contains(item.id))
+            this->fault("there is no such customer to remove");
+    }
+
+    void check(const wire::put_order& item)
+    {
+        const auto& value = item.value;
+        this->check_id("server", value.server.value());
+        const auto first = value.layers.first.value();
+        const auto end = value.layers.end.value();
+        if (value.model.value().empty()) {
+            this->check_empty("version", value.version, "an order to drain");
+            this->check_empty("adapter", value.adapter, "an order to drain");
+            if (first != 0 || end != 0)
+                this->fault(
+                    "layers is " + std::to_string(first) + " to " +
+                    std::to_string(end) +
+                    ", must be 0 to 0 for an order to drain");
+            return;
+        }
+        this->check_name("model", value.model.value(), true);
+        this->check_name("version", value.version, false);
+        this->check_name("adapter", value.adapter, false);
+        if (first >= end || end > max_layers)
+            this->fault(
+                "layers is " + std::to_string(first) + " to " +
+                std::to_string(end) +
+                ", first must be below end and end at most " +
+                std::to_string(max_layers));
+    }
+
+    void check(const wire::remove_order& item)
+    {
+        if (!this->config.orders.contains(item.server))
+            this->fault("there is no order for this server to remove");
+    }
+
+    void check(const wire::put_shares& item)
+    {
+        const auto& value = item.value;
+        const std::uint64_t sum =
+            std::uint64_t(value.urgent) + value.standard + value.deferrable;
+        if (sum > 100)
+            this->fault(
+                "urgent, standard and deferrable sum to " +
+                std::to_string(sum) + ", must be at most 100");
+    }
+
+    const wire::configuration& config;
+    const std::vector<wire::change>& intents;
+    std::set<base::route_id> added_routes;
+    std::set<base::route_id> removed_routes;
+    // Customers whose present value does not survive the plan.
+    std::set<base::customer_id> replaced;
+    std::map<std::string, std::set<base::customer_id>> credentials;
+    bool indexed = false;
+    std::set<std::string> seen;
+    std::string object;
+    std::vector<std::string> faults;
+};
+
+} // namespace
+
+std::vector<std::string> validate(
+    const wire::configuration& config, const std::vector<wire::change>& intents)
+{
+    return checker(config, intents).run();
+}
+
+} // namespace oleanderhinge::control_state
