control: add the daemon with admin API, feed and claims on an in-memory log

Cause: entry nodes need a control node that feeds configurations and answers claims, and operators need plan and confirm. Change: admin API, config feed, claim messages, peer links, status watch, settings and oleanderhinge-control on a one-member log in memory. Commands are encoded outside the coroutines: GCC 12 destroyed the aggregate twice there and the daemon aborted at the first plan (munmap_chunk in ~create_plan, seen with gdb).

--- /dev/null
+++ b/oleanderhinge/control/config_feed.cpp
@@ -0,0 +1,81 @@
+#include "oleanderhinge/control/config_feed.hpp"
+
+#include "oleanderhinge/control_state/queries.hpp"
+
+#include <utility>
+
+namespace oleanderhinge::control
+{
+
+namespace
+{
+
+std::vector<net::link_id> all_links(const config_feed& feed)
+{
+    std::vector<net::link_id> links;
+    links.reserve(feed.subscribers.size());
+    for (const auto& [link, sent] : feed.subscribers)
+        links.push_back(link);
+    return links;
+}
+
+} // namespace
+
+std::vector<outgoing> subscribe(
+    config_feed& feed,
+    net::link_id link,
+    base::revision have,
+    const control_state::state& from,
+    const std::vector<wire::endpoint>& others)
+{
+    if (!feed.subscribers.contains(link) &&
+        feed.subscribers.size() >= feed.fanout)
+        return {{{link}, wire::subscribe_redirect{others}}};
+    feed.subscribers[link] = from.config.at;
+    return {{{link}, control_state::update_since(from, have)}};
+}
+
+std::vector<outgoing>
+publish(config_feed& feed, const control_state::state& from)
+{
+    // Subscribers mostly have the same revision, so one message serves them.
+    std::map<base::revision, std::vector<net::link_id>> behind;
+    for (auto& [link, sent] : feed.subscribers) {
+        if (sent >= from.config.at)
+            continue;
+        behind[sent].push_back(link);
+        sent = from.config.at;
+    }
+    std::vector<outgoing> messages;
+    for (auto& [have, links] : behind)
+        messages.push_back(
+            {std::move(links), control_state::update_since(from, have)});
+    return messages;
+}
+
+std::vector<outgoing> confirm(
+    config_feed& feed, const control_state::state& from, std::uint32_t age_ms)
+{
+    auto messages = publish(feed, from);
+    if (!feed.subscribers.empty())
+        messages.push_back(
+            {all_links(feed), wire::config_confirm{from.config.at, age_ms}});
+    return messages;
+}
+
+std::vector<outgoing>
+dismiss(config_feed& feed, const std::vector<wire::endpoint>& others)
+{
+    std::vector<outgoing> messages;
+    if (!feed.subscribers.empty())
+        messages.push_back({all_links(feed), wire::subscribe_redirect{others}});
+    feed.subscribers.clear();
+    return messages;
+}
+
+void forget(config_feed& feed, net::link_id link)
+{
+    feed.subscribers.erase(link);
+}
+
+} // namespace oleanderhinge::control
--- /dev/null
+++ b/oleanderhinge/control/program.hpp
@@ -0,0 +1,12 @@
+// The program `oleanderhinge-control`.
+#pragma once
+
+namespace oleanderhinge::control
+{
+
+// Exit codes: 0 after a complete shutdown or a clean check, 1 if the daemon
+// cannot start, 2 for a wrong command line or wrong settings, 3 if work was
+// cut off.
+int run_program(int argc, const char* const* argv);
+
+} // namespace oleanderhinge::control
