chain, agent: split long files

The events of the attempt table are now in internal/opening.cpp, steps.cpp and ending.cpp, and orders in orders_run.cpp; no behaviour changed.

--- a/oleanderhinge/agent/internal/runtime.hpp
+++ b/oleanderhinge/agent/internal/runtime.hpp
@@ -146,20 +146,22 @@
     asio::awaitable<void> probe_service();
     void backend_answered(const backend_info& info);
     void backend_failed(const std::string& detail);
+    std::optional<base::verdict> refusal() const;
     void update_state();
+    asio::awaitable<void> keep_announcing();
     void announce();
+    std::vector<wire::endpoint> announcement_targets(base::time_point now);
+    wire::announcement make_announcement();
     void on_datagram(wire::message content);
     void on_ack(const wire::announcement_ack& ack);
     void apply_shares(const wire::rank_shares& shares);
+
+    // orders_run.cpp; on the strand.
     void on_order(const wire::server_order& order, base::duration age);
     asio::awaitable<void> carry_out_order(wire::server_order order);
     asio::awaitable<order_outcome> post_order(wire::server_order order);
     asio::awaitable<void> wait_for_idle();
-    std::vector<wire::endpoint> announcement_targets(base::time_point now);
-    wire::announcement make_announcement();
-    std::optional<base::verdict> refusal() const;
 
-    asio::awaitable<void> keep_announcing();
     asio::awaitable<void> keep_ticking();
     bool idle() const;
 
