--- a/oleanderhinge/agent/internal/server.cpp
+++ b/oleanderhinge/agent/internal/server.cpp
@@ -129,9 +129,11 @@
 asio::awaitable<void> runtime::probe_service()
 {
     // Any HTTP answer shows that the service runs; it need not serve "/".
+    // A braced temporary in a co_await expression is destroyed twice by GCC 12.
+    net::http_call request;
     const auto outcome = co_await this->client.call(
         this->options.backend,
-        {"GET", "/", {}, {}},
+        std::move(request),
         std::chrono::ceil<std::chrono::milliseconds>(
             this->options.control_limit),
         net::reuse::never);
--- a/oleanderhinge/entry/http_api.cpp
+++ b/oleanderhinge/entry/http_api.cpp
@@ -19,6 +19,9 @@
 namespace
 {
 
+// In this file a temporary never appears in a co_await expression: GCC 12
+// destroys some of them twice, for example in conditional expressions.
+
 // Interval at which a waiting request checks whether its caller is gone.
 constexpr auto caller_check = std::chrono::milliseconds(500);
 constexpr std::string_view services_prefix = "/services/";
@@ -114,6 +117,25 @@
     return base::sha256(text);
 }
 
+asio::awaitable<void>
+respond_service(const service_answer& done, net::http_exchange& exchange)
+{
+    auto body = done.answer.body;
+    auto headers = answer_headers(done.answer, done.replayed);
+    co_await exchange.respond(
+        done.answer.status, "", std::move(body), std::move(headers));
+}
+
+asio::awaitable<void>
+refuse_unknown(const net::http_request& request, net::http_exchange& exchange)
+{
+    const auto refusal = base::not_run(
+        base::failure_code::unknown_route,
+        "no resource " + std::string(request.method_string()) + " " +
+            std::string(request.target()));
+    co_await net::respond_problem(exchange, refusal);
+}
+
 } // namespace
 
 http_api::http_api(
@@ -142,12 +164,7 @@
     else if (target.starts_with(services_prefix))
         co_await this->service(request, caller, exchange);
     else
-        co_await net::respond_problem(
-            exchange,
-            base::not_run(
-                base::failure_code::unknown_route,
-                "no resource " + std::string(request.method_string()) + " " +
-                    target));
+        co_await refuse_unknown(request, exchange);
 }
 
 base::verdict
@@ -270,7 +287,8 @@
             if (!begun) {
                 co_await net::respond_problem(exchange, failed->reason);
             } else {
-                co_await exchange.write_chunk(stream_error(failed->reason));
+                const auto event = stream_error(failed->reason);
+                co_await exchange.write_chunk(event);
                 co_await exchange.end_stream();
             }
             co_return;
@@ -312,16 +330,15 @@
             co_await net::respond_problem(exchange, failed->reason);
             co_return;
         } else if (const auto* done = std::get_if<completion>(&*item)) {
+            auto body = chat_answer(
+                to_text(id),
+                chat.route,
+                text,
+                done->finish_reason,
+                chat.prompt.size(),
+                tokens);
             co_await exchange.respond(
-                200,
-                "application/json",
-                chat_answer(
-                    to_text(id),
-                    chat.route,
-                    text,
-                    done->finish_reason,
-                    chat.prompt.size(),
-                    tokens));
+                200, "application/json", std::move(body), {});
             co_return;
         }
     }
@@ -380,11 +397,7 @@
         if (const auto* failed = std::get_if<request_failure>(&*item))
             co_await net::respond_problem(exchange, failed->reason);
         else if (const auto* done = std::get_if<service_answer>(&*item))
-            co_await exchange.respond(
-                done->answer.status,
-                "",
-                done->answer.body,
-                answer_headers(done->answer, done->replayed));
+            co_await respond_service(*done, exchange);
         co_return;
     }
 }
@@ -397,7 +410,8 @@
         if (route.kind == base::route_kind::model &&
             may_use(*caller.customer, id))
             routes.push_back(id);
-    co_await exchange.respond(200, "application/json", model_list(routes));
+    auto body = model_list(routes);
+    co_await exchange.respond(200, "application/json", std::move(body), {});
 }
 
 } // namespace oleanderhinge::entry
--- a/oleanderhinge/net/management.cpp
+++ b/oleanderhinge/net/management.cpp
@@ -35,6 +35,29 @@
     return base::stamp{value};
 }
 
+std::string
+events_json(const management_options& options, std::string_view target)
+{
+    return timeline::to_json(
+        options.events.since(after_of(target), max_events));
+}
+
+// An answer that is complete before the coroutine awaits: GCC 12 destroys
+// temporaries of conditional expressions twice if they cross a co_await.
+struct page {
+    unsigned status = 200;
+    std::string content_type = "text/plain";
+    std::string body;
+};
+
+page ready_page(const readiness& state)
+{
+    page answer;
+    answer.status = state.ready ? 200 : 503;
+    answer.body = state.ready ? "ready\n" : "not ready: " + state.reason + "\n";
+    return answer;
+}
+
 } // namespace
 
 http_handler management_handler(management_options options)
@@ -45,29 +68,24 @@
                http_exchange& exchange) -> asio::awaitable<void> {
         const std::string target(request.target());
         const auto path = target.substr(0, target.find('?'));
-        if (path == "/healthz") {
-            co_await exchange.respond(200, "text/plain", "ok\n", {});
-        } else if (path == "/readyz") {
-            const auto state = held->ready();
-            co_await exchange.respond(
-                state.ready ? 200 : 503,
-                "text/plain",
-                state.ready ? "ready\n" : "not ready: " + state.reason + "\n",
-                {});
-        } else if (path == "/metrics") {
-            co_await exchange.respond(
-                200, "text/plain; version=0.0.4", metrics_text(*held), {});
-        } else if (path == "/events") {
-            co_await exchange.respond(
-                200,
-                "application/json",
-                timeline::to_json(
-                    held->events.since(after_of(target), max_events)),
-                {});
-        } else {
-            auto missing = base::not_run(
+        page found;
+        if (path == "/healthz")
+            found.body = "ok\n";
+        else if (path == "/readyz")
+            found = ready_page(held->ready());
+        else if (path == "/metrics")
+            found = {200, "text/plain; version=0.0.4", metrics_text(*held)};
+        else if (path == "/events")
+            found = {200, "application/json", events_json(*held, target)};
+        else
+            found.status = 404;
+        if (found.status == 404) {
+            const auto missing = base::not_run(
                 base::failure_code::unknown_route, "no page " + path);
             co_await respond_problem(exchange, missing);
+        } else {
+            co_await exchange.respond(
+                found.status, found.content_type, std::move(found.body), {});
         }
     };
 }
--- a/tests/harness/fleet.cpp
+++ b/tests/harness/fleet.cpp
@@ -142,10 +142,11 @@
         name + ".ini",
         this->node_lines(name) +
             "data_folder = " + this->run.path(name + ".data") +
-            "\n[control]\nmembers = " + members + "\n[link]\nlisten = " +
-            at(ports.link) + "\n[admin]\nlisten = " + at(ports.admin) +
-            "\ntoken = " + admin_token + "\n[management]\nlisten = " +
-            at(ports.management) + "\n" + this->options.control_extra);
+            "\n[control]\nmembers = " + members + "\n[link]\n" + secret +
+            "listen = " + at(ports.link) + "\n[admin]\nlisten = " +
+            at(ports.admin) + "\ntoken = " + admin_token +
+            "\n[management]\nlisten = " + at(ports.management) + "\n" +
+            this->options.control_extra);
     this->run.start(name, {"oleanderhinge-control", "--config", file});
 }
 
