--- a/oleanderhinge/admission/internal/dispatch.cpp
+++ b/oleanderhinge/admission/internal/dispatch.cpp
@@ -17,40 +17,80 @@
 // A rank is owed, or owes, at most this many mean requests. This bounds how
 // long it can push back the others after wrong estimates.
 constexpr double max_credit_requests = 16;
+// Mean requests that a rank without work may save up, so that a short burst
+// within its share on average is not delayed.
+constexpr double max_burst_requests = 4;
 // Predictions below this are too small to learn their error from.
 constexpr double min_learned_wait_us = 10000;
 
-// The most urgent rank that is owed a request from its share, else the most
-// urgent one with work.
-std::pair<std::size_t, bool> pick_rank(const queue& q)
+struct rank_choice {
+    std::size_t rank = 0;
+    // Whether the rank is owed the grant from its share.
+    bool owed = false;
+};
+
+// Tokens a rank is credited for each granted token. What the shares leave
+// goes to the most urgent rank.
+double earned_share(const queue& q, std::size_t rank)
+{
+    if (rank != 0)
+        return share_of(q, rank);
+    double others = 0;
+    for (std::size_t r = 1; r < base::rank_count; ++r)
+        others += share_of(q, r);
+    return std::max(share_of(q, 0), 1 - others);
+}
+
+bool is_owed(const queue& q, std::size_t rank)
+{
+    return q.options.rank_shares && q.ranks[rank].credit >= 0;
+}
+
+// Whether urgent work may use a slot, if need be above the limit.
+bool is_slot_free_for_urgent(const queue& q)
+{
+    const auto used = q.in_progress.size();
+    const auto limit = q.limit.current;
+    const auto headroom =
+        std::size_t(std::ceil(double(limit) * q.options.urgent_headroom));
+    return used < limit || (used < limit + headroom &&
+                            (is_owed(q, 0) || !q.options.rank_shares));
+}
+
+// Rank that gets the next slot: the most urgent one that is owed it, else the
+// most urgent one with work. Above the limit, only urgent work that is owed.
+std::optional<rank_choice> pick_rank(const queue& q)
 {
-    std::optional<std::size_t> first;
+    if (q.in_progress.size() >= q.limit.current) {
+        if (q.ranks[0].queued > 0 && is_slot_free_for_urgent(q))
+            return rank_choice{0, q.options.rank_shares};
+        return std::nullopt;
+    }
+    std::optional<rank_choice> first;
     for (std::size_t r = 0; r < base::rank_count; ++r) {
         if (q.ranks[r].queued == 0)
             continue;
-        if (!q.options.rank_shares)
-            return {r, false};
-        if (q.ranks[r].credit >= 0)
-            return {r, true};
+        if (is_owed(q, r))
+            return rank_choice{r, true};
         if (!first)
-            first = r;
+            first = rank_choice{r, false};
     }
-    return {first.value_or(0), false};
+    return first;
 }
 
-// Credits every rank with work (or with a debt) for `cost` granted tokens, and
-// charges the rank that got them out of its share.
-void account_grant(queue& q, std::size_t rank, double cost, bool owed)
+// Credits every rank for `cost` granted tokens and charges the rank that got
+// them out of its share. A rank without work saves up a burst at most.
+void account_grant(queue& q, const rank_choice& choice, double cost)
 {
-    const double bound = max_credit_requests * std::max(q.mean_cost, cost);
+    const double mean = std::max(q.mean_cost, cost);
+    const double bound = max_credit_requests * mean;
+    const double burst = max_burst_requests * mean;
     for (std::size_t r = 0; r < base::rank_count; ++r) {
         auto& state = q.ranks[r];
-        const double earned = share_of(q, r) * cost;
-        if (state.queued > 0 || r == rank)
+        const double earned = earned_share(q, r) * cost;
+        if (state.queued > 0 || state.credit < burst)
             state.credit += earned;
-        else
-            state.credit = std::min(0.0, state.credit + earned);
-        if (r == rank && owed)
+        if (r == choice.rank && choice.owed)
             state.credit -= cost;
         state.credit = std::clamp(state.credit, -bound, bound);
     }
@@ -69,8 +109,6 @@
 
 bool is_too_late(const queue& q, const work& item, base::time_point now)
 {
-    if (!q.options.early_refusal)
-        return false;
     return now + base::duration(std::int64_t(first_token_us(q))) >
            item.first_token_deadline;
 }
@@ -108,7 +146,8 @@
 {
     const auto r = index_of(item.work_rank);
     const auto& rank = q.ranks[r];
-    const bool busy = q.in_progress.size() >= q.limit.current;
+    const bool busy = r == 0 ? !is_slot_free_for_urgent(q)
+                             : q.in_progress.size() >= q.limit.current;
     if (q.slot_us_per_token == 0 || (!busy && rank.queued == 0))
         return 0;
     // The mean request stands for the wait until the next slot is free.
@@ -156,9 +195,8 @@
 
 void dispatch(queue& q, base::time_point now, actions& out)
 {
-    while (q.in_progress.size() < q.limit.current && !q.queued.empty()) {
-        const auto [r, owed] = pick_rank(q);
-        auto& rank = q.ranks[r];
+    while (const auto choice = pick_rank(q)) {
+        auto& rank = q.ranks[choice->rank];
         auto entry = pop(rank, q.mean_cost);
         if (!entry)
             return;
@@ -175,10 +213,10 @@
             continue;
         }
         learn_wait(rank, *entry, now);
-        account_grant(q, r, entry->cost, owed);
+        account_grant(q, *choice, entry->cost);
         out.emplace_back(grant{item.request});
         q.in_progress.emplace(
-            item.request, running{item, entry->cost, now, owed, false});
+            item.request, running{item, entry->cost, now, choice->owed, false});
     }
 }
 
--- a/oleanderhinge/admission/queue.hpp
+++ b/oleanderhinge/admission/queue.hpp
@@ -41,6 +41,11 @@
         std::chrono::seconds(30),
         std::chrono::seconds(120)};
     limit_options limit;
+    // Slots above the limit for urgent work within its share, as a share of
+    // the limit. A slot becomes free only a few times a second, which is too
+    // seldom for a first token within 0.4 s; the lower ranks give the slots
+    // back as their requests end.
+    double urgent_headroom = 0.25;
     // Slots above the limit that `submit_now` may use, as a share of the limit;
     // twice as many for urgent work. The head of the chain has queued the
     // request already, and a refusal here would waste that wait.
