Learn waits and first tokens by rank; add push-back to routing

Causes seen there: the first token was learned over all ranks, single short waits dominated the correction of predictions, stages after the head refused what the head had granted, prompt tokens counted like generated ones in the shares, and urgent work followed the total queue instead of its own. Each has its change; note_refused makes a server less likely for a rank while it asks for a pause, and queued_by_rank may be given to the view.

--- a/oleanderhinge/admission/internal/dispatch.cpp
+++ b/oleanderhinge/admission/internal/dispatch.cpp
@@ -98,18 +98,25 @@
 
 void learn_wait(rank_state& rank, const waiting& entry, base::time_point now)
 {
-    if (entry.predicted_us < min_learned_wait_us)
-        return;
-    // The stored prediction includes the ratio of that time.
     const double measured = double((now - entry.since).count());
-    const double ratio = std::clamp(measured / entry.predicted_us, 0.25, 4.0);
-    rank.wait_ratio =
-        std::clamp(rank.wait_ratio * (1 + smoothing * (ratio - 1)), 0.25, 4.0);
+    rank.measured_wait_us += smoothing * (measured - rank.measured_wait_us);
+    rank.predicted_wait_us +=
+        smoothing * (entry.predicted_us - rank.predicted_wait_us);
+}
+
+// Ratio of sums, so that short waits with a large relative error do not
+// dominate.
+double wait_correction(const rank_state& rank)
+{
+    if (rank.predicted_wait_us < min_learned_wait_us)
+        return 1;
+    return std::clamp(rank.measured_wait_us / rank.predicted_wait_us, 0.5, 2.0);
 }
 
 bool is_too_late(const queue& q, const work& item, base::time_point now)
 {
-    return now + base::duration(std::int64_t(first_token_us(q))) >
+    return now + base::duration(std::int64_t(
+                     first_token_us(q, index_of(item.work_rank)))) >
            item.first_token_deadline;
 }
 
@@ -121,13 +128,17 @@
 
 } // namespace
 
-double estimate(const queue& q, const work& item)
+double cost_of(const queue& q, const work& item, double generated)
 {
-    const auto& rank = q.ranks[index_of(item.work_rank)];
     return std::max(
         1.0,
-        double(item.prompt_tokens) +
-            double(item.max_tokens) * rank.generated_ratio);
+        q.options.prompt_token_weight * double(item.prompt_tokens) + generated);
+}
+
+double estimate(const queue& q, const work& item)
+{
+    const auto& rank = q.ranks[index_of(item.work_rank)];
+    return cost_of(q, item, double(item.max_tokens) * rank.generated_ratio);
 }
 
 base::customer_id account_of(const queue& q, const work& item)
@@ -142,7 +153,7 @@
     return double(percent[rank]) / 100.0;
 }
 
-double predicted_wait_us(const queue& q, const work& item, double cost)
+double raw_wait_us(const queue& q, const work& item, double cost)
 {
     const auto r = index_of(item.work_rank);
     const auto& rank = q.ranks[r];
@@ -169,12 +180,19 @@
     double wait = (ahead + more_urgent) / (rate * std::max(0.05, 1 - others));
     if (q.options.rank_shares && share_of(q, r) > 0)
         wait = std::min(wait, ahead / (rate * share_of(q, r)));
-    return wait * rank.wait_ratio;
+    return wait;
+}
+
+double predicted_wait_us(const queue& q, const work& item, double cost)
+{
+    return raw_wait_us(q, item, cost) *
+           wait_correction(q.ranks[index_of(item.work_rank)]);
 }
 
-double first_token_us(const queue& q)
+double first_token_us(const queue& q, std::size_t rank)
 {
-    return q.first_token_us > 0 ? q.first_token_us : q.limit.smoothed_us;
+    const double measured = q.ranks[rank].first_token_us;
+    return measured > 0 ? measured : q.limit.smoothed_us;
 }
 
 refuse refusal(
--- a/oleanderhinge/admission/internal/dispatch.hpp
+++ b/oleanderhinge/admission/internal/dispatch.hpp
@@ -13,7 +13,10 @@
     return std::size_t(value);
 }
 
-// Estimated tokens of a request; at least 1.
+// Cost of a request in generated tokens; at least 1.
+double cost_of(const queue& q, const work& item, double generated);
+
+// Estimated cost of a request.
 double estimate(const queue& q, const work& item);
 
 // Account that queues and pays for the request: its customer, or one for all
@@ -23,11 +26,13 @@
 // Least share of a rank in [0, 1].
 double share_of(const queue& q, std::size_t rank);
 
-// Predicted wait of a new request in microseconds.
+// Predicted wait of a new request in microseconds, before and after its
+// correction by measured waits.
+double raw_wait_us(const queue& q, const work& item, double cost);
 double predicted_wait_us(const queue& q, const work& item, double cost);
 
 // Time to leave between a grant and the first token.
-double first_token_us(const queue& q);
+double first_token_us(const queue& q, std::size_t rank);
 
 // A refusal with a spread `retry_after` around `wait_us`.
 refuse refusal(
--- a/oleanderhinge/admission/internal/rank_queue.hpp
+++ b/oleanderhinge/admission/internal/rank_queue.hpp
@@ -28,7 +28,7 @@
     // Estimated tokens.
     double cost = 0;
     base::time_point since;
-    // Wait that was predicted on entry, in microseconds.
+    // Uncorrected wait that was predicted on entry, in microseconds.
     double predicted_us = 0;
 };
 
@@ -60,8 +60,12 @@
     std::size_t turns = 0;
     // Tokens that the rank is owed from its share; negative after an advance.
     double credit = 0;
-    // Smoothed ratio of measured to predicted wait.
-    double wait_ratio = 1;
+    // Smoothed waits of granted requests, measured and predicted, in
+    // microseconds; their ratio corrects the next predictions.
+    double measured_wait_us = 0;
+    double predicted_wait_us = 0;
+    // Smoothed time from the grant to the first token, in microseconds.
+    double first_token_us = 0;
     // Smoothed ratio of generated tokens to `max_tokens`.
     double generated_ratio = 0.5;
 };
--- a/oleanderhinge/admission/queue.cpp
+++ b/oleanderhinge/admission/queue.cpp
@@ -35,7 +35,8 @@
     if (!q.options.early_refusal)
         return std::nullopt;
     const double allowed = std::min(
-        double((item.first_token_deadline - now).count()) - first_token_us(q),
+        double((item.first_token_deadline - now).count()) -
+            first_token_us(q, index_of(item.work_rank)),
         double(q.options.max_wait[index_of(item.work_rank)].count()));
     if (item.first_token_deadline <= now)
         return refusal(
@@ -112,7 +113,7 @@
 void enqueue(queue& q, const work& item, double cost, base::time_point now)
 {
     const auto account = account_of(q, item);
-    const double predicted = predicted_wait_us(q, item, cost);
+    const double predicted = raw_wait_us(q, item, cost);
     push(
         q.ranks[index_of(item.work_rank)],
         account,
@@ -131,12 +132,16 @@
     release(rank, account_of(q, done.item), done.cost - actual, q.mean_cost);
 }
 
-void learn(queue& q, const running& done, double actual, base::time_point now)
+void learn(
+    queue& q,
+    const running& done,
+    double actual,
+    double generated,
+    base::time_point now)
 {
     smooth(q.slot_us_per_token, double((now - done.since).count()) / actual);
     if (done.item.max_tokens == 0)
         return;
-    const double generated = actual - double(done.item.prompt_tokens);
     smooth(
         q.ranks[index_of(done.item.work_rank)].generated_ratio,
         std::clamp(generated / double(done.item.max_tokens), 0.01, 1.0));
@@ -217,9 +222,10 @@
         return out;
     const running done = it->second;
     q.in_progress.erase(it);
-    const double actual =
-        double(std::max<std::uint64_t>(1, actual_tokens.value()));
-    learn(q, done, actual, now);
+    const double generated = std::max(
+        0.0, double(actual_tokens.value()) - double(done.item.prompt_tokens));
+    const double actual = cost_of(q, done.item, generated);
+    learn(q, done, actual, generated, now);
     if (!done.passed)
         settle(q, done, actual);
     dispatch(q, now, out);
@@ -253,8 +259,8 @@
 actions expire(queue& q, base::time_point now)
 {
     actions out;
-    const auto needed = base::duration(std::int64_t(first_token_us(q)));
     for (std::size_t r = 0; r < base::rank_count; ++r) {
+        const auto needed = base::duration(std::int64_t(first_token_us(q, r)));
         const auto max_wait = q.options.max_wait[r];
         const auto late = find_queued(q.ranks[r], [&](const waiting& w) {
             return now + needed > w.item.first_token_deadline ||
@@ -292,9 +298,14 @@
     return out;
 }
 
-void observe_first_token(queue& q, base::duration since_grant)
+void observe_first_token(
+    queue& q, const base::request_id& request, base::duration since_grant)
 {
-    smooth(q.first_token_us, std::max(1.0, double(since_grant.count())));
+    const auto it = q.in_progress.find(request);
+    if (it != q.in_progress.end())
+        smooth(
+            q.ranks[index_of(it->second.item.work_rank)].first_token_us,
+            std::max(1.0, double(since_grant.count())));
 }
 
 wire::load_report load(const queue& q)
@@ -311,6 +322,14 @@
     return report;
 }
 
+std::array<std::uint32_t, base::rank_count> queued_by_rank(const queue& q)
+{
+    std::array<std::uint32_t, base::rank_count> counts{};
+    for (std::size_t r = 0; r < base::rank_count; ++r)
+        counts[r] = q.ranks[r].queued;
+    return counts;
+}
+
 bool is_queued(const queue& q, const base::request_id& request)
 {
     return q.queued.contains(request);
--- a/oleanderhinge/admission/queue.hpp
+++ b/oleanderhinge/admission/queue.hpp
@@ -49,7 +49,10 @@
     // Slots above the limit that `submit_now` may use, as a share of the limit;
     // twice as many for urgent work. The head of the chain has queued the
     // request already, and a refusal here would waste that wait.
-    double pass_headroom = 0.25;
+    double pass_headroom = 1.0;
+    // Cost of a prompt token in generated ones. Engines run a prompt as one
+    // batch, so that it costs far less than as many single steps.
+    double prompt_token_weight = 0.01;
     // Bounds of the unspread `retry_after`; up to as much again is added at
     // random, so that refused callers do not come back together.
     std::chrono::milliseconds min_retry_after{100};
@@ -95,8 +98,6 @@
     std::unordered_map<base::request_id, internal::location> queued;
     // Smoothed time that one token holds a slot, in microseconds.
     double slot_us_per_token = 0;
-    // Smoothed time from the grant to the first token, in microseconds.
-    double first_token_us = 0;
     // Smoothed estimated tokens of a request; the quantum of a round.
     double mean_cost = 0;
 };
@@ -136,12 +137,16 @@
 // One measured step or call; adapts the limit.
 actions observe_step(queue& q, base::duration latency, base::time_point now);
 
-// Measured time from the grant to the first token, which a deadline has to
-// leave room for. Without it, the step latency is used.
-void observe_first_token(queue& q, base::duration since_grant);
+// Measured time from the grant to the first token of a request in progress,
+// which a deadline has to leave room for. Without it, the step latency is used.
+void observe_first_token(
+    queue& q, const base::request_id& request, base::duration since_grant);
 
 wire::load_report load(const queue& q);
 
+// Requests that wait, urgent first.
+std::array<std::uint32_t, base::rank_count> queued_by_rank(const queue& q);
+
 bool is_queued(const queue& q, const base::request_id& request);
 bool is_in_progress(const queue& q, const base::request_id& request);
 
--- a/oleanderhinge/routing/choose.cpp
+++ b/oleanderhinge/routing/choose.cpp
@@ -60,7 +60,8 @@
     {
         const auto& server = this->v.servers[candidate];
         const auto& options = this->v.options;
-        const double own = internal::server_cost_us(options, server, this->now);
+        const double own = internal::server_cost_us(
+            options, server, this->query.work_rank, this->now);
         const double warm =
             this->query.prefixes.empty() || !options.prefix_worth
                 ? 0
@@ -255,7 +256,7 @@
     for (const slot at : candidates) {
         const auto& server = v.servers[at];
         const double cost =
-            internal::server_cost_us(v.options, server, now) +
+            internal::server_cost_us(v.options, server, query.work_rank, now) +
             internal::link_cost_us(
                 v.options, query.data_centre, query.region, server.info);
         if (best == nullptr || cost < best_cost) {
--- a/oleanderhinge/routing/choose.hpp
+++ b/oleanderhinge/routing/choose.hpp
@@ -21,6 +21,7 @@
     std::string version;
     // Empty: the model without an adapter.
     std::string adapter;
+    base::rank work_rank = base::rank::standard;
     // Layers of the model; the ranges of the chain cover [0, layer_count).
     std::uint32_t layer_count = 0;
     // Place of the entry node.
@@ -42,6 +43,7 @@
 
 struct service_query {
     std::string service;
+    base::rank work_rank = base::rank::standard;
     base::data_centre_id data_centre;
     base::region_id region;
     std::vector<base::backend_server_id> avoid;
--- a/oleanderhinge/routing/internal/sample.cpp
+++ b/oleanderhinge/routing/internal/sample.cpp
@@ -125,6 +125,7 @@
 double server_cost_us(
     const view_options& options,
     const server_entry& server,
+    base::rank work_rank,
     base::time_point now)
 {
     const auto& load = server.info.load;
@@ -133,14 +134,16 @@
                             ? double(load.step_us)
                             : options.default_step_us * 100 / speed;
     const double limit = std::max(1U, load.limit);
-    const double requests = requests_at(options, server);
+    const double requests = requests_at(options, server, work_rank);
     const double waiting = std::max(0.0, requests + 1 - limit);
     const double congestion = 1 + options.busy_weight * requests / limit +
                               options.waiting_weight * waiting / limit;
     const double failures = now - server.last_failure < options.failure_memory
                                 ? server.consecutive_failures
                                 : 0;
-    return step * congestion * (1 + options.failure_weight * failures);
+    const bool refused = now < server.refused_until[std::size_t(work_rank)];
+    return step * congestion * (1 + options.failure_weight * failures) *
+           (refused ? 1 + options.refusal_weight : 1);
 }
 
 } // namespace oleanderhinge::routing::internal
--- a/oleanderhinge/routing/internal/sample.hpp
+++ b/oleanderhinge/routing/internal/sample.hpp
@@ -46,6 +46,7 @@
 double server_cost_us(
     const view_options& options,
     const server_entry& server,
+    base::rank work_rank,
     base::time_point now);
 
 } // namespace oleanderhinge::routing::internal
--- a/oleanderhinge/routing/internal/server.hpp
+++ b/oleanderhinge/routing/internal/server.hpp
@@ -15,7 +15,10 @@
     const server_entry& server,
     base::time_point now);
 
-// Estimated requests at the server, see `estimated_requests`.
-double requests_at(const view_options& options, const server_entry& server);
+// Estimated requests at the server that a new one of the rank competes with.
+double requests_at(
+    const view_options& options,
+    const server_entry& server,
+    base::rank work_rank);
 
 } // namespace oleanderhinge::routing::internal
--- a/oleanderhinge/routing/view.cpp
+++ b/oleanderhinge/routing/view.cpp
@@ -190,10 +190,21 @@
     return step < return_share_count ? return_shares[step] : 1;
 }
 
-double requests_at(const view_options& options, const server_entry& server)
+double requests_at(
+    const view_options& options,
+    const server_entry& server,
+    base::rank work_rank)
 {
-    const double reported =
-        double(server.info.load.in_progress) + server.info.load.queued;
+    const auto& info = server.info;
+    double waiting = 0;
+    double ahead = 0;
+    for (std::size_t r = 0; r < base::rank_count; ++r) {
+        waiting += info.queued_by_rank[r];
+        if (r <= std::size_t(work_rank))
+            ahead += info.queued_by_rank[r];
+    }
+    const double reported = double(info.load.in_progress) +
+                            (waiting > 0 ? ahead : info.load.queued);
     if (!options.load_correction)
         return reported;
     return std::max(0.0, reported + double(server.sent.size()) - server.ended);
@@ -289,6 +300,20 @@
         ++server->ended;
 }
 
+void note_refused(
+    view& v,
+    const base::backend_server_id& id,
+    base::rank work_rank,
+    std::chrono::milliseconds retry_after,
+    base::time_point now)
+{
+    auto* server = find(v, id);
+    if (server != nullptr)
+        server->refused_until[std::size_t(work_rank)] =
+            now +
+            std::min<base::duration>(retry_after, v.options.max_refusal_memory);
+}
+
 void note_success(
     view& v, const base::backend_server_id& id, base::time_point now)
 {
@@ -321,7 +346,8 @@
     const auto it = v.by_id.find(id);
     return it == v.by_id.end()
                ? 0
-               : internal::requests_at(v.options, v.servers[it->second]);
+               : internal::requests_at(
+                     v.options, v.servers[it->second], base::rank::deferrable);
 }
 
 double traffic_share(
--- a/oleanderhinge/routing/view.hpp
+++ b/oleanderhinge/routing/view.hpp
@@ -19,6 +19,7 @@
 #include "oleanderhinge/routing/prefix_index.hpp"
 #include "oleanderhinge/wire/messages.hpp"
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -50,6 +51,9 @@
     // Plain services.
     std::string service;
     wire::load_report load;
+    // Requests that wait, by rank. All zero if the report does not say; then
+    // `load.queued` counts for every rank.
+    std::array<std::uint32_t, base::rank_count> queued_by_rank{};
     // The server counts as gone from this time on; see
     // `view_options::server_lease`.
     base::time_point expires = base::time_point::max();
@@ -89,6 +93,10 @@
     // never chosen again could never prove itself.
     double failure_weight = 4;
     base::duration failure_memory = std::chrono::seconds(1);
+    // Growth of the cost while the server asks for a pause, and the longest
+    // pause that is granted to it.
+    double refusal_weight = 4;
+    base::duration max_refusal_memory = std::chrono::seconds(1);
     // Most that a warm prefix is worth, as a share of the server's cost, and
     // the steps that the prefill of one block takes.
     double max_prefix_worth = 0.3;
@@ -123,6 +131,8 @@
     // Ejections without a full return in between; 0 means not ejected.
     std::uint32_t ejections = 0;
     base::time_point ejected_until;
+    // Until when the server asked not to be sent work of a rank.
+    std::array<base::time_point, base::rank_count> refused_until{};
 };
 
 // Model, version, adapter.
@@ -164,6 +174,15 @@
 // A request that this node sent has ended; it no longer counts as load.
 void note_ended(view& v, const base::backend_server_id& id);
 
+// The server refused work of a rank for overload. It is chosen less for this
+// rank until `retry_after` has passed.
+void note_refused(
+    view& v,
+    const base::backend_server_id& id,
+    base::rank work_rank,
+    std::chrono::milliseconds retry_after,
+    base::time_point now);
+
 // Outcome of a request at the server, for ejection. A refusal for overload is
 // not a failure.
 void note_success(
