--- a/oleanderhinge/consensus/step.cpp
+++ b/oleanderhinge/consensus/step.cpp
@@ -72,10 +72,14 @@
 
 void on_reply(context& c, const vm_id& from, const message& m)
 {
-    if (!is_from_member(c.state, from, m.sender) ||
-        !is_of_present_term(c, m.sender_term))
+    if (!is_from_member(c.state, from, m.sender))
         return;
-    if (const auto* v = std::get_if<vote_reply>(&m.content))
+    const bool is_present = is_of_present_term(c, m.sender_term);
+    const auto* v = std::get_if<vote_reply>(&m.content);
+    // A pre-vote does not raise the term of the voter, which may be lower.
+    if (!is_present && (v == nullptr || !v->pre_vote))
+        return;
+    if (v != nullptr)
         internal::on_vote_reply(c, from, *v);
     else if (const auto* a = std::get_if<append_reply>(&m.content))
         internal::on_append_reply(c, from, *a);
