--- a/oleanderhinge/replica/node_test.cpp
+++ b/oleanderhinge/replica/node_test.cpp
@@ -10,6 +10,7 @@
 #include <future>
 #include <map>
 #include <set>
+#include <thread>
 
 namespace oleanderhinge::replica
 {
@@ -274,5 +275,123 @@
         c.eventually([&] { return c.applied(first) == c.applied(second); }));
 }
 
+// Snapshots reach a member that was away for longer than the log is kept.
+TEST(node, a_member_catches_up_from_a_snapshot)
+{
+    cluster c(3);
+    const int leader = c.leader();
+    const int away = leader % 3 + 1;
+    c.isolate(away, true);
+    for (int i = 0; i < 300; ++i)
+        ASSERT_EQ(
+            c.propose(leader, "s" + std::to_string(i)).state,
+            propose_state::applied);
+    ASSERT_TRUE(c.eventually(
+        [&] { return c.at(leader)->counters().snapshots_taken > 1; }));
+    c.isolate(away, false);
+    EXPECT_TRUE(
+        c.eventually([&] { return c.applied(away) == c.applied(leader); }));
+    EXPECT_GT(c.at(away)->counters().snapshots_installed, 0u);
+}
+
+TEST(node, a_member_with_a_lost_disk_is_readmitted)
+{
+    cluster c(3);
+    const int leader = c.leader();
+    const int lost = leader % 3 + 1;
+    for (int i = 0; i < 80; ++i)
+        c.propose(leader, "l" + std::to_string(i));
+    c.stop(lost);
+    c.files(lost).wipe();
+    c.start(lost);
+    EXPECT_TRUE(c.eventually([&] {
+        const auto s = c.at(lost)->status();
+        return s.role == member_role::follower && s.quorum &&
+               c.applied(lost) == c.applied(leader);
+    }));
+    // The third member fails right after the repair.
+    c.isolate(6 - leader - lost, true);
+    EXPECT_EQ(c.propose(leader, "after").state, propose_state::applied);
+    EXPECT_EQ(c.at(leader)->counters().readmissions, 1u);
+}
+
+TEST(node, members_are_added_and_removed)
+{
+    cluster c(3);
+    const int leader = c.leader();
+    c.start(4);
+    EXPECT_EQ(c.at(4)->status().role, member_role::awaiting_admission);
+    auto added = std::make_shared<std::promise<propose_result>>();
+    c.at(leader)->add_member(
+        {vm(4), {"127.0.0.1", 4}, {}, true},
+        [added](propose_result r) { added->set_value(r); });
+    EXPECT_EQ(added->get_future().get().state, propose_state::applied);
+    EXPECT_TRUE(c.eventually([&] {
+        const auto s = c.at(4)->status();
+        return s.role == member_role::follower && s.members.size() == 4;
+    }));
+    auto removed = std::make_shared<std::promise<propose_result>>();
+    c.at(leader)->remove_member(
+        vm(leader % 3 + 1),
+        [removed](propose_result r) { removed->set_value(r); });
+    EXPECT_EQ(removed->get_future().get().state, propose_state::applied);
+    EXPECT_EQ(c.at(leader)->status().members.size(), 3u);
+}
+
+TEST(node, a_leader_hands_over_at_shutdown)
+{
+    cluster c(3);
+    const int first = c.leader();
+    auto answer = std::make_shared<std::promise<bool>>();
+    c.at(first)->hand_over(
+        [answer](barrier_result r) { answer->set_value(r.ok); });
+    EXPECT_TRUE(answer->get_future().get());
+    const int second = c.leader(first);
+    EXPECT_EQ(c.propose(second, "x").state, propose_state::applied);
+    EXPECT_NE(c.propose(first, "y").state, propose_state::applied);
+}
+
+// A write that may not have reached the disk must not be acknowledged.
+TEST(node, a_failed_sync_is_fatal_and_acknowledges_nothing)
+{
+    cluster c(1);
+    ASSERT_EQ(c.leader(), 1);
+    c.files(1).fail_next_sync();
+    auto state = std::make_shared<std::promise<propose_state>>();
+    c.at(1)->propose(
+        "x", [state](propose_result r) { state->set_value(r.state); });
+    EXPECT_TRUE(c.eventually([&] { return !c.fatal(1).empty(); }));
+    c.stop(1);
+    EXPECT_EQ(state->get_future().get(), propose_state::unknown);
+    EXPECT_TRUE(c.applied(1).empty());
+}
+
+TEST(node, concurrent_proposals_are_applied_once_in_one_order)
+{
+    cluster c(3);
+    const int leader = c.leader();
+    constexpr int callers = 4;
+    constexpr int each = 200;
+    std::vector<std::thread> threads;
+    for (int t = 0; t < callers; ++t) {
+        threads.emplace_back([&c, leader, t] {
+            for (int i = 0; i < each; ++i) {
+                const auto command =
+                    std::to_string(t) + ":" + std::to_string(i);
+                EXPECT_EQ(
+                    c.propose(leader, command).state, propose_state::applied);
+                EXPECT_TRUE(c.at(leader)->status().quorum);
+            }
+        });
+    }
+    for (auto& t : threads)
+        t.join();
+    const auto all = c.applied(leader);
+    EXPECT_EQ(all.size(), std::size_t(callers * each));
+    EXPECT_EQ(std::set<std::string>(all.begin(), all.end()).size(), all.size());
+    for (const int i : {1, 2, 3})
+        EXPECT_TRUE(c.eventually([&] { return c.applied(i) == all; }));
+}
+
 } // namespace
 } // namespace oleanderhinge::replica
