--- /dev/null
+++ b/oleanderhinge/replica/node_benchmark.cpp
@@ -0,0 +1,141 @@
+// Proposals per second of the replicated log on real files, against the number
+// of proposals that wait at a time, for one member and for three in one
+// process. The folder is OLEANDERHINGE_BENCH_FOLDER or the temporary folder.
+#include "oleanderhinge/replica/node.hpp"
+
+#include <benchmark/benchmark.h>
+
+#include <condition_variable>
+#include <cstdlib>
+#include <filesystem>
+#include <map>
+#include <mutex>
+#include <thread>
+
+#include <unistd.h>
+
+namespace oleanderhinge::replica
+{
+namespace
+{
+
+std::filesystem::path bench_folder()
+{
+    const char* set = std::getenv("OLEANDERHINGE_BENCH_FOLDER");
+    const auto parent = set == nullptr ? std::filesystem::temp_directory_path()
+                                       : std::filesystem::path(set);
+    return parent / ("node_benchmark_" + std::to_string(::getpid()));
+}
+
+base::vm_id vm(int i)
+{
+    return base::vm_id{std::to_string(i)};
+}
+
+class cluster
+{
+public:
+    explicit cluster(int size)
+    {
+        std::vector<member> initial;
+        for (int i = 1; i <= size; ++i)
+            initial.push_back({vm(i), {}, {}, true});
+        for (int i = 1; i <= size; ++i) {
+            const auto path = bench_folder() / std::to_string(i);
+            std::filesystem::create_directories(path);
+            this->files[vm(i)] = storage::make_posix_file_system(path.string());
+            node_setup setup;
+            setup.self = vm(i);
+            setup.initial = initial;
+            setup.network =
+                [this, i](const base::vm_id& to, wire::consensus_message m) {
+                    const std::lock_guard lock(this->mutex);
+                    const auto found = this->nodes.find(to);
+                    if (found != this->nodes.end())
+                        found->second->receive(vm(i), std::move(m));
+                };
+            state_machine machine;
+            machine.apply = [](base::log_index, const std::string&) {
+                return std::string();
+            };
+            machine.take_snapshot = [] { return std::string(); };
+            machine.restore = [](base::log_index, const std::string&) {};
+            base::handle(
+                [&]() -> base::result<void> {
+                    BOOST_LEAF_AUTO(
+                        n, node::open(setup, *this->files[vm(i)], machine));
+                    const std::lock_guard lock(this->mutex);
+                    this->nodes[vm(i)] = std::move(n);
+                    return {};
+                },
+                [](const base::error&) {});
+        }
+    }
+
+    ~cluster()
+    {
+        for (auto& [id, n] : this->nodes)
+            n->stop();
+        this->nodes.clear();
+        std::filesystem::remove_all(bench_folder());
+    }
+
+    node* leader()
+    {
+        for (;;) {
+            for (auto& [id, n] : this->nodes) {
+                const auto s = n->status();
+                if (s.role == member_role::leader && s.quorum)
+                    return n.get();
+            }
+            std::this_thread::yield();
+        }
+    }
+
+private:
+    std::mutex mutex;
+    std::map<base::vm_id, std::unique_ptr<storage::file_system>> files;
+    std::map<base::vm_id, std::unique_ptr<node>> nodes;
+};
+
+// Each iteration proposes `waiting` commands of 100 bytes at once and waits for
+// all of them.
+void propose(benchmark::State& state)
+{
+    cluster c(int(state.range(0)));
+    auto* leader = c.leader();
+    const auto waiting = std::uint64_t(state.range(1));
+    const auto before = leader->counters();
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::uint64_t open = 0;
+    std::uint64_t applied = 0;
+    for (auto _ : state) {
+        std::unique_lock lock(mutex);
+        open = waiting;
+        lock.unlock();
+        for (std::uint64_t i = 0; i < waiting; ++i)
+            leader->propose(std::string(100, 'x'), [&](propose_result r) {
+                const std::lock_guard inner(mutex);
+                applied += r.state == propose_state::applied ? 1 : 0;
+                if (--open == 0)
+                    changed.notify_one();
+            });
+        lock.lock();
+        changed.wait(lock, [&] { return open == 0; });
+    }
+    const auto after = leader->counters();
+    state.SetItemsProcessed(std::int64_t(applied));
+    state.counters["applied_per_sync"] =
+        double(applied) / double(after.syncs - before.syncs);
+}
+
+BENCHMARK(propose)
+    ->ArgNames({"members", "waiting"})
+    ->ArgsProduct({{1, 3}, {1, 4, 16, 64, 256, 1024, 4096}})
+    ->UseRealTime();
+
+} // namespace
+} // namespace oleanderhinge::replica
+
+BENCHMARK_MAIN();
