--- a/oleanderhinge/consensus/internal/context.hpp
+++ b/oleanderhinge/consensus/internal/context.hpp
@@ -54,7 +54,7 @@
 void lead_tick(context& c);
 // Appends entries of the present term and sends them.
 void append_as_leader(
-    context& c, std::vector<std::pair<entry_kind, std::string>> payloads);
+    context& c, std::vector<std::pair<entry_kind, std::string>>&& payloads);
 void on_proposals(context& c, proposals&& p);
 void on_read(context& c, const read_requested& r);
 void on_append_reply(context& c, const vm_id& from, const append_reply& r);
--- a/oleanderhinge/consensus/internal/leader.cpp
+++ b/oleanderhinge/consensus/internal/leader.cpp
@@ -105,7 +105,7 @@
 }
 
 void append_as_leader(
-    context& c, std::vector<std::pair<entry_kind, std::string>> payloads)
+    context& c, std::vector<std::pair<entry_kind, std::string>>&& payloads)
 {
     auto& state = c.state;
     std::vector<entry> added;
--- a/oleanderhinge/consensus/internal/membership.cpp
+++ b/oleanderhinge/consensus/internal/membership.cpp
@@ -23,7 +23,7 @@
            !state.leading.transfer_until;
 }
 
-void change(context& c, membership members)
+void change(context& c, const membership& members)
 {
     std::vector<std::pair<entry_kind, std::string>> payloads;
     payloads.emplace_back(entry_kind::membership, encode_membership(members));
@@ -52,7 +52,7 @@
         m.promote = m.promote || m.voter;
         m.voter = false;
         m.disk = disk;
-        change(c, std::move(members));
+        change(c, members);
         return;
     }
 }
@@ -163,7 +163,7 @@
     }
     c.actions.emplace_back(
         accepted{e.tag, last_index(state.log).next(), state.vote.current});
-    change(c, std::move(members));
+    change(c, members);
 }
 
 void on_member_removed(context& c, const member_removed& e)
@@ -189,7 +189,7 @@
         return refuse(reject_reason::unknown_member);
     c.actions.emplace_back(
         accepted{e.tag, last_index(state.log).next(), state.vote.current});
-    change(c, std::move(members));
+    change(c, members);
 }
 
 void promote_learners(context& c)
@@ -213,7 +213,7 @@
             continue;
         m.voter = true;
         m.promote = false;
-        change(c, std::move(members));
+        change(c, members);
         return;
     }
 }
--- a/oleanderhinge/replica/internal/core.cpp
+++ b/oleanderhinge/replica/internal/core.cpp
@@ -27,7 +27,8 @@
     if (!setup.fatal)
         setup.fatal = &end_process;
     if (!setup.network)
-        setup.network = [](const base::vm_id&, wire::consensus_message) {};
+        setup.network = [](const base::vm_id&, const wire::consensus_message&) {
+        };
     return setup;
 }
 
--- a/oleanderhinge/replica/internal/disk_worker.cpp
+++ b/oleanderhinge/replica/internal/disk_worker.cpp
@@ -29,7 +29,8 @@
     return out;
 }
 
-base::result<consensus::snapshot_content> from_stored(storage::snapshot s)
+base::result<consensus::snapshot_content>
+from_stored(const storage::snapshot& s)
 {
     using parts = std::pair<consensus::membership, std::string>;
     BOOST_LEAF_AUTO(p, wire::from_bytes<parts>(s.data));
--- a/oleanderhinge/replica/internal/disk_worker.hpp
+++ b/oleanderhinge/replica/internal/disk_worker.hpp
@@ -76,6 +76,7 @@
 consensus::entry to_entry(storage::record r);
 storage::snapshot to_stored(const consensus::snapshot_content& content);
 // Fails with `corrupt` if the contents do not parse.
-base::result<consensus::snapshot_content> from_stored(storage::snapshot s);
+base::result<consensus::snapshot_content>
+from_stored(const storage::snapshot& s);
 
 } // namespace oleanderhinge::replica::internal
--- a/oleanderhinge/replica/node.cpp
+++ b/oleanderhinge/replica/node.cpp
@@ -30,7 +30,7 @@
     from.vote = {found.vote.current, found.vote.voted_for};
     if (found.snapshot) {
         BOOST_LEAF_ASSIGN(
-            from.snapshot, internal::from_stored(std::move(*found.snapshot)));
+            from.snapshot, internal::from_stored(*found.snapshot));
     }
     for (auto& r : found.records) {
         if (r.kind > std::uint8_t(consensus::entry_kind::membership))
--- a/oleanderhinge/storage/memory_file_system.cpp
+++ b/oleanderhinge/storage/memory_file_system.cpp
@@ -224,7 +224,8 @@
     ++this->generation;
 }
 
-void memory_file_system::overwrite(const std::string& name, std::string bytes)
+void memory_file_system::overwrite(
+    const std::string& name, const std::string& bytes)
 {
     const std::lock_guard lock(this->mutex);
     this->present[name] = std::make_shared<inode>(inode{bytes, bytes});
--- a/oleanderhinge/storage/memory_file_system.hpp
+++ b/oleanderhinge/storage/memory_file_system.hpp
@@ -57,7 +57,7 @@
     // Removes everything: the disk was replaced.
     void wipe();
     // Replaces the durable and present contents of a file, to damage it.
-    void overwrite(const std::string& name, std::string bytes);
+    void overwrite(const std::string& name, const std::string& bytes);
 
 private:
     struct inode {
