--- /dev/null
+++ b/oleanderhinge/membership/entry_peers.cpp
@@ -0,0 +1,258 @@
+#include "oleanderhinge/membership/entry_peers.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace oleanderhinge::membership
+{
+
+namespace
+{
+
+using actions = std::vector<peer_action>;
+
+// Nodes that an ordinary heartbeat names. Two a second name all nodes of a
+// data centre every few seconds.
+constexpr std::size_t known_in_heartbeat = 2;
+// Nodes that an answer to a new node names; with long names it still fits a
+// datagram.
+constexpr std::size_t known_in_answer = 24;
+
+bool is_self(const entry_peers& peers, const wire::entry_peer& other)
+{
+    return other.vm == peers.options.self.vm ||
+           other.udp == peers.options.self.udp;
+}
+
+// Up to `count` live nodes, starting at a place that moves on.
+std::vector<wire::entry_peer> some_known(entry_peers& peers, std::size_t count)
+{
+    const auto live = live_peers(peers);
+    std::vector<wire::entry_peer> known;
+    for (std::size_t i = 0; i < std::min(count, live.size()); ++i)
+        known.push_back(live[peers.next_known++ % live.size()]);
+    return known;
+}
+
+wire::entry_heartbeat
+make_heartbeat(entry_peers& peers, std::size_t known, bool wants_peers)
+{
+    return {
+        .self = peers.options.self,
+        .sender_incarnation = peers.options.own_incarnation,
+        .data_centre = peers.options.data_centre,
+        .leaving = peers.leaving,
+        .wants_peers = wants_peers,
+        .known = some_known(peers, known)};
+}
+
+void add_probe(
+    entry_peers& peers,
+    const wire::endpoint& endpoint,
+    bool seed,
+    base::time_point now)
+{
+    if (endpoint == peers.options.self.udp ||
+        peers.probes.size() >= peers.options.max_peers)
+        return;
+    peers.probes.try_emplace(
+        endpoint, probe_state{now, now - peers.options.interval, seed});
+}
+
+bool is_seed(const entry_peers& peers, const wire::endpoint& endpoint)
+{
+    const auto& seeds = peers.options.seeds;
+    return std::find(seeds.begin(), seeds.end(), endpoint) != seeds.end();
+}
+
+bool has_peer_at(const entry_peers& peers, const wire::endpoint& endpoint)
+{
+    return std::any_of(
+        peers.peers.begin(), peers.peers.end(), [&](const auto& item) {
+            return item.second.alive && item.second.id.udp == endpoint;
+        });
+}
+
+void probe_unknown(
+    entry_peers& peers,
+    const std::vector<wire::entry_peer>& known,
+    base::time_point now)
+{
+    for (const auto& other : known)
+        if (!is_self(peers, other) && !has_peer_at(peers, other.udp))
+            add_probe(peers, other.udp, false, now);
+}
+
+// Records that the node is alive; reports it if it was not or was restarted.
+void hear(
+    entry_peers& peers,
+    const wire::entry_heartbeat& item,
+    base::time_point now,
+    actions& out)
+{
+    auto [at, inserted] = peers.peers.try_emplace(item.self.vm);
+    auto& peer = at->second;
+    const bool is_new = inserted || !peer.alive || peer.leaving ||
+                        peer.peer_incarnation != item.sender_incarnation ||
+                        peer.id != item.self;
+    if (inserted)
+        peer.last_heartbeat_sent = peer.last_batch_sent =
+            now - peers.options.largest_interval;
+    peer.id = item.self;
+    peer.peer_incarnation = item.sender_incarnation;
+    peer.heard = now;
+    peer.alive = true;
+    peer.leaving = false;
+    peers.probes.erase(item.self.udp);
+    if (is_new)
+        out.emplace_back(peer_joined{item.self});
+}
+
+void hear_leaving(
+    entry_peers& peers, const wire::entry_heartbeat& item, actions& out)
+{
+    const auto at = peers.peers.find(item.self.vm);
+    // A late message of a predecessor must not remove its successor.
+    if (at == peers.peers.end() || at->second.leaving || !at->second.alive ||
+        at->second.peer_incarnation != item.sender_incarnation)
+        return;
+    at->second.leaving = true;
+    out.emplace_back(peer_left{item.self});
+}
+
+void drop_silent(entry_peers& peers, base::time_point now, actions& out)
+{
+    for (auto& [vm, peer] : peers.peers) {
+        if (!peer.alive || peer.heard + peers.options.lease > now)
+            continue;
+        peer.alive = false;
+        if (!peer.leaving)
+            out.emplace_back(peer_left{peer.id});
+        add_probe(peers, peer.id.udp, is_seed(peers, peer.id.udp), now);
+    }
+    std::erase_if(peers.peers, [&](const auto& item) {
+        return item.second.heard + peers.options.forget <= now;
+    });
+    std::erase_if(peers.probes, [&](const auto& item) {
+        return !item.second.seed &&
+               item.second.since + peers.options.forget <= now;
+    });
+}
+
+void send_probes(entry_peers& peers, base::time_point now, actions& out)
+{
+    for (auto& [endpoint, probe] : peers.probes) {
+        if (probe.last_sent + peers.options.interval > now)
+            continue;
+        probe.last_sent = now;
+        out.emplace_back(send_heartbeat{
+            endpoint, make_heartbeat(peers, known_in_heartbeat, true)});
+    }
+}
+
+void send_due(entry_peers& peers, base::time_point now, actions& out)
+{
+    const auto& options = peers.options;
+    for (auto& [vm, peer] : peers.peers) {
+        const bool batch_is_enough =
+            peer.last_batch_sent + options.interval * 3 / 2 > now &&
+            peer.last_heartbeat_sent + options.largest_interval > now;
+        if (!peer.alive || batch_is_enough ||
+            peer.last_heartbeat_sent + options.interval > now)
+            continue;
+        peer.last_heartbeat_sent = now;
+        out.emplace_back(send_heartbeat{
+            peer.id.udp, make_heartbeat(peers, known_in_heartbeat, false)});
+    }
+}
+
+} // namespace
+
+std::vector<peer_action> apply_heartbeat(
+    entry_peers& peers, const wire::entry_heartbeat& item, base::time_point now)
+{
+    actions out;
+    if (is_self(peers, item.self))
+        return out;
+    if (item.data_centre != peers.options.data_centre) {
+        ++peers.foreign_data_centre;
+        return out;
+    }
+    if (item.leaving) {
+        hear_leaving(peers, item, out);
+        return out;
+    }
+    if (!peers.peers.contains(item.self.vm) &&
+        peers.peers.size() >= peers.options.max_peers)
+        return out;
+    hear(peers, item, now, out);
+    probe_unknown(peers, item.known, now);
+    if (item.wants_peers) {
+        peers.peers.at(item.self.vm).last_heartbeat_sent = now;
+        out.emplace_back(send_heartbeat{
+            item.self.udp, make_heartbeat(peers, known_in_answer, false)});
+    }
+    return out;
+}
+
+void note_batch_received(
+    entry_peers& peers, const base::vm_id& sender, base::time_point now)
+{
+    const auto at = peers.peers.find(sender);
+    // A node that is not known as alive must send a heartbeat first, since a
+    // batch does not tell its endpoint and incarnation.
+    if (at != peers.peers.end() && at->second.alive && !at->second.leaving)
+        at->second.heard = std::max(at->second.heard, now);
+}
+
+void note_batch_sent(entry_peers& peers, base::time_point now)
+{
+    for (auto& [vm, peer] : peers.peers)
+        peer.last_batch_sent = now;
+}
+
+std::vector<peer_action> tick(entry_peers& peers, base::time_point now)
+{
+    actions out;
+    if (!std::exchange(peers.started, true))
+        for (const auto& seed : peers.options.seeds)
+            add_probe(peers, seed, true, now);
+    drop_silent(peers, now, out);
+    if (!peers.leaving) {
+        send_probes(peers, now, out);
+        send_due(peers, now, out);
+    }
+    return out;
+}
+
+std::vector<peer_action> leave(entry_peers& peers)
+{
+    actions out;
+    peers.leaving = true;
+    for (const auto& peer : live_peers(peers))
+        out.emplace_back(
+            send_heartbeat{peer.udp, make_heartbeat(peers, 0, false)});
+    return out;
+}
+
+std::vector<wire::entry_peer> live_peers(const entry_peers& peers)
+{
+    std::vector<wire::entry_peer> live;
+    for (const auto& [vm, peer] : peers.peers)
+        if (peer.alive && !peer.leaving)
+            live.push_back(peer.id);
+    return live;
+}
+
+std::vector<wire::endpoint> live_endpoints(const entry_peers& peers)
+{
+    std::vector<wire::endpoint> endpoints;
+    if (!peers.leaving)
+        endpoints.push_back(peers.options.self.udp);
+    for (const auto& peer : live_peers(peers))
+        endpoints.push_back(peer.udp);
+    return endpoints;
+}
+
+} // namespace oleanderhinge::membership
