--- a/oleanderhinge/membership/config_tree_test.cpp
+++ b/oleanderhinge/membership/config_tree_test.cpp
@@ -364,6 +364,18 @@
     net.expect_tree(4);
 }
 
+// A fresh cluster has revision 0, which `subscribe` also uses for "nothing".
+TEST(config_tree, revision_zero_reaches_all_nodes)
+{
+    network net(1, 12);
+    net.committed = 0;
+    net.nodes[0].view = {};
+    apply_update(
+        net.nodes[0].view, {{}, {}, {wire::configuration{}}, {}}, net.now);
+    net.pass(seconds(6));
+    net.expect_tree(3);
+}
+
 // The node restarts, and the only node that it reaches is cut off with an old
 // revision.
 TEST(config_tree, restart_beside_an_isolated_parent_does_not_serve)
--- a/oleanderhinge/membership/directory_test.cpp
+++ b/oleanderhinge/membership/directory_test.cpp
@@ -150,6 +150,28 @@
     EXPECT_TRUE(present(d, newer));
 }
 
+// The live agent is silent for a moment; a repeated datagram of its predecessor
+// must not take its place.
+TEST(directory, repeated_message_of_a_predecessor_is_no_sign_of_life)
+{
+    directory d;
+    apply_announcement(d, announce(older, 50), start);
+    apply_announcement(d, announce(newer, 1), start + seconds(1));
+    apply_announcement(d, announce(older, 50), start + milliseconds(3500));
+    EXPECT_TRUE(present(d, newer));
+    apply_announcement(d, announce(older, 51), start + milliseconds(3600));
+    EXPECT_TRUE(present(d, older)) << "it does send again, so it is alive";
+}
+
+TEST(directory, a_newer_message_with_older_evidence_does_not_shorten_the_lease)
+{
+    directory d;
+    apply_announcement(d, announce(older, 1), start);
+    apply_passed_on(d, announce(older, 2), seconds(1), start);
+    EXPECT_EQ(d.servers.at(s1)->last.sequence, 2u);
+    EXPECT_EQ(d.servers.at(s1)->expires, start + seconds(3));
+}
+
 TEST(directory, heartbeat_of_a_registrar_keeps_an_entry_and_updates_its_load)
 {
     directory d;
--- a/oleanderhinge/membership/shared_directory.cpp
+++ b/oleanderhinge/membership/shared_directory.cpp
@@ -83,6 +83,7 @@
         append(
             actions,
             apply_passed_on(target.servers, batch.changed[i], age, now));
+        this->version.fetch_add(1, std::memory_order_release);
     }
     // A heartbeat does not tell the server's name, so each shard looks for all
     // of them. The counter of unknown keys is kept by this class.
@@ -93,11 +94,11 @@
             if (!known[i] && target->servers.keys.contains(batch.alive[i].key))
                 known[i] =
                     apply_heartbeat(target->servers, batch.alive[i], now);
+        this->version.fetch_add(1, std::memory_order_release);
     }
     this->unknown_heartbeats.fetch_add(
         std::uint64_t(std::count(known.begin(), known.end(), false)),
         std::memory_order_relaxed);
-    this->version.fetch_add(1, std::memory_order_release);
     return actions;
 }
 
@@ -106,10 +107,11 @@
     std::vector<directory_action> actions;
     for (const auto& target : this->shards) {
         const std::lock_guard lock(target->mutex);
-        append(actions, membership::expire(target->servers, now));
+        auto more = membership::expire(target->servers, now);
+        if (!more.empty())
+            this->version.fetch_add(1, std::memory_order_release);
+        append(actions, std::move(more));
     }
-    if (!actions.empty())
-        this->version.fetch_add(1, std::memory_order_release);
     return actions;
 }
 
--- a/oleanderhinge/membership/shared_directory.hpp
+++ b/oleanderhinge/membership/shared_directory.hpp
@@ -58,7 +58,8 @@
     shard& shard_of(const base::backend_server_id& server) const;
 
     std::vector<std::unique_ptr<shard>> shards;
-    // Grows with each change of any shard.
+    // Grows with each change of any shard, under that shard's lock, so that a
+    // reader that has seen a change does not get an older cached view.
     std::atomic<std::uint64_t> version{1};
     std::atomic<std::uint64_t> unknown_heartbeats{0};
     // Guards `latest` and `latest_version`; never held with a shard's lock.
