--- a/oleanderhinge/membership/shared_directory.hpp
+++ b/oleanderhinge/membership/shared_directory.hpp
@@ -50,6 +50,8 @@
     std::shared_ptr<const directory_snapshot> snapshot() const;
     base::revision highest_config() const;
     directory_counters counters() const;
+    // Heartbeats of a batch whose servers are not known here.
+    std::size_t unknown_in(const wire::directory_update& batch) const;
     std::size_t size() const;
 
 private:
@@ -58,7 +60,8 @@
     shard& shard_of(const base::backend_server_id& server) const;
 
     std::vector<std::unique_ptr<shard>> shards;
-    // Grows with each change of any shard.
+    // Grows with each change of any shard, under that shard's lock, so that a
+    // reader that has seen a change does not get an older cached view.
     std::atomic<std::uint64_t> version{1};
     std::atomic<std::uint64_t> unknown_heartbeats{0};
     // Guards `latest` and `latest_version`; never held with a shard's lock.
