entry: join the configuration tree and the registrars

Cause: the entry node subscribed to control only and knew only servers that announce to it; at 330 nodes neither holds.

--- a/oleanderhinge/entry/config_client.cpp
+++ b/oleanderhinge/entry/config_client.cpp
@@ -5,115 +5,129 @@
 namespace oleanderhinge::entry
 {
 
+namespace
+{
+
+membership::peer_link to_peer(net::link_id link)
+{
+    return membership::peer_link{link.value()};
+}
+
+net::link_id to_link(membership::peer_link peer)
+{
+    return net::link_id{peer.value()};
+}
+
+// Messages that only the tree sends.
+bool is_tree_message(const wire::message& content)
+{
+    return std::holds_alternative<wire::subscribe>(content) ||
+           std::holds_alternative<wire::subscribe_redirect>(content) ||
+           std::holds_alternative<wire::config_update>(content) ||
+           std::holds_alternative<wire::config_confirm>(content);
+}
+
+} // namespace
+
 config_client::config_client(
     net::link_table& table,
     config_client_options chosen,
     timeline::recorder& recorder)
     : links(table)
-    , options(std::move(chosen))
+    , confirm_interval(chosen.confirm_interval)
     , events(recorder)
-    , random(this->options.seed)
-    , next_control(this->random.below(this->options.control.size()))
+    , random(chosen.seed)
 {
-    this->view.options = this->options.view;
+    this->view.options = chosen.view;
+    this->tree.options = std::move(chosen.tree);
 }
 
 void config_client::tick(base::time_point now)
 {
-    std::optional<net::link_id> silent;
+    membership::tree_actions todo;
     {
         const std::lock_guard lock(this->mutex);
         this->note(membership::tick(this->view, now));
-        if (this->parent &&
-            now - this->last_confirm >= this->options.parent_silence) {
-            silent = std::exchange(this->parent, std::nullopt);
-            this->connect_at = now;
+        todo = membership::tick(this->tree, this->view, this->random, now);
+        if (now - this->last_confirms >= this->confirm_interval) {
+            this->last_confirms = now;
+            auto confirms =
+                membership::make_confirms(this->tree, this->view, now);
+            todo.insert(
+                todo.end(),
+                std::make_move_iterator(confirms.begin()),
+                std::make_move_iterator(confirms.end()));
         }
-        if (!this->parent && now >= this->connect_at)
-            this->connect(now);
-    }
-    if (silent)
-        this->links.close(*silent);
-}
-
-void config_client::connect(base::time_point now)
-{
-    wire::endpoint target;
-    if (!this->candidates.empty()) {
-        target = this->candidates.front();
-        this->candidates.pop_front();
-    } else if (!this->options.control.empty()) {
-        const auto& control = this->options.control;
-        target = control[this->next_control++ % control.size()];
-    } else {
-        return;
     }
-    this->last_confirm = now;
-    // connect() only starts the connection, so it cannot call back here.
-    this->parent = this->links.connect(target);
+    this->perform(todo, now);
 }
 
-void config_client::on_opened(net::link_id link)
+void config_client::on_opened(net::link_id link, base::time_point now)
 {
-    wire::subscribe message;
+    membership::tree_actions todo;
     {
         const std::lock_guard lock(this->mutex);
-        if (this->parent != link)
-            return;
-        message.have = membership::revision_of(this->view);
-        message.vm = this->options.vm;
-        message.listen = this->options.listen;
+        todo = membership::on_link_opened(
+            this->tree, to_peer(link), this->view, this->random, now);
     }
-    this->links.send(link, message);
+    this->perform(todo, now);
 }
 
-bool config_client::on_message(net::link_id link, const wire::message& content)
+bool config_client::on_message(
+    net::link_id link, const wire::message& content, base::time_point now)
 {
-    const auto now = base::monotonic_now();
-    bool leave = false;
+    if (!is_tree_message(content))
+        return false;
+    membership::tree_actions todo;
     {
         const std::lock_guard lock(this->mutex);
-        if (this->parent != link)
+        const bool from_parent =
+            membership::is_parent(this->tree, to_peer(link));
+        // A redirect on another link concerns claims.
+        if (!from_parent && !std::holds_alternative<wire::subscribe>(content))
             return false;
-        if (const auto* update = std::get_if<wire::config_update>(&content)) {
-            leave =
-                this->note(membership::apply_update(this->view, *update, now));
-        } else if (
-            const auto* confirm = std::get_if<wire::config_confirm>(&content)) {
-            this->last_confirm = now;
-            leave = this->note(
-                membership::apply_confirm(this->view, *confirm, now));
-        } else if (
-            const auto* other =
-                std::get_if<wire::subscribe_redirect>(&content)) {
-            this->candidates.assign(
-                other->parents.begin(), other->parents.end());
-            leave = true;
-        } else {
-            return false;
-        }
-        if (leave) {
-            this->parent.reset();
-            this->connect_at = now;
-        }
+        todo = this->take(link, content, now);
     }
-    if (leave)
-        this->links.close(link);
+    this->perform(todo, now);
     return true;
 }
 
+membership::tree_actions config_client::take(
+    net::link_id link, const wire::message& content, base::time_point now)
+{
+    if (const auto* update = std::get_if<wire::config_update>(&content)) {
+        const auto outcome = membership::apply_update(this->view, *update, now);
+        this->note(outcome);
+        return membership::after_update(
+            this->tree, this->view, *update, outcome, this->random, now);
+    }
+    if (const auto* confirm = std::get_if<wire::config_confirm>(&content)) {
+        const auto outcome =
+            membership::apply_confirm(this->view, *confirm, now);
+        this->note(outcome);
+        return membership::after_confirm(
+            this->tree, this->view, outcome, this->random, now);
+    }
+    if (const auto* other = std::get_if<wire::subscribe_redirect>(&content))
+        return membership::on_redirect(
+            this->tree, to_peer(link), *other, this->random, now);
+    return membership::on_subscribe(
+        this->tree,
+        to_peer(link),
+        std::get<wire::subscribe>(content),
+        this->view,
+        now);
+}
+
 void config_client::on_closed(net::link_id link, base::time_point now)
 {
-    const std::lock_guard lock(this->mutex);
-    if (this->parent != link)
-        return;
-    this->parent.reset();
-    // Jitter keeps the subscribers of a failed parent from coming back at
-    // once.
-    const auto delay = this->options.reconnect_delay;
-    this->connect_at =
-        now + delay +
-        base::duration(this->random.below(std::uint64_t(delay.count())));
+    membership::tree_actions todo;
+    {
+        const std::lock_guard lock(this->mutex);
+        todo = membership::on_link_closed(
+            this->tree, to_peer(link), this->view, this->random, now);
+    }
+    this->perform(todo, now);
 }
 
 void config_client::note_reported(base::revision reported, base::time_point now)
@@ -122,13 +136,45 @@
     this->note(membership::note_reported(this->view, reported, now));
 }
 
-bool config_client::note(const std::vector<membership::config_action>& actions)
+void config_client::perform(
+    const membership::tree_actions& actions, base::time_point now)
+{
+    std::vector<net::link_id> lost;
+    for (const auto& action : actions) {
+        if (const auto* c = std::get_if<membership::tree_connect>(&action)) {
+            // Held over connect(), so that the tree knows the link before its
+            // callbacks ask for it.
+            const std::lock_guard lock(this->mutex);
+            membership::note_connecting(
+                this->tree, to_peer(this->links.connect(c->to)));
+        } else if (
+            const auto* s = std::get_if<membership::tree_send>(&action)) {
+            // A child that reads too slowly is dropped; it subscribes again.
+            for (const auto& to : s->to)
+                if (this->links.send(to_link(to), s->content) ==
+                    net::send_status::full)
+                    lost.push_back(to_link(to));
+        } else if (
+            const auto* d = std::get_if<membership::tree_close>(&action)) {
+            this->links.close(to_link(d->link));
+        }
+    }
+    for (const auto& link : lost) {
+        this->links.close(link);
+        this->on_closed(link, now);
+    }
+}
+
+void config_client::note(const std::vector<membership::config_action>& actions)
 {
     using timeline::event_kind;
-    bool leave = false;
     for (const auto& action : actions) {
         if (const auto* a = std::get_if<membership::config_applied>(&action)) {
-            this->rebuild_index();
+            auto next = std::make_shared<active_configuration>();
+            next->config = this->view.config;
+            for (const auto& [id, customer] : next->config->customers)
+                next->credentials.emplace(customer.credential_sha256, id);
+            this->active = std::move(next);
             this->events.record(
                 event_kind::config_applied,
                 "revision " + std::to_string(a->to.value()));
@@ -136,22 +182,8 @@
             this->events.record(event_kind::config_lease_lost, "");
         } else if (std::holds_alternative<membership::lease_regained>(action)) {
             this->events.record(event_kind::config_lease_regained, "");
-        } else {
-            // Changes are missing or the parent is behind; a new subscription
-            // to another parent brings what is needed.
-            leave = true;
         }
     }
-    return leave;
-}
-
-void config_client::rebuild_index()
-{
-    auto next = std::make_shared<active_configuration>();
-    next->config = this->view.config;
-    for (const auto& [id, customer] : next->config->customers)
-        next->credentials.emplace(customer.credential_sha256, id);
-    this->active = std::move(next);
 }
 
 std::shared_ptr<const active_configuration> config_client::current() const
--- a/oleanderhinge/entry/config_client.hpp
+++ b/oleanderhinge/entry/config_client.hpp
@@ -1,22 +1,22 @@
-// The configuration of an entry node: subscribes to control or to another
-// entry node, keeps the newest revision and says whether it may be served.
+// The configuration of an entry node: finds a parent in the distribution tree
+// (membership/config_tree.hpp), keeps the newest revision, says whether it may
+// be served, and feeds the entry nodes below.
 //
 // Example:
-//   config_client config{links, options, events, now};
+//   config_client config{links, options, events};
 //   config.tick(now);                       // connects and watches the lease
 //   auto active = config.current();         // null before the first update
 //   auto decision = config.may_serve(route, now);
 #pragma once
 
 #include "oleanderhinge/base/random.hpp"
+#include "oleanderhinge/membership/config_tree.hpp"
 #include "oleanderhinge/membership/config_view.hpp"
 #include "oleanderhinge/net/link_table.hpp"
 #include "oleanderhinge/timeline/event.hpp"
 
-#include <deque>
 #include <memory>
 #include <mutex>
-#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -32,15 +32,9 @@
 };
 
 struct config_client_options {
-    // Link ports of the control VMs.
-    std::vector<wire::endpoint> control;
-    base::vm_id vm;
-    // Where this node accepts subscribers itself.
-    wire::endpoint listen;
+    membership::config_tree_options tree;
     membership::config_view_options view;
-    // Without a confirm for this long, another parent is tried.
-    base::duration parent_silence = std::chrono::seconds(3);
-    base::duration reconnect_delay = std::chrono::milliseconds(200);
+    base::duration confirm_interval = std::chrono::seconds(1);
     std::uint64_t seed = 0;
 };
 
@@ -55,12 +49,13 @@
 
     // Commands.
 
-    // Connects if there is no parent and reports the end of the lease. Call it
-    // a few times a second.
+    // Looks for a parent, reports the end of the lease, confirms to children.
+    // Call it a few times a second.
     void tick(base::time_point now);
-    void on_opened(net::link_id link);
-    // True if the message was for this component and came from its parent.
-    bool on_message(net::link_id link, const wire::message& content);
+    void on_opened(net::link_id link, base::time_point now);
+    // True if the message was for this component.
+    bool on_message(
+        net::link_id link, const wire::message& content, base::time_point now);
     void on_closed(net::link_id link, base::time_point now);
     // Takes the highest revision that agents report.
     void note_reported(base::revision reported, base::time_point now);
@@ -75,26 +70,23 @@
     std::uint32_t age_ms(base::time_point now) const;
 
 private:
-    void connect(base::time_point now);
-    // Carries out actions of the view; called with the lock held and returns
-    // whether the parent must be left.
-    bool note(const std::vector<membership::config_action>& actions);
-    void rebuild_index();
+    membership::tree_actions
+    take(net::link_id link, const wire::message& content, base::time_point now);
+    // Runs without the lock.
+    void perform(const membership::tree_actions& actions, base::time_point now);
+    // Records actions of the view and rebuilds the index; with the lock held.
+    void note(const std::vector<membership::config_action>& actions);
 
     net::link_table& links;
-    const config_client_options options;
+    const base::duration confirm_interval;
     timeline::recorder& events;
 
     mutable std::mutex mutex;
     membership::config_view view;
-    std::shared_ptr<const active_configuration> active;
+    membership::config_tree tree;
     base::random_source random;
-    std::optional<net::link_id> parent;
-    // Endpoints to try before the list of control VMs, from redirects.
-    std::deque<wire::endpoint> candidates;
-    std::size_t next_control = 0;
-    base::time_point connect_at;
-    base::time_point last_confirm;
+    base::time_point last_confirms;
+    std::shared_ptr<const active_configuration> active;
 };
 
 } // namespace oleanderhinge::entry
--- a/oleanderhinge/entry/entry_node.cpp
+++ b/oleanderhinge/entry/entry_node.cpp
@@ -15,7 +15,6 @@
 
 constexpr auto tick_interval = std::chrono::milliseconds(50);
 constexpr std::size_t kept_events = 16384;
-constexpr std::size_t directory_shards = 8;
 
 } // namespace
 
@@ -36,9 +35,14 @@
           [this](wire::message content, const wire::endpoint& from) {
               this->on_datagram(std::move(content), from);
           })
-    , directory(
-          {.server_lease = this->options.times.server_lease}, directory_shards)
     , routes(this->options.here, base::entropy_seed(), base::monotonic_now())
+    , servers(
+          this->make_server_options(),
+          this->routes,
+          this->events,
+          [this](const wire::endpoint& to, const wire::message& content) {
+              this->udp.send(to, content);
+          })
     , agents(this->links)
     , config(this->links, this->make_config_options(), this->events)
     , claims(this->links, this->options.control)
@@ -97,7 +101,7 @@
         [this](net::link_id link, const wire::hello& peer) {
             this->events.record(
                 timeline::event_kind::link_opened, peer.vm.value());
-            this->config.on_opened(link);
+            this->config.on_opened(link, base::monotonic_now());
         },
         [this](net::link_id link, wire::message content) {
             this->on_link_message(link, std::move(content));
@@ -109,16 +113,36 @@
 
 config_client_options entry_node::make_config_options() const
 {
+    const auto& times = this->options.times;
     config_client_options to;
-    to.control = this->options.control;
-    to.vm = this->options.vm;
-    to.listen = this->options.link;
-    to.view.lease = this->options.times.config_lease;
-    to.parent_silence = 3 * this->options.times.config_confirm_interval;
+    to.tree.self = this->options.vm;
+    to.tree.listen = this->options.link;
+    to.tree.roots = this->options.control;
+    to.tree.fan_out = this->options.fanout;
+    to.view.lease = times.config_lease;
+    to.confirm_interval = times.config_confirm_interval;
     to.seed = base::entropy_seed();
     return to;
 }
 
+server_knowledge_options entry_node::make_server_options() const
+{
+    const auto& times = this->options.times;
+    server_knowledge_options to;
+    to.directory.server_lease = times.server_lease;
+    to.registrar.vm = this->options.vm;
+    to.registrar.self = this->options.announce;
+    to.registrar.interval = times.announce_interval;
+    to.registrar.server_lease = times.server_lease;
+    to.peers.self = {this->options.vm, this->options.announce};
+    to.peers.own_incarnation = this->self;
+    to.peers.data_centre = this->options.here.data_centre;
+    to.peers.seeds = this->options.peers;
+    to.peers.interval = times.announce_interval;
+    to.peers.lease = times.server_lease;
+    return to;
+}
+
 base::result<void> entry_node::start()
 {
     BOOST_LEAF_CHECK(this->links.listen(this->options.link));
@@ -145,6 +169,7 @@
         this->events.record(timeline::event_kind::process_draining, "");
         spdlog::info("event=draining vm={}", this->options.vm.value());
         this->callers.drain();
+        this->servers.leave();
     };
     to.drained = [this] {
         return this->callers.active() == 0 && this->requests.in_progress() == 0;
@@ -163,7 +188,7 @@
 
 void entry_node::on_link_message(net::link_id link, wire::message content)
 {
-    if (this->config.on_message(link, content))
+    if (this->config.on_message(link, content, base::monotonic_now()))
         return;
     if (this->claims.on_message(link, content))
         return;
@@ -186,23 +211,27 @@
 
 void entry_node::on_datagram(wire::message content, const wire::endpoint& from)
 {
+    const auto now = base::monotonic_now();
     if (const auto* message = std::get_if<wire::announcement>(&content))
         this->on_announcement(*message, from);
+    else if (const auto* batch = std::get_if<wire::directory_update>(&content))
+        this->servers.on_batch(*batch, from, now);
+    else if (const auto* sign = std::get_if<wire::entry_heartbeat>(&content))
+        this->servers.on_heartbeat(*sign, now);
 }
 
 void entry_node::on_announcement(
     const wire::announcement& message, const wire::endpoint& from)
 {
     const auto now = base::monotonic_now();
-    this->note(this->directory.apply_announcement(message, now), now);
-    this->routes.put(message, now + this->options.times.server_lease, now);
-    this->config.note_reported(this->directory.highest_config(), now);
+    this->servers.on_announcement(message, now);
+    this->config.note_reported(this->servers.highest_config(), now);
 
     wire::announcement_ack ack;
     ack.server = message.server;
     ack.sequence = message.sequence;
     ack.entry = this->options.vm;
-    ack.entry_nodes = {this->options.announce};
+    ack.entry_nodes = this->servers.endpoints_for_ack(message.sequence);
     ack.config = this->config.revision();
     ack.config_age_ms = this->config.age_ms(now);
     if (const auto active = this->config.current()) {
@@ -216,26 +245,6 @@
     this->udp.send(from, ack);
 }
 
-void entry_node::note(
-    const std::vector<membership::directory_action>& actions, base::time_point)
-{
-    using timeline::event_kind;
-    for (const auto& action : actions) {
-        if (const auto* a = std::get_if<membership::server_joined>(&action)) {
-            this->events.record(event_kind::server_joined, a->server.value());
-            spdlog::info("event=server_joined server={}", a->server.value());
-        } else if (
-            const auto* c = std::get_if<membership::server_changed>(&action)) {
-            this->events.record(event_kind::server_changed, c->server.value());
-        } else if (
-            const auto* l = std::get_if<membership::server_left>(&action)) {
-            this->routes.remove(l->server);
-            this->events.record(event_kind::server_left, l->server.value());
-            spdlog::info("event=server_left server={}", l->server.value());
-        }
-    }
-}
-
 void entry_node::schedule_tick()
 {
     this->timer.expires_after(tick_interval);
@@ -252,7 +261,7 @@
     const auto now = base::monotonic_now();
     this->config.tick(now);
     this->requests.tick();
-    this->note(this->directory.expire(now), now);
+    this->servers.tick(now);
 }
 
 void entry_node::update_gauges()
@@ -261,7 +270,7 @@
     this->counters.requests_in_progress.Set(
         double(this->requests.in_progress()));
     this->counters.links.Set(double(this->links.size()));
-    this->counters.servers.Set(double(this->directory.size()));
+    this->counters.servers.Set(double(this->servers.size()));
     this->counters.config_revision.Set(double(this->config.revision().value()));
     this->counters.config_age_seconds.Set(this->config.age_ms(now) / 1000.0);
     const auto link_totals = this->links.counters();
--- a/oleanderhinge/entry/entry_node.hpp
+++ b/oleanderhinge/entry/entry_node.hpp
@@ -11,7 +11,7 @@
 #include "oleanderhinge/entry/config_client.hpp"
 #include "oleanderhinge/entry/http_api.hpp"
 #include "oleanderhinge/entry/request_service.hpp"
-#include "oleanderhinge/membership/shared_directory.hpp"
+#include "oleanderhinge/entry/server_knowledge.hpp"
 #include "oleanderhinge/net/http_server.hpp"
 #include "oleanderhinge/net/management.hpp"
 #include "oleanderhinge/net/process.hpp"
@@ -39,6 +39,10 @@
     wire::endpoint callers;
     wire::endpoint management;
     std::vector<wire::endpoint> control;
+    // Announce endpoints of other entry nodes of the data centre.
+    std::vector<wire::endpoint> peers;
+    // Entry nodes that get their configuration from this one.
+    std::size_t fanout = 8;
     settings::timing times;
     std::size_t max_in_progress = 2000;
     unsigned threads = 2;
@@ -63,6 +67,7 @@
     net::link_options make_link_options() const;
     net::link_events make_link_events();
     config_client_options make_config_options() const;
+    server_knowledge_options make_server_options() const;
     net::http_handler make_management();
 
     void on_link_message(net::link_id link, wire::message content);
@@ -71,9 +76,6 @@
     void on_datagram(wire::message content, const wire::endpoint& from);
     void on_announcement(
         const wire::announcement& message, const wire::endpoint& from);
-    void note(
-        const std::vector<membership::directory_action>& actions,
-        base::time_point now);
     void schedule_tick();
     void tick();
     void update_gauges();
@@ -88,8 +90,8 @@
     metrics counters;
     net::link_table links;
     net::udp_endpoint udp;
-    membership::shared_directory directory;
     router routes;
+    server_knowledge servers;
     agent_links agents;
     config_client config;
     claim_client claims;
--- a/oleanderhinge/entry/entry_settings.cpp
+++ b/oleanderhinge/entry/entry_settings.cpp
@@ -59,6 +59,21 @@
          "1",
          "100000",
          "requests in progress at this node; more are refused"},
+        {"entry",
+         "peers",
+         value_type::endpoint_list,
+         "",
+         "",
+         "",
+         "announce endpoints of other entry nodes of the data centre",
+         true},
+        {"entry",
+         "fanout",
+         value_type::integer,
+         "8",
+         "1",
+         "64",
+         "entry nodes that get their configuration from this one"},
         {"control",
          "endpoints",
          value_type::endpoint_list,
@@ -93,6 +108,9 @@
     options.callers = checked.endpoint("entry.callers");
     options.max_in_progress =
         std::size_t(checked.integer("entry.max_in_progress"));
+    if (checked.has("entry.peers"))
+        options.peers = checked.endpoint_list("entry.peers");
+    options.fanout = std::size_t(checked.integer("entry.fanout"));
     options.control = checked.endpoint_list("control.endpoints");
     options.management = checked.endpoint("management.listen");
     options.times = settings::load_timing(checked);
--- a/tests/harness/fleet.cpp
+++ b/tests/harness/fleet.cpp
@@ -157,11 +157,15 @@
     std::string control;
     for (const auto& c : this->controls)
         control += (control.empty() ? "" : ", ") + at(c.link);
+    std::string peers;
+    for (const auto& e : this->entries)
+        peers += (peers.empty() ? "" : ", ") + at(e.announce);
     const auto file = this->run.write(
         name + ".ini",
         this->node_lines(name) + secret + "[entry]\nlink = " + at(ports.link) +
-            "\nannounce = " + at(ports.announce) + "\ncallers = " +
-            at(ports.callers) + "\n[control]\nendpoints = " + control +
+            "\nannounce = " + at(ports.announce) +
+            "\ncallers = " + at(ports.callers) + "\npeers = " + peers +
+            "\n[control]\nendpoints = " + control +
             "\n[management]\nlisten = " + at(ports.management) + "\n" +
             this->options.entry_extra);
     this->run.start(name, {"oleanderhinge-entry", "--config", file});
