Bound entry heartbeats by the size of a datagram

Cause: an answer names up to 24 entry nodes; with VM names of 70 characters that exceeds a datagram, and the UDP endpoint would drop it. Change: nodes that do not fit are left out, later heartbeats name them; the tests use such names and 30 nodes. Conclusion: nodes with long names find each other.

--- a/oleanderhinge/membership/entry_peers.cpp
+++ b/oleanderhinge/membership/entry_peers.cpp
@@ -1,5 +1,8 @@
 #include "oleanderhinge/membership/entry_peers.hpp"
 
+#include "oleanderhinge/membership/internal/datagram.hpp"
+#include "oleanderhinge/wire/archive.hpp"
+
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -15,8 +18,7 @@
 // Nodes that an ordinary heartbeat names. Two a second name all nodes of a
 // data centre every few seconds.
 constexpr std::size_t known_in_heartbeat = 2;
-// Nodes that an answer to a new node names; with long names it still fits a
-// datagram.
+// Nodes that an answer to a new node names.
 constexpr std::size_t known_in_answer = 24;
 
 bool is_self(const entry_peers& peers, const wire::entry_peer& other)
@@ -38,13 +40,18 @@
 wire::entry_heartbeat
 make_heartbeat(entry_peers& peers, std::size_t known, bool wants_peers)
 {
-    return {
+    wire::entry_heartbeat content{
         .self = peers.options.self,
         .sender_incarnation = peers.options.own_incarnation,
         .data_centre = peers.options.data_centre,
         .leaving = peers.leaving,
         .wants_peers = wants_peers,
         .known = some_known(peers, known)};
+    // Long names of VMs; the rest is named by later heartbeats.
+    while (!content.known.empty() &&
+           wire::to_bytes(content).size() > internal::datagram_payload)
+        content.known.pop_back();
+    return content;
 }
 
 void add_probe(
--- a/oleanderhinge/membership/entry_peers_test.cpp
+++ b/oleanderhinge/membership/entry_peers_test.cpp
@@ -29,10 +29,16 @@
 
     static wire::endpoint at(std::uint16_t i) { return {"10.0.0.1", i}; }
 
+    // A VM name of 70 characters: 24 of them do not fit a datagram.
+    static base::vm_id vm(std::uint16_t i)
+    {
+        return base::vm_id{std::to_string(i) + std::string(68, 'e')};
+    }
+
     void add(std::uint16_t i, std::uint64_t incarnation)
     {
         entry_peers p;
-        p.options.self = {base::vm_id{"e" + std::to_string(i)}, at(i)};
+        p.options.self = {vm(i), at(i)};
         p.options.own_incarnation = base::incarnation{incarnation};
         p.options.data_centre = base::data_centre_id{"tartu-a"};
         p.options.seeds = {at(0)};
@@ -77,15 +83,15 @@
 TEST(entry_peers, all_nodes_find_each_other_through_one_seed)
 {
     world w;
-    for (std::uint16_t i = 0; i < 17; ++i)
+    for (std::uint16_t i = 0; i < 30; ++i)
         w.add(i, i + 1u);
-    w.pass(4);
-    w.expect_all_know(17);
-    EXPECT_EQ(w.joined, 17u * 16u) << "each join must be reported once";
+    w.pass(5);
+    w.expect_all_know(30);
+    EXPECT_EQ(w.joined, 30u * 29u) << "each join must be reported once";
     // The seed dies, then a node joins; it needs another seed to be found.
     w.nodes.erase(world::at(0));
     w.pass(4);
-    w.expect_all_know(16);
+    w.expect_all_know(29);
 }
 
 TEST(entry_peers, restarted_node_is_reported_again)
@@ -142,7 +148,7 @@
     w.add(1, 2);
     w.pass(2);
     auto& node = w.nodes.at(world::at(0));
-    const base::vm_id other{"e1"};
+    const auto other = world::vm(1);
     w.joined = 0;
     w.run(ask_directory(node, other, w.now));
     EXPECT_EQ(w.joined, 1u);
