--- a/oleanderhinge/admission/internal/dispatch.cpp
+++ b/oleanderhinge/admission/internal/dispatch.cpp
@@ -20,15 +20,12 @@
 // Mean requests that a rank without work may save up, so that a short burst
 // within its share on average is not delayed.
 constexpr double max_burst_requests = 4;
+// Time constant of the slots that urgent work uses. Shorter than the time a
+// long answer holds a slot, so that idle slots are lent within seconds.
+constexpr double urgent_memory_us = 5e6;
 // Predictions below this are too small to learn their error from.
 constexpr double min_learned_wait_us = 10000;
 
-struct rank_choice {
-    std::size_t rank = 0;
-    // Whether the rank is owed the grant from its share.
-    bool owed = false;
-};
-
 // Tokens a rank is credited for each granted token. What the shares leave
 // goes to the most urgent rank.
 double earned_share(const queue& q, std::size_t rank)
@@ -46,6 +43,24 @@
     return q.options.rank_shares && q.ranks[rank].credit >= 0;
 }
 
+// Slots that the lower ranks leave to urgent work: its smoothed use and one
+// standard deviation of a Poisson number, within its share.
+double urgent_reserve(const queue& q)
+{
+    if (!q.options.rank_shares || !q.options.urgent_reserve)
+        return 0;
+    return std::min(
+        q.urgent_in_use + std::sqrt(q.urgent_in_use),
+        earned_share(q, 0) * double(q.limit.current));
+}
+
+bool is_slot_free_for_others(const queue& q)
+{
+    const auto others = q.in_progress.size() - q.in_progress_by_rank[0];
+    return q.in_progress.size() < q.limit.current &&
+           double(others) + urgent_reserve(q) < double(q.limit.current);
+}
+
 // Whether urgent work may use a slot, if need be above the limit.
 bool is_slot_free_for_urgent(const queue& q)
 {
@@ -59,43 +74,25 @@
 
 // Rank that gets the next slot: the most urgent one that is owed it, else the
 // most urgent one with work. Above the limit, only urgent work that is owed.
-std::optional<rank_choice> pick_rank(const queue& q)
+std::optional<std::size_t> pick_rank(const queue& q)
 {
-    if (q.in_progress.size() >= q.limit.current) {
+    if (!is_slot_free_for_others(q)) {
         if (q.ranks[0].queued > 0 && is_slot_free_for_urgent(q))
-            return rank_choice{0, q.options.rank_shares};
+            return 0;
         return std::nullopt;
     }
-    std::optional<rank_choice> first;
+    std::optional<std::size_t> first;
     for (std::size_t r = 0; r < base::rank_count; ++r) {
         if (q.ranks[r].queued == 0)
             continue;
         if (is_owed(q, r))
-            return rank_choice{r, true};
+            return r;
         if (!first)
-            first = rank_choice{r, false};
+            first = r;
     }
     return first;
 }
 
-// Credits every rank for `cost` granted tokens and charges the rank that got
-// them out of its share. A rank without work saves up a burst at most.
-void account_grant(queue& q, const rank_choice& choice, double cost)
-{
-    const double mean = std::max(q.mean_cost, cost);
-    const double bound = max_credit_requests * mean;
-    const double burst = max_burst_requests * mean;
-    for (std::size_t r = 0; r < base::rank_count; ++r) {
-        auto& state = q.ranks[r];
-        const double earned = earned_share(q, r) * cost;
-        if (state.queued > 0 || state.credit < burst)
-            state.credit += earned;
-        if (r == choice.rank && choice.owed)
-            state.credit -= cost;
-        state.credit = std::clamp(state.credit, -bound, bound);
-    }
-}
-
 void learn_wait(rank_state& rank, const waiting& entry, base::time_point now)
 {
     const double measured = double((now - entry.since).count());
@@ -128,6 +125,36 @@
 
 } // namespace
 
+void account_tokens(queue& q, std::size_t rank, double tokens)
+{
+    const double mean = std::max(q.mean_cost, std::abs(tokens));
+    const double bound = max_credit_requests * mean;
+    const double burst = max_burst_requests * mean;
+    double lent = 0;
+    for (std::size_t r = 0; r < base::rank_count; ++r) {
+        auto& state = q.ranks[r];
+        const double earned = earned_share(q, r) * tokens;
+        if (state.queued > 0 || state.credit < burst)
+            state.credit += earned;
+        else
+            lent += earned;
+    }
+    q.ranks[rank].credit += lent - tokens;
+    for (auto& state : q.ranks)
+        state.credit = std::clamp(state.credit, -bound, bound);
+}
+
+void count_in_progress(
+    queue& q, base::rank work_rank, int change, base::time_point now)
+{
+    const double elapsed = std::max(0.0, double((now - q.counted_at).count()));
+    const double kept = std::exp(-elapsed / urgent_memory_us);
+    q.urgent_in_use =
+        q.urgent_in_use * kept + double(q.in_progress_by_rank[0]) * (1 - kept);
+    q.counted_at = std::max(q.counted_at, now);
+    q.in_progress_by_rank[index_of(work_rank)] += std::uint32_t(change);
+}
+
 double cost_of(const queue& q, const work& item, double generated)
 {
     return std::max(
@@ -157,8 +184,8 @@
 {
     const auto r = index_of(item.work_rank);
     const auto& rank = q.ranks[r];
-    const bool busy = r == 0 ? !is_slot_free_for_urgent(q)
-                             : q.in_progress.size() >= q.limit.current;
+    const bool busy =
+        r == 0 ? !is_slot_free_for_urgent(q) : !is_slot_free_for_others(q);
     if (q.slot_us_per_token == 0 || (!busy && rank.queued == 0))
         return 0;
     // The mean request stands for the wait until the next slot is free.
@@ -214,7 +241,7 @@
 void dispatch(queue& q, base::time_point now, actions& out)
 {
     while (const auto choice = pick_rank(q)) {
-        auto& rank = q.ranks[choice->rank];
+        auto& rank = q.ranks[*choice];
         auto entry = pop(rank, q.mean_cost);
         if (!entry)
             return;
@@ -231,10 +258,11 @@
             continue;
         }
         learn_wait(rank, *entry, now);
-        account_grant(q, *choice, entry->cost);
+        account_tokens(q, *choice, entry->cost);
+        count_in_progress(q, item.work_rank, 1, now);
         out.emplace_back(grant{item.request});
         q.in_progress.emplace(
-            item.request, running{item, entry->cost, now, choice->owed, false});
+            item.request, running{item, entry->cost, now, false});
     }
 }
 
--- a/oleanderhinge/admission/internal/dispatch.hpp
+++ b/oleanderhinge/admission/internal/dispatch.hpp
@@ -42,6 +42,15 @@
     std::string detail,
     double wait_us);
 
+// Charges a rank for granted tokens and credits all ranks by their shares. What
+// a rank without work does not save up is lent to the charged one, so that the
+// sum of the credits stays the same. Negative tokens give back.
+void account_tokens(queue& q, std::size_t rank, double tokens);
+
+// Counts a granted (+1) or ended (-1) request.
+void count_in_progress(
+    queue& q, base::rank work_rank, int change, base::time_point now);
+
 // Grants queued work while slots are free.
 void dispatch(queue& q, base::time_point now, actions& out);
 
--- a/oleanderhinge/admission/internal/rank_queue.cpp
+++ b/oleanderhinge/admission/internal/rank_queue.cpp
@@ -103,6 +103,21 @@
     }
 }
 
+// Newcomers get the turns of their number, and at least every other one, so
+// that a customer with little work is served soon beside few large ones.
+bool is_newcomers_turn(rank_state& rank)
+{
+    if (rank.newcomers.empty() || rank.order.empty())
+        return rank.order.empty();
+    const auto newcomers = double(rank.newcomers.size());
+    rank.newcomer_turns +=
+        std::max(0.5, newcomers / (newcomers + double(rank.order.size())));
+    if (rank.newcomer_turns < 1)
+        return false;
+    rank.newcomer_turns -= 1;
+    return true;
+}
+
 void subtract_queued(
     rank_state& rank, customer_state& customer, const waiting& entry)
 {
@@ -157,9 +172,7 @@
 {
     if (rank.queued == 0)
         return std::nullopt;
-    const bool from_newcomers =
-        rank.order.empty() || (rank.newcomer_turn && !rank.newcomers.empty());
-    rank.newcomer_turn = !from_newcomers;
+    const bool from_newcomers = is_newcomers_turn(rank);
     if (!from_newcomers)
         find_turn(rank, quantum);
     auto& list = from_newcomers ? rank.newcomers : rank.order;
--- a/oleanderhinge/admission/internal/rank_queue.hpp
+++ b/oleanderhinge/admission/internal/rank_queue.hpp
@@ -50,7 +50,8 @@
     // order.
     std::list<base::customer_id> newcomers;
     std::list<base::customer_id> order;
-    bool newcomer_turn = true;
+    // Turns that newcomers are owed, in [0, 1).
+    double newcomer_turns = 0.5;
     // Customers without work that still have a debt, oldest first.
     std::list<base::customer_id> debtors;
     std::uint32_t queued = 0;
--- a/oleanderhinge/admission/limit.hpp
+++ b/oleanderhinge/admission/limit.hpp
@@ -39,7 +39,7 @@
     // Small, so that the first windows show the unloaded latency.
     std::uint32_t initial = 2;
     // Accepted ratio of measured to unloaded latency.
-    double tolerance = 2.0;
+    double tolerance = 1.8;
     // Samples a decision is based on.
     std::uint32_t window = 20;
     // Growth of the limit in one window, as a share of it.
--- a/oleanderhinge/admission/queue.cpp
+++ b/oleanderhinge/admission/queue.cpp
@@ -127,8 +127,7 @@
 void settle(queue& q, const running& done, double actual)
 {
     auto& rank = q.ranks[index_of(done.item.work_rank)];
-    if (done.owed)
-        rank.credit += done.cost - actual;
+    account_tokens(q, index_of(done.item.work_rank), actual - done.cost);
     release(rank, account_of(q, done.item), done.cost - actual, q.mean_cost);
 }
 
@@ -205,7 +204,8 @@
     }
     const double cost = estimate(q, item);
     smooth(q.mean_cost, cost);
-    q.in_progress.emplace(item.request, running{item, cost, now, false, true});
+    count_in_progress(q, item.work_rank, 1, now);
+    q.in_progress.emplace(item.request, running{item, cost, now, true});
     out.emplace_back(grant{item.request});
     return out;
 }
@@ -222,6 +222,7 @@
         return out;
     const running done = it->second;
     q.in_progress.erase(it);
+    count_in_progress(q, done.item.work_rank, -1, now);
     const double generated = std::max(
         0.0, double(actual_tokens.value()) - double(done.item.prompt_tokens));
     const double actual = cost_of(q, done.item, generated);
@@ -250,6 +251,7 @@
         return out;
     const running dropped = it->second;
     q.in_progress.erase(it);
+    count_in_progress(q, dropped.item.work_rank, -1, now);
     if (!dropped.passed)
         settle(q, dropped, 0);
     dispatch(q, now, out);
--- a/oleanderhinge/admission/queue.hpp
+++ b/oleanderhinge/admission/queue.hpp
@@ -46,6 +46,10 @@
     // seldom for a first token within 0.4 s; the lower ranks give the slots
     // back as their requests end.
     double urgent_headroom = 0.25;
+    // Whether the lower ranks leave as many slots free as urgent work used in
+    // the last seconds. Long answers that fill a short gap of urgent work
+    // would keep it waiting for their whole length.
+    bool urgent_reserve = false;
     // Slots above the limit that `submit_now` may use, as a share of the limit;
     // twice as many for urgent work. The head of the chain has queued the
     // request already, and a refusal here would waste that wait.
@@ -72,8 +76,6 @@
     // Tokens that were charged on entry.
     double cost = 0;
     base::time_point since;
-    // Whether the grant was paid from the rank's share.
-    bool owed = false;
     // Whether the grant came from `submit_now`.
     bool passed = false;
 };
@@ -96,6 +98,10 @@
     std::array<internal::rank_state, base::rank_count> ranks;
     std::unordered_map<base::request_id, internal::running> in_progress;
     std::unordered_map<base::request_id, internal::location> queued;
+    std::array<std::uint32_t, base::rank_count> in_progress_by_rank{};
+    // Smoothed number of slots that urgent work uses, and its last update.
+    double urgent_in_use = 0;
+    base::time_point counted_at;
     // Smoothed time that one token holds a slot, in microseconds.
     double slot_us_per_token = 0;
     // Smoothed estimated tokens of a request; the quantum of a round.
