Repeat a refused pre-vote after one heartbeat

Cause: the first member to time out is often refused because another voter heard the dead leader a moment later; it then waited a whole election timeout.

--- a/oleanderhinge/consensus/internal/roles.cpp
+++ b/oleanderhinge/consensus/internal/roles.cpp
@@ -58,6 +58,23 @@
         become_leader(c);
 }
 
+// Until the next attempt if this one finds no majority. A pre-vote is often
+// refused because a voter heard the old leader a little later, and binds
+// nobody, so it is repeated soon; a vote gets half of the usual timeout.
+void set_retry(context& c)
+{
+    const auto& times = c.state.times;
+    auto shortest = times.heartbeat;
+    auto spread = times.heartbeat;
+    if (!c.state.campaign.pre_vote) {
+        shortest = times.election_min / 2;
+        spread = (times.election_max - times.election_min) / 2;
+    }
+    c.state.election_deadline =
+        c.now + shortest +
+        base::duration(c.state.random.below(std::uint64_t(spread.count()) + 1));
+}
+
 } // namespace
 
 void reset_election(context& c)
@@ -105,7 +122,7 @@
     state.leader = {};
     state.leader_heard.reset();
     state.campaign = {pre_vote, {}};
-    reset_election(c);
+    set_retry(c);
     if (pre_vote) {
         state.campaign.granted.insert(state.self);
         request_votes(c, false);
