Test durable votes and acknowledgments and agreement on forming

Cause: in mutation trials on scratch copies, three of twelve changes survived all tests: a vote sent before it is durable, an acknowledgment of entries that are not durable, and forming a cluster without the reports of the others. Change: one unit test for each. Conclusion: each rule that was mutated is now guarded.

--- a/oleanderhinge/consensus/step_test.cpp
+++ b/oleanderhinge/consensus/step_test.cpp
@@ -272,6 +272,61 @@
     EXPECT_EQ(s.state.vote, (vote_record{term{7}, vm(2)}));
 }
 
+TEST(step, a_vote_is_sent_only_once_it_is_durable)
+{
+    subject s;
+    s.now += s.state.times.election_min;
+    const vote_request ask{term{7}, log_index{9}, term{5}};
+    EXPECT_TRUE(sent<vote_reply>(s.message(2, ask, term{7}), 2).empty());
+    const auto out = sent<vote_reply>(s.feed(persisted{s.ticket}), 2);
+    ASSERT_EQ(out.size(), 1u);
+    EXPECT_TRUE(out[0].granted);
+}
+
+TEST(step, an_entry_is_acknowledged_only_once_it_is_durable)
+{
+    subject s;
+    append_request r{log_index{1}, term{1}};
+    r.entries.push_back({term{1}, log_index{2}, entry_kind::command, "a"});
+    EXPECT_TRUE(sent<append_reply>(s.message(2, r, term{1}), 2).empty());
+    // A heartbeat is answered at once, for the lease.
+    const append_request heartbeat{log_index{2}, term{1}};
+    auto out = sent<append_reply>(s.message(2, heartbeat, term{1}), 2);
+    ASSERT_EQ(out.size(), 1u);
+    EXPECT_EQ(out[0].match, log_index{1});
+    out = sent<append_reply>(s.feed(persisted{s.ticket}), 2);
+    ASSERT_EQ(out.size(), 1u);
+    EXPECT_EQ(out[0].match, log_index{2});
+}
+
+// One member that already belongs to a cluster, or that heard of another disk,
+// keeps the rest from forming a second cluster.
+TEST(step, a_cluster_forms_only_if_all_initial_members_agree)
+{
+    setup from{vm(1), incarnation{1}};
+    for (std::uint64_t i = 1; i <= 3; ++i)
+        from.initial.push_back({vm(i), {}, {}, {}, true, false});
+    auto state = make_state(std::move(from), start);
+    const auto hear = [&](std::uint64_t i, const introduction& m) {
+        const message packed{{}, incarnation{i}, {}, m};
+        step(state, message_received{vm(i), packed}, start);
+    };
+    introduction agreed;
+    for (std::uint64_t i = 1; i <= 3; ++i)
+        agreed.known[vm(i)] = incarnation{i};
+    auto other = agreed;
+    other.known[vm(1)] = incarnation{99};
+    auto formed = agreed;
+    formed.formed = true;
+    hear(2, agreed);
+    for (const auto& m : {other, formed, introduction{}}) {
+        hear(3, m);
+        EXPECT_FALSE(is_admitted(state));
+    }
+    hear(3, agreed);
+    EXPECT_TRUE(is_voter(state));
+}
+
 TEST(step, windows_and_chunks_are_bounded)
 {
     limits bounds;
