--- a/oleanderhinge/control/program.cpp
+++ b/oleanderhinge/control/program.cpp
@@ -1,15 +1,17 @@
 #include "oleanderhinge/control/program.hpp"
 
-#include "oleanderhinge/control/local_log.hpp"
 #include "oleanderhinge/control/settings.hpp"
 #include "oleanderhinge/net/process.hpp"
+#include "oleanderhinge/replica/node.hpp"
+#include "oleanderhinge/storage/file_system.hpp"
 
 #include <CLI/CLI.hpp>
 #include <spdlog/spdlog.h>
 
-#include <algorithm>
+#include <cstdlib>
 #include <iostream>
 #include <memory>
+#include <stdexcept>
 #include <utility>
 
 namespace oleanderhinge::control
@@ -20,34 +22,66 @@
 
 constexpr int exit_cannot_start = 1;
 constexpr int exit_usage = 2;
+constexpr int exit_log_failed = 4;
 
-replica::member self_of(const control_settings& chosen)
+// Opens the replicated log in the data folder; throws std::runtime_error if
+// the folder is damaged.
+consensus_port open_log(
+    const control_settings& chosen,
+    storage::file_system& files,
+    replica::state_machine machine,
+    consensus_sender send)
 {
-    const auto& vm = chosen.service.link.self.vm;
-    return *std::find_if(
-        chosen.members.begin(), chosen.members.end(), [&](const auto& item) {
-            return item.vm == vm;
+    replica::node_setup setup;
+    setup.self = chosen.service.link.self.vm;
+    setup.initial = chosen.members;
+    setup.times = {
+        chosen.times.raft_heartbeat,
+        chosen.times.leader_lease,
+        chosen.times.election_timeout_min,
+        chosen.times.election_timeout_max};
+    setup.network = std::move(send);
+    setup.fatal = [](const std::string& reason) {
+        // Without a durable log this node must not go on answering.
+        spdlog::critical("replicated log: {}", reason);
+        spdlog::default_logger()->flush();
+        std::_Exit(exit_log_failed);
+    };
+    auto opened = base::handle(
+        [&]() -> base::result<std::unique_ptr<replica::node>> {
+            return replica::node::open(
+                std::move(setup), files, std::move(machine));
+        },
+        [&](const base::error& failure) -> std::unique_ptr<replica::node> {
+            throw std::runtime_error(
+                chosen.data_folder + ": " + failure.detail);
         });
-}
-
-// Interim: one member in memory, until the replicated log is merged.
-consensus_port
-make_local_log(const control_settings& chosen, replica::state_machine machine)
-{
+    auto* log = opened.get();
     return {
-        std::make_unique<local_log>(self_of(chosen), std::move(machine)), {}};
+        .log = std::move(opened),
+        .receive =
+            [log](const base::vm_id& from, wire::consensus_message content) {
+                log->receive(from, std::move(content));
+            },
+        .hand_over =
+            [log](std::function<void()> done) {
+                log->hand_over([done = std::move(done)](
+                                   replica::barrier_result) { done(); });
+            }};
 }
 
 int serve(const control_settings& chosen)
 {
+    const auto files = storage::make_posix_file_system(chosen.data_folder);
     boost::asio::io_context io;
     timeline::hybrid_clock clock;
     service control(
         io,
         clock,
         chosen.service,
-        [&](replica::state_machine machine, const consensus_sender&) {
-            return make_local_log(chosen, std::move(machine));
+        [&](replica::state_machine machine, consensus_sender send) {
+            return open_log(
+                chosen, *files, std::move(machine), std::move(send));
         });
     const bool started = base::handle(
         [&]() -> base::result<bool> {
--- a/oleanderhinge/control/program.hpp
+++ b/oleanderhinge/control/program.hpp
@@ -6,7 +6,7 @@
 
 // Exit codes: 0 after a complete shutdown or a clean check, 1 if the daemon
 // cannot start, 2 for a wrong command line or wrong settings, 3 if work was
-// cut off.
+// cut off, 4 after a failed write or sync of the log.
 int run_program(int argc, const char* const* argv);
 
 } // namespace oleanderhinge::control
--- a/oleanderhinge/control/service.cpp
+++ b/oleanderhinge/control/service.cpp
@@ -18,6 +18,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <optional>
 #include <utility>
 
 namespace oleanderhinge::control
@@ -124,12 +125,24 @@
     {
         return [this](const base::vm_id& to, wire::consensus_message content) {
             this->on_strand([this, to, content = std::move(content)] {
-                if (const auto link = link_to(this->peers, to))
+                if (const auto link = this->link_of(to))
                     this->links.send(*link, content);
             });
         };
     }
 
+    // This node's own link, else one that the member has opened: a new member
+    // may not know yet where the others are.
+    std::optional<net::link_id> link_of(const base::vm_id& vm) const
+    {
+        if (const auto own = link_to(this->peers, vm))
+            return own;
+        for (const auto& [link, peer] : this->known)
+            if (peer.sender == wire::role::control && peer.vm == vm)
+                return link;
+        return std::nullopt;
+    }
+
     void on_opened(net::link_id link, const wire::hello& peer)
     {
         if (peer.sender == wire::role::agent ||
@@ -383,7 +396,11 @@
     void connect_peers(const replica::log_status& status, base::time_point now)
     {
         std::vector<net::link_id> dropped;
-        for (const auto& peer : due(this->peers, status.members, now, dropped))
+        // A fresh log learns its members from its peers.
+        const auto& members = status.members.empty()
+                                  ? this->options.initial_members
+                                  : status.members;
+        for (const auto& peer : due(this->peers, members, now, dropped))
             connecting(this->peers, peer.vm, this->links.connect(peer.link));
         for (const auto link : dropped)
             this->links.close(link);
@@ -427,6 +444,7 @@
     replicated_state state;
     std::atomic<std::size_t> subscribers{0};
     std::atomic<bool> draining{false};
+    std::atomic<bool> handing_over{false};
     std::atomic<bool> stopped{false};
 
     asio::strand<asio::io_context::executor_type> strand;
--- a/oleanderhinge/control/service.hpp
+++ b/oleanderhinge/control/service.hpp
@@ -20,6 +20,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace oleanderhinge::control
 {
@@ -32,6 +33,8 @@
     wire::endpoint admin_listen;
     wire::endpoint management_listen;
     std::string admin_token;
+    // Members to connect to while the log does not know any.
+    std::vector<replica::member> initial_members;
     // Direct subscribers of this node.
     std::size_t fanout = 8;
     base::duration confirm_interval = std::chrono::seconds(1);
@@ -58,6 +61,9 @@
     // May be empty for a log that uses no links.
     std::function<void(const base::vm_id& from, wire::consensus_message)>
         receive;
+    // Lets another member lead before this one ends; `done` runs when this
+    // node does not lead any more or the attempt has failed. May be empty.
+    std::function<void(std::function<void()> done)> hand_over;
 };
 
 using log_factory =
@@ -86,7 +92,7 @@
     base::result<service_endpoints> start();
     // Sends subscribers to other nodes and takes no new admin connections.
     void begin_drain();
-    // True when no admin request is in progress.
+    // True when no admin request is in progress and another node leads.
     bool drained() const;
     // Closes everything.
     void stop();
--- /dev/null
+++ b/oleanderhinge/control/service_test.cpp
@@ -0,0 +1,576 @@
+#include "oleanderhinge/control/service.hpp"
+
+#include "oleanderhinge/control/peer_table.hpp"
+#include "oleanderhinge/control/settings.hpp"
+#include "oleanderhinge/control/status_watch.hpp"
+#include "oleanderhinge/net/http_client.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/use_future.hpp>
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <condition_variable>
+#include <cstdlib>
+#include <fstream>
+#include <mutex>
+#include <sstream>
+#include <thread>
+
+namespace oleanderhinge::control
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+using replica::propose_state;
+using testing::HasSubstr;
+
+// Bound for waits on events that must happen; never waited out in a pass.
+constexpr auto patience = std::chrono::seconds(20);
+constexpr const char* token = "operator-token-0001";
+constexpr const char* secret = "a secret of the test cluster";
+
+// The committed log that all nodes of a test share, and its faults.
+struct shared_log {
+    std::mutex mutex;
+    std::vector<std::string> entries;
+    std::vector<replica::member> members;
+    std::size_t leader = 0;
+    bool quorum = true;
+    // The next proposal is committed, but its answer is lost.
+    bool lose_answer = false;
+};
+
+class fake_log final : public replica::replicated_log
+{
+public:
+    fake_log(
+        shared_log& log_in, std::size_t index_in, replica::state_machine sm)
+        : shared(log_in)
+        , index(index_in)
+        , machine(std::move(sm))
+    {
+    }
+
+    void propose(
+        std::string command,
+        std::function<void(replica::propose_result)> done) override
+    {
+        replica::propose_result result{propose_state::not_leader, {}, {}};
+        {
+            const std::lock_guard lock(this->shared.mutex);
+            if (!this->shared.quorum) {
+                result.state = propose_state::unavailable;
+            } else if (this->shared.leader == this->index) {
+                this->shared.entries.push_back(std::move(command));
+                result.reply = this->catch_up();
+                result.state = std::exchange(this->shared.lose_answer, false)
+                                   ? propose_state::unknown
+                                   : propose_state::applied;
+            }
+        }
+        done(std::move(result));
+    }
+    void
+    read_barrier(std::function<void(replica::barrier_result)> done) override
+    {
+        bool ok = false;
+        {
+            const std::lock_guard lock(this->shared.mutex);
+            ok = this->shared.quorum && this->shared.leader == this->index;
+            this->catch_up();
+        }
+        done({ok});
+    }
+    void add_member(
+        replica::member,
+        std::function<void(replica::propose_result)> done) override
+    {
+        done({propose_state::applied, {}, {}});
+    }
+    void remove_member(
+        base::vm_id, std::function<void(replica::propose_result)> done) override
+    {
+        done({propose_state::applied, {}, {}});
+    }
+    replica::log_status status() const override
+    {
+        const std::lock_guard lock(this->shared.mutex);
+        replica::log_status now;
+        now.role = this->shared.leader == this->index
+                       ? replica::member_role::leader
+                       : replica::member_role::follower;
+        now.current_term = base::term{this->shared.leader + 1};
+        now.members = this->shared.members;
+        if (this->shared.leader < now.members.size())
+            now.leader = now.members[this->shared.leader].vm;
+        now.committed = base::log_index{this->shared.entries.size()};
+        now.applied = base::log_index{this->applied};
+        now.last = now.committed;
+        now.quorum = this->shared.quorum;
+        now.lease_age_ms = 3;
+        return now;
+    }
+
+private:
+    // Applies what the log has; returns the last reply. The lock is held.
+    std::string catch_up()
+    {
+        std::string reply;
+        while (this->applied < this->shared.entries.size()) {
+            const auto& entry = this->shared.entries[this->applied];
+            ++this->applied;
+            reply = this->machine.apply(base::log_index{this->applied}, entry);
+        }
+        return reply;
+    }
+
+    shared_log& shared;
+    const std::size_t index;
+    const replica::state_machine machine;
+    std::size_t applied = 0;
+};
+
+// An entry node's end of a link.
+class entry_link
+{
+public:
+    entry_link(asio::io_context& io, const wire::endpoint& to)
+        : links(
+              io,
+              clock,
+              options(),
+              {.opened = [](net::link_id, const wire::hello&) {},
+               .received =
+                   [this](net::link_id, wire::message m) {
+                       const std::lock_guard lock(this->mutex);
+                       this->messages.push_back(std::move(m));
+                       this->arrived.notify_all();
+                   },
+               .closed = [](net::link_id, net::close_reason, bool) {}})
+        , id(links.connect(to))
+    {
+    }
+
+    void send(const wire::message& content)
+    {
+        EXPECT_EQ(
+            this->links.send(this->id, content), net::send_status::queued);
+    }
+
+    // The next message of type `T`, skipping others.
+    template <class T>
+    T next()
+    {
+        std::unique_lock lock(this->mutex);
+        const bool found = this->arrived.wait_for(lock, patience, [this] {
+            while (this->seen < this->messages.size()) {
+                if (std::holds_alternative<T>(this->messages[this->seen++]))
+                    return true;
+            }
+            return false;
+        });
+        EXPECT_TRUE(found) << "no message in time";
+        return found ? std::get<T>(this->messages[this->seen - 1]) : T{};
+    }
+
+private:
+    static net::link_options options()
+    {
+        net::link_options made;
+        made.cluster_secret = secret;
+        made.self.vm = base::vm_id{"entry-1"};
+        return made;
+    }
+
+    timeline::hybrid_clock clock;
+    std::mutex mutex;
+    std::condition_variable arrived;
+    std::vector<wire::message> messages;
+    std::size_t seen = 0;
+    net::link_table links;
+    const net::link_id id;
+};
+
+struct answer {
+    unsigned status = 0;
+    std::string body;
+    std::string location;
+};
+
+class cluster
+{
+public:
+    explicit cluster(std::size_t size, std::size_t fanout = 8)
+    {
+        for (std::size_t i = 0; i < size; ++i) {
+            this->shared.members.push_back(
+                {base::vm_id{"control-" + std::to_string(i + 1)}, {}, {}});
+            this->nodes.push_back(this->make_node(i, fanout));
+        }
+        for (std::size_t i = 0; i < size; ++i) {
+            const auto open = this->nodes[i]->start().value();
+            const std::lock_guard lock(this->shared.mutex);
+            this->shared.members[i].link = open.link;
+            this->shared.members[i].admin = open.admin;
+        }
+        this->runner = std::jthread([this] { this->io.run(); });
+    }
+    ~cluster()
+    {
+        for (auto& node : this->nodes)
+            node->stop();
+        this->io.stop();
+        this->runner.join();
+    }
+
+    answer call(
+        std::size_t node,
+        const std::string& method,
+        const std::string& target,
+        const std::string& body = {},
+        const std::string& bearer = token)
+    {
+        net::http_call request{
+            method, target, {{"Authorization", "Bearer " + bearer}}, body};
+        net::http_client client(this->io, 0);
+        auto outcome = asio::co_spawn(
+                           this->io,
+                           client.call(
+                               this->member(node).admin,
+                               std::move(request),
+                               patience,
+                               net::reuse::never),
+                           asio::use_future)
+                           .get();
+        EXPECT_EQ(outcome.failure, net::http_failure::none) << outcome.detail;
+        answer result{outcome.answer.status, outcome.answer.body, {}};
+        for (const auto& field : outcome.answer.headers)
+            if (field.name == "Location")
+                result.location = field.value;
+        return result;
+    }
+    answer plan(const std::string& id, const std::string& route)
+    {
+        return this->call(
+            0,
+            "POST",
+            "/v1/plans",
+            R"({"id":")" + id + R"(","intents":[{"op":"put_route","route":)" +
+                R"({"id":")" + route +
+                R"(","model":"hinge-llm","layer_count":32}}]})");
+    }
+    void force(const std::string& id, const std::string& route)
+    {
+        EXPECT_EQ(this->plan(id, route).status, 201U);
+        EXPECT_EQ(
+            this->call(0, "POST", "/v1/plans/" + id + "/confirm").status, 200U);
+    }
+    replica::member member(std::size_t node)
+    {
+        const std::lock_guard lock(this->shared.mutex);
+        return this->shared.members[node];
+    }
+    template <class Function>
+    void fault(Function&& change)
+    {
+        const std::lock_guard lock(this->shared.mutex);
+        change(this->shared);
+    }
+
+    asio::io_context io;
+
+private:
+    std::unique_ptr<service> make_node(std::size_t index, std::size_t fanout)
+    {
+        service_options options;
+        options.link.cluster_secret = secret;
+        options.link.self.sender = wire::role::control;
+        options.link.self.vm = this->shared.members[index].vm;
+        for (auto* local :
+             {&options.link_listen,
+              &options.admin_listen,
+              &options.management_listen})
+            *local = {"127.0.0.1", 0};
+        options.admin_token = token;
+        options.fanout = fanout;
+        options.confirm_interval = std::chrono::milliseconds(20);
+        options.config_lease = std::chrono::milliseconds(100);
+        options.wall_ms = [] { return 1'700'000'000'000; };
+        options.new_plan_id = [] { return std::string("chosen"); };
+        return std::make_unique<service>(
+            this->io,
+            this->clock,
+            std::move(options),
+            [this,
+             index](replica::state_machine machine, const consensus_sender&) {
+                return consensus_port{
+                    .log = std::make_unique<fake_log>(
+                        this->shared, index, std::move(machine)),
+                    .receive = {},
+                    .hand_over = {}};
+            });
+    }
+
+    timeline::hybrid_clock clock;
+    shared_log shared;
+    std::vector<std::unique_ptr<service>> nodes;
+    asio::executor_work_guard<asio::io_context::executor_type> work =
+        asio::make_work_guard(io);
+    std::jthread runner;
+};
+
+wire::claim_request claim_of(std::uint64_t owner, std::uint8_t digest = 1)
+{
+    return {
+        owner,
+        base::customer_id{"stores"},
+        base::route_id{"book"},
+        "key-1",
+        {digest},
+        {base::incarnation{7}, owner}};
+}
+
+} // namespace
+
+// Guards against changes of the admin API that operators' scripts would
+// notice: plan, conflict of racing operators, confirm, resend after a lost
+// answer and through another node after a change of leader.
+TEST(AdminSession, MatchesTheGoldenFile)
+{
+    cluster c(2);
+    std::ostringstream session;
+    const auto step = [&](std::size_t node,
+                          const std::string& method,
+                          const std::string& target,
+                          const std::string& body = {}) {
+        const auto got = c.call(node, method, target, body);
+        session << method << ' ' << target << ' ' << body << '\n'
+                << got.status << ' ' << got.body
+                << (got.body.ends_with('\n') ? "" : "\n");
+    };
+    const std::string first =
+        R"({"id":"a","intents":[{"op":"put_route","route":{"id":"diagnose",)"
+        R"("model":"hinge-llm","layer_count":32,"rank":"urgent"}}]})";
+    const std::string second =
+        R"({"id":"b","intents":[{"op":"put_route","route":{"id":"diagnose",)"
+        R"("model":"hinge-llm","layer_count":48}}]})";
+    step(0, "POST", "/v1/plans", first);
+    step(0, "POST", "/v1/plans", second);
+    step(0, "GET", "/v1/plans/b");
+    c.fault([](shared_log& log) { log.lose_answer = true; });
+    step(0, "POST", "/v1/plans/a/confirm");
+    step(0, "POST", "/v1/plans/a/confirm");
+    step(0, "POST", "/v1/plans/b/confirm");
+    c.fault([](shared_log& log) { log.leader = 1; });
+    step(1, "POST", "/v1/plans/a/confirm");
+    step(1, "POST", "/v1/plans/b/confirm");
+    step(1, "GET", "/v1/routes");
+    step(
+        1,
+        "POST",
+        "/v1/plans",
+        R"({"intents":[{"op":"put_shares","shares":{"urgent":99,"x":1}}]})");
+    step(1, "POST", "/v1/plans/none/confirm");
+    const std::string path = std::string(OLEANDERHINGE_SOURCE_DIR) +
+                             "/oleanderhinge/control/testdata/"
+                             "admin_session.golden";
+    if (std::getenv("OLEANDERHINGE_UPDATE_GOLDEN") != nullptr)
+        std::ofstream(path) << session.str();
+    std::ostringstream golden;
+    golden << std::ifstream(path).rdbuf();
+    EXPECT_EQ(session.str(), golden.str());
+}
+
+// Guards against a node that answers for the leader, or that hides the loss
+// of the quorum.
+TEST(AdminApi, OnlyTheLeaderAnswersAndTheStatusIsPlain)
+{
+    cluster c(2);
+    EXPECT_EQ(c.call(0, "GET", "/v1/routes", "", "wrong").status, 401U);
+    const auto moved = c.call(1, "GET", "/v1/routes");
+    EXPECT_EQ(moved.status, 307U);
+    EXPECT_EQ(
+        moved.location,
+        "http://127.0.0.1:" + std::to_string(c.member(0).admin.port) +
+            "/v1/routes");
+    c.fault([](shared_log& log) { log.quorum = false; });
+    for (const std::size_t node : {0U, 1U}) {
+        const auto refused = c.call(node, "GET", "/v1/routes");
+        EXPECT_EQ(refused.status, 503U);
+        EXPECT_THAT(refused.body, HasSubstr(R"("code":"no_quorum")"));
+        EXPECT_THAT(refused.body, HasSubstr(R"("execution":"not_run")"));
+        const auto status = c.call(node, "GET", "/v1/status");
+        EXPECT_EQ(status.status, 200U);
+        EXPECT_THAT(status.body, HasSubstr(R"("state":"no quorum")"));
+    }
+}
+
+struct bad_body {
+    const char* body;
+    const char* message;
+};
+
+// Guards against bodies that crash the daemon or are half understood.
+TEST(AdminApi, RefusesMalformedBodies)
+{
+    const std::vector<bad_body> table{
+        {"", "body: "},
+        {"[1]", "body: must be a JSON object"},
+        {"{}", "intents is missing, must be a list"},
+        {R"({"intents":[7]})", "intents[0]: must be an object"},
+        {R"({"intents":[]})", "the list has 0 entries"},
+        {R"({"intents":[{"op":"put"}]})", "op is 'put', must be put_route"},
+        {R"({"intents":[{"op":"put_route"}]})", "route is missing"},
+        {R"({"intents":[{"op":"put_route","route":3}]})",
+         "route is 3, must be an object"},
+        {R"({"intents":[{"op":"put_route","route":{"layer_count":-1}}]})",
+         "layer_count is -1, must be an integer from 0"},
+        {R"({"intents":[{"op":"put_route","route":{"rank":"hot"}}]})",
+         "must be one of urgent, standard, deferrable"},
+        {R"({"intents":[{"op":"put_customer","customer":{"routes":"a"}}]})",
+         "must be a list of strings"},
+        {R"({"intents":[{"op":"put_shares","shares":{"urgnt":1}}]})",
+         "'urgnt' is no member of this object"},
+    };
+    cluster c(1);
+    for (const auto& row : table) {
+        const auto got = c.call(0, "POST", "/v1/plans", row.body);
+        EXPECT_EQ(got.status, 400U) << row.body;
+        // Quotes inside the JSON string are escaped.
+        EXPECT_THAT(got.body, HasSubstr(row.message)) << row.body;
+    }
+    EXPECT_EQ(c.call(0, "PUT", "/v1/plans", "{}").status, 404U);
+}
+
+// Guards against subscribers that miss a change, see one twice, or get a
+// confirmation of a revision that they do not have.
+TEST(Feed, PushesChangesAndConfirmsThem)
+{
+    cluster c(1);
+    c.force("p1", "a");
+    entry_link entry(c.io, c.member(0).link);
+    entry.send(wire::subscribe{});
+    const auto whole = entry.next<wire::config_update>();
+    ASSERT_EQ(whole.full.size(), 1U);
+    EXPECT_EQ(whole.to, base::revision{1});
+    EXPECT_EQ(entry.next<wire::config_confirm>().at, base::revision{1});
+    c.force("p2", "b");
+    const auto delta = entry.next<wire::config_update>();
+    EXPECT_EQ(delta.from, base::revision{1});
+    EXPECT_EQ(delta.to, base::revision{2});
+    EXPECT_EQ(delta.changes.size(), 1U);
+    EXPECT_EQ(entry.next<wire::config_confirm>().at, base::revision{2});
+}
+
+// Guards against a node that confirms a configuration without a quorum.
+TEST(Feed, ConfirmsNothingWithoutQuorumAndRedirectsAboveTheFanout)
+{
+    cluster c(2, 1);
+    entry_link first(c.io, c.member(0).link);
+    first.send(wire::subscribe{});
+    first.next<wire::config_confirm>();
+    entry_link second(c.io, c.member(0).link);
+    second.send(wire::subscribe{});
+    EXPECT_THAT(
+        second.next<wire::subscribe_redirect>().parents,
+        testing::ElementsAre(c.member(1).link));
+    c.fault([](shared_log& log) { log.quorum = false; });
+    // After the lease, the subscriber is sent to another node; confirmations
+    // that were on their way come before.
+    first.next<wire::subscribe_redirect>();
+}
+
+// Guards against two owners of one call, over the links.
+TEST(Claims, RaceResendAndOutcome)
+{
+    cluster c(2);
+    entry_link entry(c.io, c.member(0).link);
+    const auto state = [&](const wire::claim_request& request) {
+        entry.send(request);
+        return entry.next<wire::claim_reply>().state;
+    };
+    c.fault([](shared_log& log) { log.lose_answer = true; });
+    EXPECT_EQ(state(claim_of(1)), wire::claim_state::unavailable);
+    EXPECT_EQ(state(claim_of(1)), wire::claim_state::granted);
+    EXPECT_EQ(state(claim_of(2)), wire::claim_state::in_progress);
+    EXPECT_EQ(state(claim_of(2, 9)), wire::claim_state::digest_mismatch);
+    wire::outcome_report report;
+    report.customer = base::customer_id{"stores"};
+    report.route = base::route_id{"book"};
+    report.key = "key-1";
+    report.request = {base::incarnation{7}, 1};
+    report.failure.state = base::execution::ran;
+    report.answer.body = "booked";
+    entry.send(report);
+    EXPECT_TRUE(entry.next<wire::outcome_ack>().stored);
+    entry.send(claim_of(2));
+    EXPECT_EQ(entry.next<wire::claim_reply>().answer.body, "booked");
+}
+
+// Guards against a follower that lets an entry node believe that a claim may
+// exist.
+TEST(Claims, FollowerRefusesAndNamesTheLeader)
+{
+    cluster c(2);
+    entry_link entry(c.io, c.member(1).link);
+    entry.send(claim_of(1));
+    const auto refused = entry.next<wire::claim_reply>();
+    EXPECT_EQ(refused.state, wire::claim_state::unavailable);
+    EXPECT_EQ(refused.failure.state, base::execution::not_run);
+    EXPECT_THAT(
+        entry.next<wire::subscribe_redirect>().parents,
+        testing::ElementsAre(c.member(0).link));
+}
+
+// Guards against a storm of connections to a dead member, and against links
+// to removed members.
+TEST(Peers, BackOffGrowsAndRemovedMembersAreDropped)
+{
+    peer_table table{.self = base::vm_id{"a"}, .peers = {}};
+    base::random_source random{1};
+    const std::vector<replica::member> members{
+        {base::vm_id{"a"}, {"127.0.0.1", 1}, {}},
+        {base::vm_id{"b"}, {"127.0.0.1", 2}, {}}};
+    std::vector<net::link_id> dropped;
+    base::time_point now{};
+    base::duration waited{};
+    for (std::uint64_t i = 1; i <= 8; ++i) {
+        ASSERT_EQ(due(table, members, now, dropped).size(), 1U);
+        connecting(table, base::vm_id{"b"}, net::link_id{i});
+        EXPECT_TRUE(due(table, members, now, dropped).empty());
+        closed(table, net::link_id{i}, now, random);
+        waited = table.peers.begin()->second.next_attempt - now;
+        EXPECT_LE(waited, largest_back_off);
+        now += waited;
+    }
+    EXPECT_GE(waited, largest_back_off / 2);
+    connecting(table, base::vm_id{"b"}, net::link_id{9});
+    EXPECT_FALSE(opened(table, net::link_id{9}, base::vm_id{"c"}));
+    EXPECT_TRUE(opened(table, net::link_id{9}, base::vm_id{"b"}));
+    EXPECT_EQ(link_to(table, base::vm_id{"b"}), net::link_id{9});
+    due(table, {}, now, dropped);
+    EXPECT_THAT(dropped, testing::ElementsAre(net::link_id{9}));
+}
+
+// Guards against member lists that would start a wrong cluster.
+TEST(Settings, RefusesMalformedMembers)
+{
+    const auto good = parse_members(
+        "a=127.0.0.1:1/127.0.0.1:2, b = 127.0.0.1:3 / 127.0.0.1:4");
+    ASSERT_TRUE(good);
+    EXPECT_EQ(good.value()[1].admin.port, 4);
+    for (const char* bad :
+         {"",
+          "a",
+          "a=127.0.0.1:1",
+          "a=127.0.0.1:0/127.0.0.1:2",
+          "a=here:1/127.0.0.1:2",
+          "a=127.0.0.1:1/127.0.0.1:2,a=127.0.0.1:3/127.0.0.1:4"})
+        EXPECT_FALSE(parse_members(bad)) << bad;
+}
+
+} // namespace oleanderhinge::control
--- a/oleanderhinge/control/settings.cpp
+++ b/oleanderhinge/control/settings.cpp
@@ -111,7 +111,7 @@
 link_options(const settings::values& checked, const settings::timing& times)
 {
     net::link_options options;
-    options.cluster_secret = checked.text("link.cluster_secret");
+    options.cluster_secret = checked.text("node.cluster_secret");
     options.self.sender = wire::role::control;
     options.self.vm = base::vm_id{checked.text("node.vm")};
     options.self.sender_incarnation = base::incarnation{base::entropy_seed()};
@@ -193,7 +193,7 @@
          "",
          "",
          "endpoint for links of entry and control nodes"},
-        {"link",
+        {"node",
          "cluster_secret",
          value_type::text,
          "",
@@ -283,13 +283,14 @@
     BOOST_LEAF_ASSIGN(
         chosen.members, parse_members(checked.text("control.members")));
     chosen.service = read_service(checked, chosen.times);
+    chosen.service.initial_members = chosen.members;
     chosen.data_folder = checked.text("node.data_folder");
     chosen.threads = unsigned(checked.integer("node.threads"));
     std::string faults;
     check_length(
         "admin.token", chosen.service.admin_token, shortest_token, faults);
     check_length(
-        "link.cluster_secret",
+        "node.cluster_secret",
         chosen.service.link.cluster_secret,
         shortest_secret,
         faults);
