--- a/tests/harness/fleet.cpp
+++ b/tests/harness/fleet.cpp
@@ -140,13 +140,12 @@
                    at(this->controls[j].admin);
     const auto file = this->run.write(
         name + ".ini",
-        this->node_lines(name) +
+        this->node_lines(name) + secret +
             "data_folder = " + this->run.path(name + ".data") +
-            "\n[control]\nmembers = " + members + "\n[link]\n" + secret +
-            "listen = " + at(ports.link) + "\n[admin]\nlisten = " +
-            at(ports.admin) + "\ntoken = " + admin_token +
-            "\n[management]\nlisten = " + at(ports.management) + "\n" +
-            this->options.control_extra);
+            "\n[control]\nmembers = " + members + "\n[link]\n" + "listen = " +
+            at(ports.link) + "\n[admin]\nlisten = " + at(ports.admin) +
+            "\ntoken = " + admin_token + "\n[management]\nlisten = " +
+            at(ports.management) + "\n" + this->options.control_extra);
     this->run.start(name, {"oleanderhinge-control", "--config", file});
 }
 
