control: keep subscribers when no other node can be named

Cause: a node without a quorum sent its subscribers an empty redirect and forgot them; they would have got no further change from this node. Change: subscribers are sent away only if another member is known. Conclusion: the redirect of two nodes still works; found by reading.

--- a/oleanderhinge/control/service.cpp
+++ b/oleanderhinge/control/service.cpp
@@ -380,8 +380,11 @@
         if (!had_quorum && status.quorum)
             spdlog::info("quorum present, leader {}", status.leader.value());
         this->connect_peers(status, now);
-        if (this->without_quorum())
-            this->send(dismiss(this->feed, this->others()));
+        // Without another node to name, subscribers stay: they would not come
+        // back by themselves.
+        if (const auto alternatives = this->others();
+            this->without_quorum() && !alternatives.empty())
+            this->send(dismiss(this->feed, alternatives));
         if (now >= this->next_confirm) {
             this->next_confirm = now + this->options.confirm_interval;
             this->confirm_round();
