control: satisfy clang-tidy in the feed and the settings

Cause: clang-tidy found a push_back without reserve in the feed and a function above the size limit in the settings. Change: capacity is reserved; the schema is built by two functions. Conclusion: no change of behaviour; the daemon was not run under sanitizers.

--- a/oleanderhinge/control/config_feed.cpp
+++ b/oleanderhinge/control/config_feed.cpp
@@ -47,6 +47,7 @@
         sent = from.config.at;
     }
     std::vector<outgoing> messages;
+    messages.reserve(behind.size());
     for (auto& [have, links] : behind)
         messages.push_back(
             {std::move(links), control_state::update_since(from, have)});
--- a/oleanderhinge/control/settings.cpp
+++ b/oleanderhinge/control/settings.cpp
@@ -156,11 +156,9 @@
     return options;
 }
 
-} // namespace
-
-settings::schema control_keys()
+settings::schema node_keys()
 {
-    settings::schema keys{
+    return {
         {"node", "vm", value_type::text, "", "", "", "name of this VM"},
         {"node", "region", value_type::text, "", "", "", "region of this VM"},
         {"node",
@@ -213,7 +211,12 @@
          "24h",
          "1min",
          "720h",
-         "time for which a plan can be confirmed and its result read"},
+         "time for which a plan can be confirmed and its result read"}};
+}
+
+settings::schema service_keys()
+{
+    return {
         {"claims",
          "retention",
          value_type::duration,
@@ -270,8 +273,15 @@
          "16",
          "1000000",
          "events that are kept for the time line"}};
-    const auto timing = settings::timing_keys();
-    keys.insert(keys.end(), timing.begin(), timing.end());
+}
+
+} // namespace
+
+settings::schema control_keys()
+{
+    auto keys = node_keys();
+    for (const auto& part : {service_keys(), settings::timing_keys()})
+        keys.insert(keys.end(), part.begin(), part.end());
     return keys;
 }
 
