--- a/oleanderhinge/admission/limit.cpp
+++ b/oleanderhinge/admission/limit.cpp
@@ -20,9 +20,8 @@
 void learn_unloaded(adaptive_limit& limit, double mean_us)
 {
     const auto low = limit.current / 8;
-    if (limit.unloaded_us == 0 || mean_us < limit.unloaded_us)
-        limit.unloaded_us = mean_us;
-    else if (limit.most_in_progress <= limit.options.min)
+    if (limit.unloaded_us == 0 || mean_us < limit.unloaded_us ||
+        limit.most_in_progress <= limit.options.min)
         limit.unloaded_us = mean_us;
     else if (limit.most_in_progress <= low)
         limit.unloaded_us += unloaded_smoothing * (mean_us - limit.unloaded_us);
