Create the hosts of the node tests before any thread starts

Cause: ThreadSanitizer reported that the test's table of hosts grew while the threads of running nodes read it (8 reports, all in node_test.cpp). Change: the table is filled before the first node starts.

--- a/oleanderhinge/replica/node_test.cpp
+++ b/oleanderhinge/replica/node_test.cpp
@@ -35,6 +35,9 @@
     {
         for (int i = 1; i <= size; ++i)
             this->initial.push_back({vm(i), {"127.0.0.1", 1}, {}, true});
+        // All hosts, with one to add later, before any thread reads the table.
+        for (int i = 1; i <= size + 1; ++i)
+            this->hosts[i];
         for (int i = 1; i <= size; ++i)
             this->start(i);
     }
