--- a/bench/policy_report.cpp
+++ b/bench/policy_report.cpp
@@ -435,7 +435,7 @@
         {"no correct.", [](policy& p) { p.view.load_correction = false; }},
         {"no pushback", [](policy& p) { p.pushback = false; }},
         {"reserve", [](policy& p) { p.queue.urgent_reserve = true; }},
-        {"rank queue", [](policy& p) { p.rank_reports = true; }},
+        {"no queue by rank", [](policy& p) { p.rank_reports = false; }},
         {"no prefix", [](policy& p) { p.view.prefix_worth = false; }},
     };
 }
--- a/bench/policy_simulation.hpp
+++ b/bench/policy_simulation.hpp
@@ -55,7 +55,7 @@
     retry::budget_options budget;
     // Whether load reports tell the queue by rank, which the wire format does
     // not do yet.
-    bool rank_reports = false;
+    bool rank_reports = true;
     bool pushback = true;
 };
 
@@ -724,8 +724,8 @@
             if (s.dead)
                 continue;
             s.info.load = load(s.q);
-            if (this->rules.rank_reports)
-                s.info.queued_by_rank = queued_by_rank(s.q);
+            if (!this->rules.rank_reports)
+                s.info.load.queued_by_rank = {};
             s.info.expires = this->now + server_lease;
             for (auto& v : this->views) {
                 put_server(v, s.info, this->now);
--- a/oleanderhinge/admission/queue.cpp
+++ b/oleanderhinge/admission/queue.cpp
@@ -320,6 +320,7 @@
     for (const auto& rank : q.ranks)
         tokens += rank.queued_cost;
     report.queued_tokens = base::token_count{std::uint64_t(tokens)};
+    report.queued_by_rank = queued_by_rank(q);
     report.step_us = std::uint32_t(std::min(q.limit.smoothed_us, 4e9));
     return report;
 }
--- a/oleanderhinge/control/config_feed.cpp
+++ b/oleanderhinge/control/config_feed.cpp
@@ -2,6 +2,7 @@
 
 #include "oleanderhinge/control_state/queries.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace oleanderhinge::control
@@ -14,25 +15,45 @@
 {
     std::vector<net::link_id> links;
     links.reserve(feed.subscribers.size());
-    for (const auto& [link, sent] : feed.subscribers)
+    for (const auto& [link, held] : feed.subscribers)
         links.push_back(link);
     return links;
 }
 
+// Endpoints of the subscribers, each redirect beginning with another one.
+std::vector<wire::endpoint> children_in_turn(config_feed& feed)
+{
+    std::vector<wire::endpoint> children;
+    for (const auto& [link, held] : feed.subscribers)
+        if (held.listen.port != 0)
+            children.push_back(held.listen);
+    if (!children.empty())
+        std::rotate(
+            children.begin(),
+            children.begin() +
+                std::ptrdiff_t(feed.redirects++ % children.size()),
+            children.end());
+    return children;
+}
+
 } // namespace
 
 std::vector<outgoing> subscribe(
     config_feed& feed,
     net::link_id link,
-    base::revision have,
+    const wire::subscribe& request,
     const control_state::state& from,
     const std::vector<wire::endpoint>& others)
 {
     if (!feed.subscribers.contains(link) &&
-        feed.subscribers.size() >= feed.fanout)
-        return {{{link}, wire::subscribe_redirect{others}}};
-    feed.subscribers[link] = from.config.at;
-    return {{{link}, control_state::update_since(from, have)}};
+        feed.subscribers.size() >= feed.fanout) {
+        auto children = children_in_turn(feed);
+        if (children.empty())
+            children = others;
+        return {{{link}, wire::subscribe_redirect{std::move(children)}}};
+    }
+    feed.subscribers[link] = {from.config.at, request.listen};
+    return {{{link}, control_state::update_since(from, request.have)}};
 }
 
 std::vector<outgoing>
@@ -40,11 +61,11 @@
 {
     // Subscribers mostly have the same revision, so one message serves them.
     std::map<base::revision, std::vector<net::link_id>> behind;
-    for (auto& [link, sent] : feed.subscribers) {
-        if (sent >= from.config.at)
+    for (auto& [link, held] : feed.subscribers) {
+        if (held.sent >= from.config.at)
             continue;
-        behind[sent].push_back(link);
-        sent = from.config.at;
+        behind[held.sent].push_back(link);
+        held.sent = from.config.at;
     }
     std::vector<outgoing> messages;
     messages.reserve(behind.size());
--- a/oleanderhinge/control/config_feed.hpp
+++ b/oleanderhinge/control/config_feed.hpp
@@ -4,7 +4,7 @@
 //
 // Example:
 //   config_feed feed{.fanout = 8};
-//   send_all(subscribe(feed, link, have, state, other_nodes));
+//   send_all(subscribe(feed, link, request, state, other_nodes));
 //   send_all(confirm(feed, state, age_ms));
 #pragma once
 
@@ -20,10 +20,18 @@
 namespace oleanderhinge::control
 {
 
+struct subscriber {
+    // Revision that was sent last.
+    base::revision sent;
+    // Where the subscriber takes subscribers itself.
+    wire::endpoint listen;
+};
+
 struct config_feed {
     std::size_t fanout = 8;
-    // Revision that was sent last, by link.
-    std::map<net::link_id, base::revision> subscribers;
+    std::map<net::link_id, subscriber> subscribers;
+    // Redirects so far; the first child that is named changes with each one.
+    std::size_t redirects = 0;
 };
 
 // One message for several links.
@@ -33,11 +41,11 @@
 };
 
 // A new subscriber, or one that asks again. Above the fanout it is redirected
-// to `others`.
+// to the present subscribers in turn, and to `others` if there is none.
 std::vector<outgoing> subscribe(
     config_feed& feed,
     net::link_id link,
-    base::revision have,
+    const wire::subscribe& request,
     const control_state::state& from,
     const std::vector<wire::endpoint>& others);
 
--- a/oleanderhinge/control/service.cpp
+++ b/oleanderhinge/control/service.cpp
@@ -248,7 +248,7 @@
             return;
         }
         this->send(this->state.read([&](const control_state::state& from) {
-            return subscribe(this->feed, link, wanted.have, from, alternatives);
+            return subscribe(this->feed, link, wanted, from, alternatives);
         }));
         this->confirm_round();
     }
--- a/oleanderhinge/control/service_test.cpp
+++ b/oleanderhinge/control/service_test.cpp
@@ -339,7 +339,7 @@
 // Guards against changes of the admin API that operators' scripts would
 // notice: plan, conflict of racing operators, confirm, resend after a lost
 // answer and through another node after a change of leader.
-TEST(AdminSession, MatchesTheGoldenFile)
+TEST(admin_session, matches_the_golden_file)
 {
     cluster c(2);
     std::ostringstream session;
@@ -387,7 +387,7 @@
 
 // Guards against a node that answers for the leader, or that hides the loss
 // of the quorum.
-TEST(AdminApi, OnlyTheLeaderAnswersAndTheStatusIsPlain)
+TEST(admin_api, only_the_leader_answers_and_the_status_is_plain)
 {
     cluster c(2);
     EXPECT_EQ(c.call(0, "GET", "/v1/routes", "", "wrong").status, 401U);
@@ -415,7 +415,7 @@
 };
 
 // Guards against bodies that crash the daemon or are half understood.
-TEST(AdminApi, RefusesMalformedBodies)
+TEST(admin_api, refuses_malformed_bodies)
 {
     const std::vector<bad_body> table{
         {"", "body: "},
@@ -448,7 +448,7 @@
 
 // Guards against subscribers that miss a change, see one twice, or get a
 // confirmation of a revision that they do not have.
-TEST(Feed, PushesChangesAndConfirmsThem)
+TEST(feed, pushes_changes_and_confirms_them)
 {
     cluster c(1);
     c.force("p1", "a");
@@ -467,7 +467,7 @@
 }
 
 // Guards against a node that confirms a configuration without a quorum.
-TEST(Feed, ConfirmsNothingWithoutQuorumAndRedirectsAboveTheFanout)
+TEST(feed, confirms_nothing_without_quorum_and_redirects_above_the_fanout)
 {
     cluster c(2, 1);
     entry_link first(c.io, c.member(0).link);
@@ -485,7 +485,7 @@
 }
 
 // Guards against two owners of one call, over the links.
-TEST(Claims, RaceResendAndOutcome)
+TEST(claims, race_resend_and_outcome)
 {
     cluster c(2);
     entry_link entry(c.io, c.member(0).link);
@@ -513,7 +513,7 @@
 
 // Guards against a follower that lets an entry node believe that a claim may
 // exist.
-TEST(Claims, FollowerRefusesAndNamesTheLeader)
+TEST(claims, follower_refuses_and_names_the_leader)
 {
     cluster c(2);
     entry_link entry(c.io, c.member(1).link);
@@ -528,7 +528,7 @@
 
 // Guards against a storm of connections to a dead member, and against links
 // to removed members.
-TEST(Peers, BackOffGrowsAndRemovedMembersAreDropped)
+TEST(peers, back_off_grows_and_removed_members_are_dropped)
 {
     peer_table table{.self = base::vm_id{"a"}, .peers = {}};
     base::random_source random{1};
@@ -557,7 +557,7 @@
 }
 
 // Guards against member lists that would start a wrong cluster.
-TEST(Settings, RefusesMalformedMembers)
+TEST(settings, refuses_malformed_members)
 {
     const auto good = parse_members(
         "a=127.0.0.1:1/127.0.0.1:2, b = 127.0.0.1:3 / 127.0.0.1:4");
--- a/oleanderhinge/control_state/commands_test.cpp
+++ b/oleanderhinge/control_state/commands_test.cpp
@@ -128,7 +128,7 @@
 
 // Guards against both of two racing operators winning, and against a conflict
 // that does not say what changed.
-TEST(Plans, OfTwoPlansWithEqualBaseOneWins)
+TEST(plans, of_two_plans_with_equal_base_one_wins)
 {
     machine m;
     auto slower = model_route("diagnose");
@@ -147,7 +147,7 @@
 }
 
 // Guards against false conflicts between plans that touch other objects.
-TEST(Plans, PlansOnOtherObjectsBothWin)
+TEST(plans, plans_on_other_objects_both_win)
 {
     machine m;
     m.create("p1", {wire::put_route{model_route("a")}});
@@ -158,7 +158,7 @@
 
 // Guards against a resent confirm that makes a second revision or reports a
 // conflict with itself.
-TEST(Plans, ResentConfirmGetsTheFirstResult)
+TEST(plans, resent_confirm_gets_the_first_result)
 {
     machine m;
     const auto first = m.force("p1", wire::put_route{model_route("a")});
@@ -173,7 +173,7 @@
 
 // Guards against a second plan from a resent create, and against an id that
 // stands for two plans.
-TEST(Plans, ResentCreateReturnsTheFirstPlan)
+TEST(plans, resent_create_returns_the_first_plan)
 {
     machine m;
     const wire::change intent = wire::put_route{model_route("a")};
@@ -188,7 +188,7 @@
 }
 
 // Guards against a removed object coming back through an older plan.
-TEST(Plans, RemovalConflictsWithAnOlderPlan)
+TEST(plans, removal_conflicts_with_an_older_plan)
 {
     machine m;
     m.force("p1", wire::put_route{model_route("a")});
@@ -204,7 +204,7 @@
 
 // Guards against two customers with one credential, and a customer of a route
 // that is gone, through plans that touch different objects.
-TEST(Plans, ReferencesAreCheckedAtTheConfirm)
+TEST(plans, references_are_checked_at_the_confirm)
 {
     machine m;
     m.force("r", wire::put_route{model_route("a")});
@@ -222,7 +222,7 @@
         ElementsAre(plan_conflict{"customer other", base::revision{2}}));
 }
 
-TEST(Plans, PlanShowsBeforeAndAfter)
+TEST(plans, plan_shows_before_and_after)
 {
     machine m;
     m.force("p1", wire::put_shares{{40, 20, 10, {}}});
@@ -239,7 +239,7 @@
 
 // Guards against an order number that goes back when an order is removed and
 // made again.
-TEST(Plans, FencingNumberGrowsAcrossRemoval)
+TEST(plans, fencing_number_grows_across_removal)
 {
     machine m;
     wire::server_order order{.server = base::backend_server_id{"s1"}};
@@ -256,7 +256,7 @@
 }
 
 // Guards against an expired plan that takes effect long after it was shown.
-TEST(Plans, ExpiredPlanIsUnknown)
+TEST(plans, expired_plan_is_unknown)
 {
     machine m;
     m.create("p1", {wire::put_route{model_route("a")}});
@@ -299,7 +299,7 @@
 
 // Guards against intents that no node could carry out, and against messages
 // that do not name field, value and what is allowed.
-TEST(Validation, RefusesMalformedIntents)
+TEST(validation, refuses_malformed_intents)
 {
     const std::vector<bad_intent> table{
         {"shares",
@@ -383,7 +383,7 @@
     }
 }
 
-TEST(Validation, RefusesEmptyAndDoubleIntents)
+TEST(validation, refuses_empty_and_double_intents)
 {
     EXPECT_THAT(
         validate({}, {}), ElementsAre(HasSubstr("has 0 entries, must have 1")));
@@ -402,7 +402,7 @@
 }
 
 // Guards against a lost answer to a claim that blocks its own request.
-TEST(Claims, ResentClaimOfTheOwnerIsGrantedAgain)
+TEST(claims, resent_claim_of_the_owner_is_granted_again)
 {
     machine m;
     EXPECT_EQ(m.take("k", 1).state, claim_state::granted);
@@ -413,7 +413,7 @@
 }
 
 // Guards against two requests that may both send one call.
-TEST(Claims, SecondRequestWaitsAndGetsTheOutcome)
+TEST(claims, second_request_waits_and_gets_the_outcome)
 {
     machine m;
     m.take("k", 1);
@@ -430,7 +430,7 @@
 }
 
 // Guards against a late report that replaces what a caller was told.
-TEST(Claims, FirstOutcomeStays)
+TEST(claims, first_outcome_stays)
 {
     machine m;
     m.take("k", 1);
@@ -441,7 +441,7 @@
     EXPECT_EQ(m.take("k", 2).state, claim_state::finished);
 }
 
-TEST(Claims, NotRunReleasesTheClaim)
+TEST(claims, not_run_releases_the_claim)
 {
     machine m;
     m.take("k", 1);
@@ -454,7 +454,7 @@
     EXPECT_EQ(m.take("k", 3).state, claim_state::in_progress);
 }
 
-TEST(Claims, KeyOfAnotherRequestIsRefused)
+TEST(claims, key_of_another_request_is_refused)
 {
     machine m;
     m.take("k", 1, 1);
@@ -463,7 +463,7 @@
 }
 
 // Guards against early eviction, which would allow a second run.
-TEST(Claims, FullTableRefusesNewClaimsAndKeepsOldOnes)
+TEST(claims, full_table_refuses_new_claims_and_keeps_old_ones)
 {
     machine m;
     EXPECT_EQ(m.take("a", 1, 1, 2).state, claim_state::granted);
@@ -475,7 +475,7 @@
     EXPECT_EQ(m.now.claims.size(), 2U);
 }
 
-TEST(Claims, LargeAnswerIsRecordedWithoutItsBody)
+TEST(claims, large_answer_is_recorded_without_its_body)
 {
     machine m;
     m.take("k", 1);
@@ -488,7 +488,7 @@
 
 // Guards against a second run after the claim of a UUIDv7 key has expired,
 // also when the clock of the caller runs ahead.
-TEST(Claims, ExpiredUuidIsRefusedWhateverTheCallersClock)
+TEST(claims, expired_uuid_is_refused_whatever_the_callers_clock)
 {
     for (const std::int64_t lead_ms : {-60'000, 0, 60'000}) {
         machine m;
@@ -509,7 +509,7 @@
 }
 
 // Guards against claims that a leader with a slow clock would grant again.
-TEST(Claims, ClockOfALaterLeaderDoesNotGoBack)
+TEST(claims, clock_of_a_later_leader_does_not_go_back)
 {
     machine m;
     const auto key = uuid_at(m.clock_ms);
@@ -520,7 +520,7 @@
     EXPECT_EQ(m.take(key, 2).state, claim_state::expired);
 }
 
-TEST(Claims, RefusesKeysWithBadTimeOrLength)
+TEST(claims, refuses_keys_with_bad_time_or_length)
 {
     machine m;
     EXPECT_EQ(
@@ -533,7 +533,7 @@
     }
 }
 
-TEST(Updates, DeltaIfKeptElseWhole)
+TEST(updates, delta_if_kept_else_whole)
 {
     machine m;
     const auto rounds = max_kept_changes + 50;
@@ -555,7 +555,7 @@
 
 // Guards against a node that goes back to an older configuration after a
 // restart from snapshot and log.
-TEST(Snapshot, RestartAfterHundredsOfChangesNeverGoesBack)
+TEST(snapshot, restart_after_hundreds_of_changes_never_goes_back)
 {
     machine live;
     std::vector<std::string> log;
@@ -590,7 +590,7 @@
         std::logic_error);
 }
 
-TEST(Snapshot, MalformedCommandOnlyMovesTheIndex)
+TEST(snapshot, malformed_command_only_moves_the_index)
 {
     state s;
     const auto answer = apply_encoded(s, "\x09garbage", base::log_index{4});
@@ -613,7 +613,7 @@
 }
 
 // Guards against crashes and unbounded allocation on damaged snapshots.
-TEST(Snapshot, DamageIsFound)
+TEST(snapshot, damage_is_found)
 {
     const auto bytes = encode_snapshot(filled().now);
     EXPECT_EQ(decode_snapshot(bytes).value(), filled().now);
@@ -628,7 +628,7 @@
 }
 
 // The same with a correct checksum, as a faulty writer would leave it.
-TEST(Snapshot, ArbitraryContentsAreBounded)
+TEST(snapshot, arbitrary_contents_are_bounded)
 {
     const auto bytes = encode_snapshot(filled().now);
     EXPECT_TRUE(rc::check([&](std::uint32_t value) {
--- a/oleanderhinge/entry/router.cpp
+++ b/oleanderhinge/entry/router.cpp
@@ -78,6 +78,7 @@
     query.version = route.version;
     query.adapter = route.adapter;
     query.layer_count = route.layer_count;
+    query.work_rank = route.work_rank;
     query.data_centre = this->here.data_centre;
     query.region = this->here.region;
     query.avoid.assign(avoid.begin(), avoid.end());
@@ -98,6 +99,7 @@
 {
     routing::service_query query;
     query.service = route.service;
+    query.work_rank = route.work_rank;
     query.data_centre = this->here.data_centre;
     query.region = this->here.region;
     query.avoid.assign(avoid.begin(), avoid.end());
--- a/oleanderhinge/membership/directory.cpp
+++ b/oleanderhinge/membership/directory.cpp
@@ -337,6 +337,7 @@
 {
     const std::uint64_t limit = std::max<std::uint32_t>(known.limit, 1);
     auto load = known;
+    load.queued_by_rank = {};
     step = std::min(step, max_load_step);
     if (step < first_queue_step) {
         load.in_progress = std::uint32_t(limit * step / 8);
--- a/oleanderhinge/routing/view.cpp
+++ b/oleanderhinge/routing/view.cpp
@@ -196,12 +196,13 @@
     base::rank work_rank)
 {
     const auto& info = server.info;
+    // A coarse report has no queues by rank; then the whole queue counts.
     double waiting = 0;
     double ahead = 0;
     for (std::size_t r = 0; r < base::rank_count; ++r) {
-        waiting += info.queued_by_rank[r];
+        waiting += info.load.queued_by_rank[r];
         if (r <= std::size_t(work_rank))
-            ahead += info.queued_by_rank[r];
+            ahead += info.load.queued_by_rank[r];
     }
     const double reported = double(info.load.in_progress) +
                             (waiting > 0 ? ahead : info.load.queued);
--- a/oleanderhinge/routing/view.hpp
+++ b/oleanderhinge/routing/view.hpp
@@ -51,9 +51,6 @@
     // Plain services.
     std::string service;
     wire::load_report load;
-    // Requests that wait, by rank. All zero if the report does not say; then
-    // `load.queued` counts for every rank.
-    std::array<std::uint32_t, base::rank_count> queued_by_rank{};
     // The server counts as gone from this time on; see
     // `view_options::server_lease`.
     base::time_point expires = base::time_point::max();
--- a/oleanderhinge/wire/messages.hpp
+++ b/oleanderhinge/wire/messages.hpp
@@ -111,6 +111,9 @@
     // Work that waits in the agent's queue.
     std::uint32_t queued = 0;
     base::token_count queued_tokens;
+    // The waiting work by rank, urgent first. Without it, urgent work goes
+    // where the whole queue is short and not where its own is.
+    std::array<std::uint32_t, base::rank_count> queued_by_rank{};
     // Smoothed time of one step or call, in microseconds.
     std::uint32_t step_us = 0;
 
@@ -120,7 +123,7 @@
     void serialize(Archive& archive)
     {
         archive(this->in_progress, this->limit, this->queued);
-        archive(this->queued_tokens, this->step_us);
+        archive(this->queued_tokens, this->queued_by_rank, this->step_us);
     }
 };
 
