agent: bound announcements, keep orders fresh, drop stale connections

Cause: a kept HTTP connection that the engine had closed failed the next step, an announcement with many adapters exceeded the datagram limit and was lost, an order could outlive its configuration lease while attempts drained, and a link was opened with the directory lock held.

--- a/oleanderhinge/agent/calls.hpp
+++ b/oleanderhinge/agent/calls.hpp
@@ -38,7 +38,7 @@
 
 struct call_limits {
     base::duration fence_time = std::chrono::seconds(60);
-    std::size_t max_calls = 16384;
+    std::size_t max_calls = 4096;
     // Answers that are kept for repeated deliveries.
     std::size_t max_answer_bytes = std::size_t(4) << 20;
 };
--- a/oleanderhinge/agent/internal/attempts.cpp
+++ b/oleanderhinge/agent/internal/attempts.cpp
@@ -164,12 +164,9 @@
     if (a.try_number > 1)
         this->numbers.steps_resent.Increment();
     const auto id = this->stage_link(a.to);
-    {
-        const std::lock_guard lock(this->directory.mutex);
-        this->directory.used[id] = base::monotonic_now();
-    }
     // What is not sent now is sent again after the step timeout.
-    this->links.send(id, a.message);
+    if (this->links.send(id, a.message) == net::send_status::closed)
+        this->forget_stage_link(a.to, id);
 }
 
 void runtime::carry_out(const chain::acknowledge& a)
--- a/oleanderhinge/agent/internal/links.cpp
+++ b/oleanderhinge/agent/internal/links.cpp
@@ -69,22 +69,18 @@
 void runtime::from_entry(net::link_id id, wire::message content)
 {
     const auto from = to_peer(id);
-    const bool model = this->options.kind == base::route_kind::model;
-    if (auto* open = std::get_if<wire::open_attempt>(&content); open && model) {
+    if (auto* open = std::get_if<wire::open_attempt>(&content)) {
         const auto request = open->request;
         this->feed(request, chain::open_received{std::move(*open), from});
-    } else if (const auto* start = std::get_if<wire::start_attempt>(&content);
-               start && model) {
+    } else if (const auto* start = std::get_if<wire::start_attempt>(&content)) {
         this->feed(start->request, chain::start_received{*start});
-    } else if (const auto* close = std::get_if<wire::close_attempt>(&content);
-               close && model) {
+    } else if (const auto* close = std::get_if<wire::close_attempt>(&content)) {
         this->numbers.attempts_closed.Increment();
         this->feed(close->request, chain::close_received{*close, from});
-    } else if (auto* call = std::get_if<wire::call>(&content); call && !model) {
+    } else if (auto* call = std::get_if<wire::call>(&content)) {
         const auto request = call->request;
         this->feed_call(request, call_received{std::move(*call), from});
-    } else if (const auto* cancel = std::get_if<wire::cancel_call>(&content);
-               cancel && !model) {
+    } else if (const auto* cancel = std::get_if<wire::cancel_call>(&content)) {
         this->feed_call(cancel->request, cancel_received{*cancel, from});
     } else if (!std::holds_alternative<wire::go_away>(content)) {
         this->numbers.unexpected_messages.Increment();
@@ -106,17 +102,48 @@
 
 net::link_id runtime::stage_link(const wire::endpoint& to)
 {
-    const std::lock_guard lock(this->directory.mutex);
-    const auto found = this->directory.stages.find(to);
-    if (found != this->directory.stages.end())
+    const auto now = base::monotonic_now();
+    const auto use = [&]() -> std::optional<net::link_id> {
+        const auto found = this->directory.stages.find(to);
+        if (found == this->directory.stages.end())
+            return {};
+        this->directory.used[found->second] = now;
         return found->second;
+    };
+    {
+        const std::lock_guard lock(this->directory.mutex);
+        if (const auto known = use())
+            return *known;
+    }
     const auto id = this->links.connect(to);
-    this->links.set_busy(id, true);
-    this->directory.stages.emplace(to, id);
-    this->directory.opened.emplace(id, to);
-    this->directory.used[id] = base::monotonic_now();
-    this->directory.busy.insert(id);
-    return id;
+    std::optional<net::link_id> other;
+    {
+        // Another thread may have opened a link meanwhile.
+        const std::lock_guard lock(this->directory.mutex);
+        other = use();
+        if (!other) {
+            this->directory.stages.emplace(to, id);
+            this->directory.opened.emplace(id, to);
+            this->directory.used[id] = now;
+            this->directory.busy.insert(id);
+        }
+    }
+    if (other)
+        this->links.close(id);
+    else
+        this->links.set_busy(id, true);
+    return other.value_or(id);
+}
+
+void runtime::forget_stage_link(const wire::endpoint& to, net::link_id id)
+{
+    const std::lock_guard lock(this->directory.mutex);
+    const auto found = this->directory.stages.find(to);
+    if (found != this->directory.stages.end() && found->second == id)
+        this->directory.stages.erase(found);
+    this->directory.opened.erase(id);
+    this->directory.used.erase(id);
+    this->directory.busy.erase(id);
 }
 
 void runtime::send(chain::peer_link to, const wire::message& content)
--- a/oleanderhinge/agent/internal/orders_run.cpp
+++ b/oleanderhinge/agent/internal/orders_run.cpp
@@ -64,6 +64,13 @@
             order.number,
             age,
             this->options.timing.config_lease);
+        const auto fresh_until =
+            base::monotonic_now() + this->options.timing.config_lease - age;
+        auto& known = this->status.order_fresh_until;
+        if (decision == order_decision::carry_out)
+            known = fresh_until;
+        else if (this->status.orders.running == order.number)
+            known = std::max(known, fresh_until);
     }
     if (decision == order_decision::carry_out) {
         asio::co_spawn(
@@ -81,7 +88,8 @@
     bool loads = false;
     {
         const std::lock_guard lock(this->status.mutex);
-        loads = !this->status.info || changes(*this->status.info, order);
+        loads = this->options.kind == base::route_kind::model &&
+                (!this->status.info || changes(*this->status.info, order));
         this->status.draining_by_order = order.draining;
         this->status.reloading = loads;
         if (loads)
@@ -91,7 +99,9 @@
     if (loads)
         co_await this->wait_for_idle();
     auto outcome = order_outcome::applied;
-    if (this->options.kind == base::route_kind::model)
+    if (!this->order_is_fresh())
+        outcome = order_outcome::unanswered;
+    else if (this->options.kind == base::route_kind::model)
         outcome = co_await this->post_order(order);
     {
         const std::lock_guard lock(this->status.mutex);
@@ -120,6 +130,15 @@
     this->update_state();
 }
 
+// The wait for attempts in progress may outlast the configuration that the
+// order came from. Entry nodes repeat the order while it is in force, which
+// renews it; otherwise it is given up and may be sent again.
+bool runtime::order_is_fresh() const
+{
+    const std::lock_guard lock(this->status.mutex);
+    return base::monotonic_now() < this->status.order_fresh_until;
+}
+
 asio::awaitable<order_outcome> runtime::post_order(wire::server_order order)
 {
     const auto answer = co_await this->client.call(
--- a/oleanderhinge/agent/internal/runtime.cpp
+++ b/oleanderhinge/agent/internal/runtime.cpp
@@ -19,6 +19,8 @@
 constexpr std::size_t max_idle_connections = 64;
 // Steps are resent and queues are expired with this precision.
 constexpr std::chrono::milliseconds tick_interval{50};
+// The update reads all records of calls.
+constexpr unsigned ticks_per_link_update = 5;
 
 net::link_options
 link_options_of(const agent_options& options, base::incarnation own)
@@ -79,7 +81,7 @@
         s.calls.server = this->options.server;
         s.calls.agent_incarnation = this->own_incarnation;
         s.calls.limits = this->options.calls;
-        s.calls.refusal = this->refusal();
+        s.calls.refusal = this->call_refusal();
     }
 }
 
@@ -118,8 +120,13 @@
             "no new work is taken; work in progress goes on");
         this->update_state();
         this->intake_closed = true;
-        const std::lock_guard lock(this->directory.mutex);
-        for (const auto& [id, role] : this->directory.roles)
+        std::vector<net::link_id> open;
+        {
+            const std::lock_guard lock(this->directory.mutex);
+            for (const auto& [id, role] : this->directory.roles)
+                open.push_back(id);
+        }
+        for (const auto id : open)
             this->links.send(id, wire::go_away{});
     });
 }
@@ -177,7 +184,7 @@
 asio::awaitable<void> runtime::keep_ticking()
 {
     asio::steady_timer timer(this->io);
-    while (!this->stopped) {
+    for (unsigned tick = 0; !this->stopped; ++tick) {
         timer.expires_after(tick_interval);
         co_await timer.async_wait(asio::use_awaitable);
         this->feed_all(chain::ticked{});
@@ -188,7 +195,8 @@
             outcomes = expire(this->slots, base::monotonic_now());
         }
         this->deliver(outcomes);
-        this->update_busy_links();
+        if (tick % ticks_per_link_update == 0)
+            this->update_busy_links();
     }
 }
 
--- a/oleanderhinge/agent/internal/runtime.hpp
+++ b/oleanderhinge/agent/internal/runtime.hpp
@@ -72,6 +72,8 @@
     std::uint64_t sequence = 0;
     base::revision highest_config;
     order_guard orders;
+    // Until then, the configuration of the running order counts as new.
+    base::time_point order_fresh_until;
     std::map<wire::endpoint, learned_entry> learned;
 };
 
@@ -103,6 +105,7 @@
     void from_entry(net::link_id id, wire::message content);
     void from_agent(net::link_id id, wire::message content);
     net::link_id stage_link(const wire::endpoint& to);
+    void forget_stage_link(const wire::endpoint& to, net::link_id id);
     void send(chain::peer_link to, const wire::message& content);
     void update_busy_links();
 
@@ -145,8 +148,9 @@
     asio::awaitable<void> probe_engine();
     asio::awaitable<void> probe_service();
     void backend_answered(const backend_info& info);
-    void backend_failed(const std::string& detail);
+    void backend_failed(const std::string& detail, bool refused);
     std::optional<base::verdict> refusal() const;
+    std::optional<base::verdict> call_refusal() const;
     void update_state();
     asio::awaitable<void> keep_announcing();
     void announce();
@@ -160,6 +164,7 @@
     void on_order(const wire::server_order& order, base::duration age);
     asio::awaitable<void> carry_out_order(wire::server_order order);
     asio::awaitable<order_outcome> post_order(wire::server_order order);
+    bool order_is_fresh() const;
     asio::awaitable<void> wait_for_idle();
 
     asio::awaitable<void> keep_ticking();
--- a/oleanderhinge/agent/internal/server.cpp
+++ b/oleanderhinge/agent/internal/server.cpp
@@ -20,10 +20,14 @@
 // Time between two probes of the backend server, until it serves and then.
 constexpr std::chrono::milliseconds starting_probe{100};
 constexpr std::chrono::milliseconds serving_probe{500};
-// A serving engine may miss one probe while it is under load.
+// A serving engine may miss one probe while it is under load. One that takes
+// no connection is lost at once.
 constexpr unsigned probes_until_lost = 2;
 // Entry nodes that no acknowledgment has named for this long are forgotten.
 constexpr std::chrono::seconds learned_for{30};
+// A larger announcement would not fit into wire::max_datagram and be dropped.
+constexpr std::size_t max_adapter_bytes = 600;
+constexpr std::size_t adapter_overhead = 8;
 // Bounds the datagrams of one announcement.
 constexpr std::size_t max_learned = 64;
 const char* to_string(wire::server_state state)
@@ -39,6 +43,21 @@
     return "unknown";
 }
 
+// The adapters that fit into one datagram, first ones first.
+std::vector<std::string>
+announced_adapters(const std::vector<std::string>& adapters)
+{
+    std::vector<std::string> fitting;
+    std::size_t bytes = 0;
+    for (const auto& name : adapters) {
+        bytes += name.size() + adapter_overhead;
+        if (bytes > max_adapter_bytes)
+            break;
+        fitting.push_back(name);
+    }
+    return fitting;
+}
+
 } // namespace
 
 // --- Probes ---------------------------------------------------------------
@@ -54,7 +73,7 @@
         bool serving = false;
         {
             const std::lock_guard lock(this->status.mutex);
-            serving = this->status.info.has_value();
+            serving = this->status.info && this->status.failed_probes == 0;
         }
         timer.expires_after(serving ? serving_probe : starting_probe);
         co_await timer.async_wait(asio::use_awaitable);
@@ -94,7 +113,8 @@
     if (info)
         this->backend_answered(*info);
     else
-        this->backend_failed(fault);
+        this->backend_failed(
+            fault, outcome.failure == net::http_failure::not_sent);
 }
 
 asio::awaitable<void> runtime::probe_service()
@@ -111,7 +131,9 @@
     if (outcome.failure == net::http_failure::none)
         this->backend_answered({});
     else
-        this->backend_failed("no answer from the service: " + outcome.detail);
+        this->backend_failed(
+            "no answer from the service: " + outcome.detail,
+            outcome.failure == net::http_failure::not_sent);
 }
 
 void runtime::backend_answered(const backend_info& info)
@@ -136,13 +158,13 @@
     this->update_state();
 }
 
-void runtime::backend_failed(const std::string& detail)
+void runtime::backend_failed(const std::string& detail, bool refused)
 {
     {
         const std::lock_guard lock(this->status.mutex);
         if (!this->status.info)
             return;
-        if (++this->status.failed_probes < probes_until_lost)
+        if (++this->status.failed_probes < probes_until_lost && !refused)
             return;
         this->status.info.reset();
         this->status.reason = detail;
@@ -165,9 +187,18 @@
     return {};
 }
 
+std::optional<base::verdict> runtime::call_refusal() const
+{
+    if (this->options.kind == base::route_kind::model)
+        return base::not_run(
+            base::failure_code::no_server, "the server is not a plain service");
+    return this->refusal();
+}
+
 void runtime::update_state()
 {
     chain::intake_changed intake;
+    call_intake_changed call_intake;
     std::string text;
     {
         const std::lock_guard lock(this->status.mutex);
@@ -184,6 +215,7 @@
         else if (s.state == wire::server_state::leaving)
             s.reason = "the server is leaving";
         intake.refusal = this->refusal();
+        call_intake.refusal = this->call_refusal();
         if (s.info) {
             intake.layers = s.info->layers;
             intake.layer_count = s.info->layer_count;
@@ -192,7 +224,7 @@
             text = to_string(s.state);
     }
     this->feed_all(intake);
-    this->feed_all_calls(call_intake_changed{intake.refusal});
+    this->feed_all_calls(call_intake);
     if (!text.empty()) {
         this->events.record(
             event_kind::server_changed,
@@ -233,7 +265,7 @@
     if (s.info) {
         a.model = s.info->model;
         a.version = s.info->version;
-        a.adapters = s.info->adapters;
+        a.adapters = announced_adapters(s.info->adapters);
         a.layers = s.info->layers;
         a.layer_count = s.info->layer_count;
         a.accelerator = s.info->accelerator;
--- a/oleanderhinge/agent/options.cpp
+++ b/oleanderhinge/agent/options.cpp
@@ -93,7 +93,7 @@
         {"server",
          "control_limit",
          value_type::duration,
-         "1s",
+         "700ms",
          "10ms",
          "30s",
          "longest time of a request for information or an order"},
--- a/oleanderhinge/agent/options.hpp
+++ b/oleanderhinge/agent/options.hpp
@@ -39,8 +39,9 @@
     std::string service;
     // Longest time of one step on the engine.
     base::duration step_limit = std::chrono::seconds(10);
-    // For GET /v1/info, orders and the release of requests.
-    base::duration control_limit = std::chrono::seconds(1);
+    // For GET /v1/info, orders and the release of requests. Two probes that
+    // time out end within 2 s.
+    base::duration control_limit = std::chrono::milliseconds(700);
 
     settings::timing timing;
     chain::execution_limits execution;
--- a/oleanderhinge/agent/slots.cpp
+++ b/oleanderhinge/agent/slots.cpp
@@ -123,7 +123,8 @@
     if (found == pool.tickets.end())
         return;
     if (const auto granted = pool.holders.at(found->second).granted_at)
-        admission::observe_first_token(pool.queue, now - *granted);
+        admission::observe_first_token(
+            pool.queue, found->second, now - *granted);
 }
 
 slot_outcomes expire(slot_pool& pool, base::time_point now)
--- a/oleanderhinge/chain/execution.hpp
+++ b/oleanderhinge/chain/execution.hpp
@@ -58,7 +58,7 @@
     base::duration fence_time = std::chrono::seconds(60);
     // Requests in one table, with those that are only remembered. A record
     // without an open attempt takes about 200 bytes.
-    std::size_t max_requests = 16384;
+    std::size_t max_requests = 4096;
 };
 
 // --- Events ---------------------------------------------------------------
--- a/oleanderhinge/chain/internal/attempts.cpp
+++ b/oleanderhinge/chain/internal/attempts.cpp
@@ -120,6 +120,7 @@
         return other.opened.attempt == attempt;
     });
     if (record.attempts.empty()) {
+        record.attempts.shrink_to_fit();
         c.table.active.erase(id);
         schedule_forgetting(c, id, record);
     }
--- a/oleanderhinge/net/http_client.cpp
+++ b/oleanderhinge/net/http_client.cpp
@@ -25,6 +25,9 @@
 {
 
 constexpr std::size_t max_answer = std::size_t(4) << 20;
+// A kept connection that the server closed meanwhile leaves it unknown whether
+// the call ran. Servers close idle connections after tens of seconds.
+constexpr auto max_idle_time = std::chrono::seconds(5);
 constexpr auto as_pair = asio::as_tuple(asio::use_awaitable);
 
 http_outcome failed_with(http_failure kind, boost::system::error_code error)
@@ -61,9 +64,14 @@
     {
         const std::lock_guard lock(this->mutex);
         auto& kept = this->idle[server];
+        // The newest one is last; if it is too old, all are.
+        if (!kept.empty() &&
+            std::chrono::steady_clock::now() - kept.back().since >
+                max_idle_time)
+            kept.clear();
         if (kept.empty())
             return nullptr;
-        auto stream = std::move(kept.back());
+        auto stream = std::move(kept.back().stream);
         kept.pop_back();
         return stream;
     }
@@ -75,14 +83,18 @@
         const std::lock_guard lock(this->mutex);
         auto& kept = this->idle[server];
         if (kept.size() < this->max_idle)
-            kept.push_back(std::move(stream));
+            kept.push_back(
+                {std::move(stream), std::chrono::steady_clock::now()});
     }
 
     asio::io_context& io;
     const std::size_t max_idle;
     std::mutex mutex;
-    std::map<wire::endpoint, std::vector<std::unique_ptr<beast::tcp_stream>>>
-        idle;
+    struct kept_connection {
+        std::unique_ptr<beast::tcp_stream> stream;
+        std::chrono::steady_clock::time_point since;
+    };
+    std::map<wire::endpoint, std::vector<kept_connection>> idle;
 };
 
 http_client::http_client(asio::io_context& io, std::size_t max_idle)
