--- a/oleanderhinge/agent/internal/runtime.cpp
+++ b/oleanderhinge/agent/internal/runtime.cpp
@@ -69,10 +69,14 @@
           context,
           source,
           this->options.cluster_secret,
-          [this](wire::message m, const wire::endpoint&) {
-              this->on_datagram(std::move(m));
+          [this](wire::message m, const wire::endpoint& from) {
+              this->on_datagram(std::move(m), from);
           })
 {
+    auto& entries = this->status.entries.options;
+    entries.server = this->options.server;
+    entries.seeds = this->options.entry_nodes;
+    entries.lease = this->options.timing.server_lease;
     for (auto& s : this->shards) {
         s.attempts = chain::make_attempt_table(
             {this->options.server, this->own_incarnation, {}, 0},
--- a/oleanderhinge/agent/internal/runtime.hpp
+++ b/oleanderhinge/agent/internal/runtime.hpp
@@ -13,6 +13,7 @@
 #include "oleanderhinge/agent/options.hpp"
 #include "oleanderhinge/agent/orders.hpp"
 #include "oleanderhinge/agent/slots.hpp"
+#include "oleanderhinge/membership/agent_view.hpp"
 #include "oleanderhinge/net/http_client.hpp"
 #include "oleanderhinge/net/link_table.hpp"
 #include "oleanderhinge/net/udp_endpoint.hpp"
@@ -52,11 +53,6 @@
     std::set<net::link_id> busy;
 };
 
-// An entry node that announcement acknowledgments named.
-struct learned_entry {
-    base::time_point named_at;
-};
-
 // State of the backend server. Written on the strand only.
 struct server_status {
     mutable std::mutex mutex;
@@ -70,11 +66,11 @@
     bool reloading = false;
     unsigned failed_probes = 0;
     std::uint64_t sequence = 0;
-    base::revision highest_config;
     order_guard orders;
     // Until then, the configuration of the running order counts as new.
     base::time_point order_fresh_until;
-    std::map<wire::endpoint, learned_entry> learned;
+    // Entry nodes to announce to, and the highest revision that they stated.
+    membership::agent_view entries;
 };
 
 class runtime
@@ -156,8 +152,8 @@
     void announce();
     std::vector<wire::endpoint> announcement_targets(base::time_point now);
     wire::announcement make_announcement();
-    void on_datagram(wire::message content);
-    void on_ack(const wire::announcement_ack& ack);
+    void on_datagram(wire::message content, const wire::endpoint& from);
+    void on_ack(const wire::announcement_ack& ack, const wire::endpoint& from);
     void apply_shares(const wire::rank_shares& shares);
 
     // orders_run.cpp; on the strand.
--- a/oleanderhinge/agent/internal/server.cpp
+++ b/oleanderhinge/agent/internal/server.cpp
@@ -23,13 +23,9 @@
 // A serving engine may miss one probe while it is under load. One that takes
 // no connection is lost at once.
 constexpr unsigned probes_until_lost = 2;
-// Entry nodes that no acknowledgment has named for this long are forgotten.
-constexpr std::chrono::seconds learned_for{30};
 // A larger announcement would not fit into wire::max_datagram and be dropped.
 constexpr std::size_t max_adapter_bytes = 600;
 constexpr std::size_t adapter_overhead = 8;
-// Bounds the datagrams of one announcement.
-constexpr std::size_t max_learned = 64;
 const char* to_string(wire::server_state state)
 {
     switch (state) {
@@ -271,22 +267,15 @@
         a.accelerator = s.info->accelerator;
         a.speed_percent = s.info->speed_percent;
     }
-    a.highest_config = s.highest_config;
+    a.highest_config = s.entries.highest_config;
     a.applied_order = s.orders.applied;
     return a;
 }
 
 std::vector<wire::endpoint> runtime::announcement_targets(base::time_point now)
 {
-    auto targets = this->options.entry_nodes;
     const std::lock_guard lock(this->status.mutex);
-    std::erase_if(this->status.learned, [&](const auto& item) {
-        return now - item.second.named_at > learned_for;
-    });
-    for (const auto& [node, item] : this->status.learned)
-        if (std::ranges::find(targets, node) == targets.end())
-            targets.push_back(node);
-    return targets;
+    return membership::announce_to(this->status.entries, now);
 }
 
 void runtime::announce()
@@ -300,17 +289,18 @@
     }
 }
 
-void runtime::on_datagram(wire::message content)
+void runtime::on_datagram(wire::message content, const wire::endpoint& from)
 {
     if (auto* ack = std::get_if<wire::announcement_ack>(&content))
-        asio::post(this->strand, [this, held = std::move(*ack)] {
-            this->on_ack(held);
+        asio::post(this->strand, [this, held = std::move(*ack), from] {
+            this->on_ack(held, from);
         });
     else
         this->numbers.unexpected_messages.Increment();
 }
 
-void runtime::on_ack(const wire::announcement_ack& ack)
+void runtime::on_ack(
+    const wire::announcement_ack& ack, const wire::endpoint& from)
 {
     if (ack.server != this->options.server)
         return;
@@ -320,10 +310,7 @@
         // An answer to an announcement of a former incarnation.
         if (ack.sequence > s.sequence)
             return;
-        s.highest_config = std::max(s.highest_config, ack.config);
-        for (const auto& node : ack.entry_nodes)
-            if (s.learned.size() < max_learned || s.learned.contains(node))
-                s.learned[node] = {base::monotonic_now()};
+        membership::apply_ack(s.entries, ack, from, base::monotonic_now());
     }
     this->apply_shares(ack.shares);
     for (const auto& order : ack.order)
