control: create the data folder; keep the text of exceptions in errors

Cause: control did not start with a new data folder and said only 'unknown error': the folder was expected to exist, and base::handle dropped the text of exceptions. All process tests waited for a leader until their caps. Change: the folder is created and its parent synced; base::handle passes the exception's text on; refusals for overload reach routing::note_refused.

--- a/oleanderhinge/base/error.hpp
+++ b/oleanderhinge/base/error.hpp
@@ -11,6 +11,7 @@
 #include <boost/leaf.hpp>
 
 #include <cstdint>
+#include <exception>
 #include <string>
 #include <utility>
 
@@ -50,13 +51,17 @@
 }
 
 // Runs `function`, which returns `result<T>`, and passes an error, if any, to
-// `on_error(const error&)`, which returns `T`.
+// `on_error(const error&)`, which returns `T`. An exception counts as an error
+// with code `io` and its text.
 template <class Function, class OnError>
 auto handle(Function&& function, OnError&& on_error)
 {
     return boost::leaf::try_handle_all(
         std::forward<Function>(function),
         [&](const error& e) { return on_error(e); },
+        [&](boost::leaf::catch_<std::exception> caught) {
+            return on_error(error{error_code::io, caught.matched.what()});
+        },
         [&] {
             return on_error(error{error_code::malformed, "unknown error"});
         });
--- a/oleanderhinge/control/program.cpp
+++ b/oleanderhinge/control/program.cpp
@@ -9,9 +9,12 @@
 #include <spdlog/spdlog.h>
 
 #include <cstdlib>
+#include <fcntl.h>
+#include <filesystem>
 #include <iostream>
 #include <memory>
 #include <stdexcept>
+#include <unistd.h>
 #include <utility>
 
 namespace oleanderhinge::control
@@ -70,8 +73,23 @@
             }};
 }
 
+// Creates the data folder at the first start. Its own entry is synced by the
+// parent, so that a power loss does not make it look like a lost disk.
+void prepare_folder(const std::string& folder)
+{
+    const std::filesystem::path path(folder);
+    if (!std::filesystem::create_directories(path))
+        return;
+    const auto parent = std::filesystem::absolute(path).parent_path();
+    const int file = ::open(parent.c_str(), O_RDONLY | O_DIRECTORY);
+    if (file < 0 || ::fsync(file) != 0)
+        throw std::runtime_error("cannot sync " + parent.string());
+    ::close(file);
+}
+
 int serve(const control_settings& chosen)
 {
+    prepare_folder(chosen.data_folder);
     const auto files = storage::make_posix_file_system(chosen.data_folder);
     boost::asio::io_context io;
     timeline::hybrid_clock clock;
--- a/oleanderhinge/entry/request_effects.cpp
+++ b/oleanderhinge/entry/request_effects.cpp
@@ -180,6 +180,9 @@
     for (const auto& note : todo.loads)
         this->routes.update_load(
             note.server, note.agent_incarnation, note.load, now);
+    for (const auto& note : todo.refusals)
+        this->routes.refused(
+            note.server, note.work_rank, note.retry_after, now);
     for (const auto& [server, success] : todo.outcomes)
         this->routes.outcome(server, success, now);
     if (todo.succeeded)
--- a/oleanderhinge/entry/request_service.cpp
+++ b/oleanderhinge/entry/request_service.cpp
@@ -145,6 +145,11 @@
                     stage_of(request, message.attempt, message.position)) {
                 todo.loads.push_back(
                     {stage->server, stage->agent_incarnation, message.load});
+                if (message.reason.code == base::failure_code::overloaded)
+                    todo.refusals.push_back(
+                        {stage->server,
+                         request.spec.route.work_rank,
+                         message.reason.retry_after});
                 this->events.record(
                     timeline::event_kind::attempt_refused,
                     message.request,
@@ -180,7 +185,13 @@
 void request_service::on_message(const wire::call_result& message)
 {
     this->with<service_call>(
-        message.request, [&](auto& call, effects&, auto now) {
+        message.request, [&](auto& call, effects& todo, auto now) {
+            if (message.attempt == call.attempt &&
+                message.failure.code == base::failure_code::overloaded)
+                todo.refusals.push_back(
+                    {call.server,
+                     call.spec.route.work_rank,
+                     message.failure.retry_after});
             return on_call_result(call, message, now);
         });
 }
--- a/oleanderhinge/entry/request_service.hpp
+++ b/oleanderhinge/entry/request_service.hpp
@@ -94,6 +94,13 @@
         wire::load_report load;
     };
 
+    // A server refused work of a rank for overload.
+    struct refusal_note {
+        base::backend_server_id server;
+        base::rank work_rank = base::rank::standard;
+        std::chrono::milliseconds retry_after{0};
+    };
+
     // What the retry budget has to know.
     struct retry_question {
         base::verdict reason;
@@ -111,6 +118,7 @@
         std::optional<wire::outcome_report> report;
         std::vector<std::pair<base::backend_server_id, bool>> outcomes;
         std::vector<load_note> loads;
+        std::vector<refusal_note> refusals;
         // Agents that the request no longer depends on.
         std::vector<wire::endpoint> detached;
         bool succeeded = false;
--- a/oleanderhinge/entry/router.cpp
+++ b/oleanderhinge/entry/router.cpp
@@ -61,6 +61,16 @@
         routing::note_failure(this->view, server, now);
 }
 
+void router::refused(
+    const base::backend_server_id& server,
+    base::rank work_rank,
+    std::chrono::milliseconds retry_after,
+    base::time_point now)
+{
+    const std::lock_guard lock(this->view_mutex);
+    routing::note_refused(this->view, server, work_rank, retry_after, now);
+}
+
 void router::request_succeeded()
 {
     const std::lock_guard lock(this->budget_mutex);
--- a/oleanderhinge/entry/router.hpp
+++ b/oleanderhinge/entry/router.hpp
@@ -49,6 +49,12 @@
         const base::backend_server_id& server,
         bool success,
         base::time_point now);
+    // The server refused work of the rank for overload.
+    void refused(
+        const base::backend_server_id& server,
+        base::rank work_rank,
+        std::chrono::milliseconds retry_after,
+        base::time_point now);
     void request_succeeded();
 
     // Chooses with the view's random source, which is why they are commands.
--- a/tests/documents_test.cpp
+++ b/tests/documents_test.cpp
@@ -16,8 +16,7 @@
 
 std::string read_document(const std::string& name)
 {
-    std::ifstream in(
-        std::string(OLEANDERHINGE_SOURCE_DIR) + "/docs/" + name);
+    std::ifstream in(std::string(OLEANDERHINGE_SOURCE_DIR) + "/docs/" + name);
     std::ostringstream text;
     text << in.rdbuf();
     return text.str();
