entry: resume an answer whose earlier tokens ran

Cause: a model request that had delivered tokens asked for its retry with the verdict 'ran', which the retry policy refuses, so no answer was ever resumed. Ruled out: routing (a second chain was there) and the budget. Change: the question concerns the tokens behind the delivered ones, which may have run; the final verdict stays 'ran'.

--- a/oleanderhinge/control/service.cpp
+++ b/oleanderhinge/control/service.cpp
@@ -46,6 +46,14 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
 }
 
+// What the time line says about a recorded outcome.
+const char* outcome_name(const wire::outcome_report& report)
+{
+    return report.failure.code == base::failure_code::none
+               ? "answered"
+               : base::to_string(report.failure.state);
+}
+
 } // namespace
 
 // Members below `strand` are used on the strand only; the rest is thread-safe.
@@ -325,15 +333,13 @@
                            link,
                            correlation = report.correlation,
                            request = report.request,
-                           outcome = report.failure.state](
+                           outcome = outcome_name(report)](
                               const replica::propose_result& result) {
             const auto ack = to_ack(correlation, result);
             if (ack.stored) {
                 this->numbers.outcomes_stored.Increment();
                 this->events.record(
-                    event_kind::claim_finished,
-                    request,
-                    base::to_string(outcome));
+                    event_kind::claim_finished, request, outcome);
             } else {
                 this->numbers.outcomes_refused.Increment();
             }
--- a/oleanderhinge/entry/request_effects.cpp
+++ b/oleanderhinge/entry/request_effects.cpp
@@ -118,10 +118,12 @@
         } else if (const auto* f = std::get_if<fail_action>(&action)) {
             this->finish(live, route, id, request_failure{f->reason}, to);
         } else if (const auto* a = std::get_if<ask_retry_action>(&action)) {
-            // Model answers are resumed from the delivered tokens, so a
-            // further attempt is always safe for them.
+            // A further attempt generates only the tokens behind the delivered
+            // ones; whether those ran is unknown and does no harm.
             to.ask_retry = retry_question{
                 a->reason, true, request.attempt, time_left(request, now)};
+            if (a->reason.state == base::execution::ran)
+                to.ask_retry->reason.state = base::execution::may_have_run;
         } else if (const auto* r = std::get_if<report_stage_action>(&action)) {
             to.outcomes.emplace_back(r->server, r->success);
         }
