settings: one list of the node keys; free ports outside the ephemeral range

Cause: the keys of section [node] stood three times; one process test failed once because the kernel had given its port to an outgoing connection. Change: settings::node_keys; ports of tests from 20000 to 31999; threads of the failure tests join on a failed assertion; long schema functions split.

--- a/oleanderhinge/agent/options.cpp
+++ b/oleanderhinge/agent/options.cpp
@@ -1,5 +1,7 @@
 #include "oleanderhinge/agent/options.hpp"
 
+#include "oleanderhinge/settings/node_keys.hpp"
+
 #include <iterator>
 
 namespace oleanderhinge::agent
@@ -7,53 +9,12 @@
 
 using settings::value_type;
 
-settings::schema agent_keys()
+namespace
 {
-    settings::schema keys{
-        {"node", "vm", value_type::text, "", "", "", "name of this VM"},
-        {"node", "region", value_type::text, "", "", "", "region of this VM"},
-        {"node",
-         "data_centre",
-         value_type::text,
-         "",
-         "",
-         "",
-         "data centre of this VM"},
-        {"node",
-         "cluster_secret",
-         value_type::text,
-         "",
-         "",
-         "",
-         "secret that all processes of the system share"},
-        {"node",
-         "threads",
-         value_type::integer,
-         "2",
-         "1",
-         "64",
-         "threads that run the process"},
-        {"agent",
-         "links",
-         value_type::endpoint,
-         "",
-         "",
-         "",
-         "TCP endpoint for entry nodes and other agents"},
-        {"agent",
-         "announcements",
-         value_type::endpoint,
-         "",
-         "",
-         "",
-         "UDP endpoint that announcements are sent from"},
-        {"agent",
-         "events",
-         value_type::integer,
-         "4096",
-         "64",
-         "65536",
-         "events of the time line that are kept"},
+
+settings::schema server_keys()
+{
+    return {
         {"server",
          "name",
          value_type::text,
@@ -111,6 +72,36 @@
          "1",
          "10",
          "times that a step is sent before the attempt fails"},
+    };
+}
+
+} // namespace
+
+settings::schema agent_keys()
+{
+    auto keys = settings::node_keys();
+    const settings::schema own{
+        {"agent",
+         "links",
+         value_type::endpoint,
+         "",
+         "",
+         "",
+         "TCP endpoint for entry nodes and other agents"},
+        {"agent",
+         "announcements",
+         value_type::endpoint,
+         "",
+         "",
+         "",
+         "UDP endpoint that announcements are sent from"},
+        {"agent",
+         "events",
+         value_type::integer,
+         "4096",
+         "64",
+         "65536",
+         "events of the time line that are kept"},
         {"entry_nodes",
          "seeds",
          value_type::endpoint_list,
@@ -140,6 +131,9 @@
          "",
          "HTTP endpoint for health, metrics and events"},
     };
+    keys.insert(keys.end(), own.begin(), own.end());
+    const auto server = server_keys();
+    keys.insert(keys.end(), server.begin(), server.end());
     auto times = settings::timing_keys();
     keys.insert(
         keys.end(),
--- a/oleanderhinge/control/settings.cpp
+++ b/oleanderhinge/control/settings.cpp
@@ -1,6 +1,7 @@
 #include "oleanderhinge/control/settings.hpp"
 
 #include "oleanderhinge/base/random.hpp"
+#include "oleanderhinge/settings/node_keys.hpp"
 
 #include <boost/asio/ip/address.hpp>
 
@@ -156,18 +157,9 @@
     return options;
 }
 
-settings::schema node_keys()
+settings::schema log_keys()
 {
     return {
-        {"node", "vm", value_type::text, "", "", "", "name of this VM"},
-        {"node", "region", value_type::text, "", "", "", "region of this VM"},
-        {"node",
-         "data_centre",
-         value_type::text,
-         "",
-         "",
-         "",
-         "data centre of this VM"},
         {"node",
          "data_folder",
          value_type::text,
@@ -175,7 +167,6 @@
          "",
          "",
          "folder of the log and the snapshots"},
-        {"node", "threads", value_type::integer, "2", "1", "64", "threads"},
         {"control",
          "members",
          value_type::text,
@@ -191,13 +182,6 @@
          "",
          "",
          "endpoint for links of entry and control nodes"},
-        {"node",
-         "cluster_secret",
-         value_type::text,
-         "",
-         "",
-         "",
-         "secret that all processes of the system share"},
         {"config",
          "fanout",
          value_type::integer,
@@ -279,8 +263,9 @@
 
 settings::schema control_keys()
 {
-    auto keys = node_keys();
-    for (const auto& part : {service_keys(), settings::timing_keys()})
+    auto keys = settings::node_keys();
+    for (const auto& part :
+         {log_keys(), service_keys(), settings::timing_keys()})
         keys.insert(keys.end(), part.begin(), part.end());
     return keys;
 }
--- a/oleanderhinge/entry/entry_node.cpp
+++ b/oleanderhinge/entry/entry_node.cpp
@@ -32,8 +32,8 @@
     , udp(context,
           this->clock,
           this->options.cluster_secret,
-          [this](wire::message content, const wire::endpoint& from) {
-              this->on_datagram(std::move(content), from);
+          [this](const wire::message& content, const wire::endpoint& from) {
+              this->on_datagram(content, from);
           })
     , routes(this->options.here, base::entropy_seed(), base::monotonic_now())
     , servers(
@@ -103,8 +103,8 @@
                 timeline::event_kind::link_opened, peer.vm.value());
             this->config.on_opened(link, base::monotonic_now());
         },
-        [this](net::link_id link, wire::message content) {
-            this->on_link_message(link, std::move(content));
+        [this](net::link_id link, const wire::message& content) {
+            this->on_link_message(link, content);
         },
         [this](net::link_id link, net::close_reason reason, bool was_open) {
             this->on_link_closed(link, reason, was_open);
@@ -186,7 +186,8 @@
     return to;
 }
 
-void entry_node::on_link_message(net::link_id link, wire::message content)
+void entry_node::on_link_message(
+    net::link_id link, const wire::message& content)
 {
     if (this->config.on_message(link, content, base::monotonic_now()))
         return;
@@ -209,7 +210,8 @@
     this->requests.on_link_lost(lost, was_open);
 }
 
-void entry_node::on_datagram(wire::message content, const wire::endpoint& from)
+void entry_node::on_datagram(
+    const wire::message& content, const wire::endpoint& from)
 {
     const auto now = base::monotonic_now();
     if (const auto* message = std::get_if<wire::announcement>(&content))
--- a/oleanderhinge/entry/entry_node.hpp
+++ b/oleanderhinge/entry/entry_node.hpp
@@ -70,10 +70,10 @@
     server_knowledge_options make_server_options() const;
     net::http_handler make_management();
 
-    void on_link_message(net::link_id link, wire::message content);
+    void on_link_message(net::link_id link, const wire::message& content);
     void
     on_link_closed(net::link_id link, net::close_reason reason, bool was_open);
-    void on_datagram(wire::message content, const wire::endpoint& from);
+    void on_datagram(const wire::message& content, const wire::endpoint& from);
     void on_announcement(
         const wire::announcement& message, const wire::endpoint& from);
     void schedule_tick();
--- a/oleanderhinge/entry/entry_settings.cpp
+++ b/oleanderhinge/entry/entry_settings.cpp
@@ -1,5 +1,7 @@
 #include "oleanderhinge/entry/entry_node.hpp"
 
+#include "oleanderhinge/settings/node_keys.hpp"
+
 namespace oleanderhinge::entry
 {
 
@@ -7,30 +9,8 @@
 
 settings::schema entry_schema()
 {
-    settings::schema keys{
-        {"node", "vm", value_type::text, "", "", "", "name of this VM"},
-        {"node", "region", value_type::text, "", "", "", "region of this VM"},
-        {"node",
-         "data_centre",
-         value_type::text,
-         "",
-         "",
-         "",
-         "data centre of this VM"},
-        {"node",
-         "cluster_secret",
-         value_type::text,
-         "",
-         "",
-         "",
-         "secret that all processes of the system share"},
-        {"node",
-         "threads",
-         value_type::integer,
-         "2",
-         "1",
-         "64",
-         "threads that serve requests"},
+    auto keys = settings::node_keys();
+    const settings::schema own{
         {"entry",
          "link",
          value_type::endpoint,
@@ -89,6 +69,7 @@
          "",
          "HTTP endpoint for health, metrics and events"},
     };
+    keys.insert(keys.end(), own.begin(), own.end());
     const auto timing = settings::timing_keys();
     keys.insert(keys.end(), timing.begin(), timing.end());
     return keys;
--- a/tests/failure_test.cpp
+++ b/tests/failure_test.cpp
@@ -7,7 +7,6 @@
 
 #include <atomic>
 #include <csignal>
-#include <set>
 #include <thread>
 
 namespace oleanderhinge::tests
@@ -148,7 +147,7 @@
 {
     this->begin({.replicas = 2, .services = 0, .step_ms = 2});
     std::vector<chat_result> answers(24);
-    std::vector<std::thread> callers;
+    std::vector<std::jthread> callers;
     std::atomic<std::size_t> done{0};
     for (std::size_t i = 0; i < answers.size(); ++i)
         callers.emplace_back([&, i] {
@@ -178,7 +177,7 @@
 {
     this->begin({.stages = 3, .services = 1, .service_delay_ms = 1500});
     http_reply first;
-    std::thread caller([&] { first = this->f->reserve(0, "order-7"); });
+    std::jthread caller([&] { first = this->f->reserve(0, "order-7"); });
     ASSERT_TRUE(wait_until([&] { return this->f->bookings().size() == 1; }));
     this->f->run.kill(fleet::agent_of(fleet::service_name(0)));
     caller.join();
@@ -198,7 +197,7 @@
 {
     this->begin({.entries = 2, .services = 1, .service_delay_ms = 1500});
     http_reply first;
-    std::thread caller([&] { first = this->f->reserve(0, "order-9"); });
+    std::jthread caller([&] { first = this->f->reserve(0, "order-9"); });
     ASSERT_TRUE(wait_until([&] { return this->f->bookings().size() == 1; }));
     this->f->run.kill(fleet::entry_name(0));
     caller.join();
@@ -213,7 +212,7 @@
 {
     this->begin({.entries = 2, .services = 1, .service_delay_ms = 200});
     std::vector<http_reply> replies(8);
-    std::vector<std::thread> callers;
+    std::vector<std::jthread> callers;
     for (std::size_t i = 0; i < replies.size(); ++i)
         callers.emplace_back(
             [&, i] { replies[i] = this->f->reserve(i % 2, "order-10"); });
--- a/tests/harness/processes.cpp
+++ b/tests/harness/processes.cpp
@@ -10,7 +10,6 @@
 #include <cstdlib>
 #include <fcntl.h>
 #include <fstream>
-#include <set>
 #include <spawn.h>
 #include <sstream>
 #include <stdexcept>
@@ -143,16 +142,22 @@
 std::uint16_t processes::free_port()
 {
     namespace asio = boost::asio;
-    // The kernel may hand out a port again before its process has bound it.
-    static std::set<std::uint16_t> given;
+    // Ports that the kernel gives to outgoing connections begin at 32768; one
+    // of those could be taken before its process has bound it.
+    constexpr std::uint32_t first = 20000;
+    constexpr std::uint32_t count = 12000;
+    static std::uint32_t next = std::uint32_t(::getpid()) * 61;
     asio::io_context io;
     while (true) {
-        asio::ip::tcp::acceptor tcp(io, {asio::ip::address_v4::loopback(), 0});
-        const auto port = tcp.local_endpoint().port();
-        boost::system::error_code failed;
+        const auto port = std::uint16_t(first + next++ % count);
+        const auto address = asio::ip::address_v4::loopback();
+        boost::system::error_code tcp_failed;
+        boost::system::error_code udp_failed;
+        asio::ip::tcp::acceptor tcp(io, asio::ip::tcp::v4());
+        tcp.bind({address, port}, tcp_failed);
         asio::ip::udp::socket udp(io, asio::ip::udp::v4());
-        udp.bind({asio::ip::address_v4::loopback(), port}, failed);
-        if (!failed && given.insert(port).second)
+        udp.bind({address, port}, udp_failed);
+        if (!tcp_failed && !udp_failed)
             return port;
     }
 }
