--- a/oleanderhinge/entry/http_api.cpp
+++ b/oleanderhinge/entry/http_api.cpp
@@ -258,7 +258,7 @@
     const auto id = spec.id;
     auto box = std::make_shared<outbox>(
         asio::any_io_executor(co_await asio::this_coro::executor));
-    this->requests.begin_model(std::move(spec), box);
+    this->requests.begin_model(spec, box);
     if (chat.stream)
         co_await this->stream_answer(id, chat, std::move(box), exchange);
     else
@@ -387,7 +387,7 @@
     spec.request_digest = digest_of(request);
     auto box = std::make_shared<outbox>(
         asio::any_io_executor(co_await asio::this_coro::executor));
-    this->requests.begin_call(std::move(spec), box);
+    this->requests.begin_call(spec, box);
     while (true) {
         // The call goes on when its caller is gone, since its outcome must be
         // recorded; the time limit of the route ends the wait.
--- a/oleanderhinge/entry/request_service.cpp
+++ b/oleanderhinge/entry/request_service.cpp
@@ -33,8 +33,16 @@
     return this->shards[id.sequence % this->shards.size()];
 }
 
-void request_service::add(base::request_id id, live_request live)
+void request_service::add(
+    const base::request_id& id,
+    const wire::route& route,
+    const base::customer_id& customer,
+    live_request live)
 {
+    this->events.record(
+        timeline::event_kind::request_accepted,
+        id,
+        "route " + route.id.value() + " customer " + customer.value());
     auto& part = this->shard_of(id);
     const std::lock_guard lock(part.mutex);
     part.requests.emplace(id, std::move(live));
@@ -42,40 +50,30 @@
 }
 
 void request_service::begin_model(
-    model_request_spec spec, std::shared_ptr<outbox> box)
+    const model_request_spec& spec, std::shared_ptr<outbox> box)
 {
     const auto now = base::monotonic_now();
     const auto id = spec.id;
-    this->events.record(
-        timeline::event_kind::request_accepted,
-        id,
-        "route " + spec.route.id.value() + " customer " +
-            spec.customer.value());
     live_request live;
-    live.machine = make_model_request(std::move(spec), now);
+    live.machine = make_model_request(spec, now);
     live.box = std::move(box);
     live.accepted = now;
-    this->add(id, std::move(live));
+    this->add(id, spec.route, spec.customer, std::move(live));
     this->with<model_request>(id, [](auto& request, effects&, auto at) {
         return begin(request, at);
     });
 }
 
 void request_service::begin_call(
-    service_call_spec spec, std::shared_ptr<outbox> box)
+    const service_call_spec& spec, std::shared_ptr<outbox> box)
 {
     const auto now = base::monotonic_now();
     const auto id = spec.id;
-    this->events.record(
-        timeline::event_kind::request_accepted,
-        id,
-        "route " + spec.route.id.value() + " customer " +
-            spec.customer.value());
     live_request live;
-    live.machine = make_service_call(std::move(spec), now);
+    live.machine = make_service_call(spec, now);
     live.box = std::move(box);
     live.accepted = now;
-    this->add(id, std::move(live));
+    this->add(id, spec.route, spec.customer, std::move(live));
     this->with<service_call>(
         id, [](auto& call, effects&, auto at) { return begin(call, at); });
 }
--- a/oleanderhinge/entry/request_service.hpp
+++ b/oleanderhinge/entry/request_service.hpp
@@ -52,8 +52,9 @@
     // A new id for a request of this node.
     base::request_id next_id();
     // Starts a request; what happens to it goes to `box`.
-    void begin_model(model_request_spec spec, std::shared_ptr<outbox> box);
-    void begin_call(service_call_spec spec, std::shared_ptr<outbox> box);
+    void
+    begin_model(const model_request_spec& spec, std::shared_ptr<outbox> box);
+    void begin_call(const service_call_spec& spec, std::shared_ptr<outbox> box);
     // The caller is gone; a model request is closed, a call goes on, since it
     // may already run and its outcome must be recorded.
     void caller_gone(base::request_id id);
@@ -130,7 +131,12 @@
     // the lock, then carries out the actions that it returned.
     template <class Machine, class Step>
     void with(const base::request_id& id, Step step);
-    void add(base::request_id id, live_request live);
+    // Registers a new request and records it.
+    void
+    add(const base::request_id& id,
+        const wire::route& route,
+        const base::customer_id& customer,
+        live_request live);
 
     // Messages to model requests.
     void on_message(const wire::attempt_granted& message);
--- a/oleanderhinge/net/http_server.cpp
+++ b/oleanderhinge/net/http_server.cpp
@@ -1,5 +1,7 @@
 #include "oleanderhinge/net/http_server.hpp"
 
+#include "oleanderhinge/net/internal/listen.hpp"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -312,22 +314,10 @@
 
 base::result<wire::endpoint> http_server::listen(const wire::endpoint& local)
 {
-    try {
-        const tcp::endpoint address(
-            asio::ip::make_address(local.address), local.port);
-        auto& acceptor = this->state->acceptor;
-        acceptor.open(address.protocol());
-        acceptor.set_option(tcp::acceptor::reuse_address(true));
-        acceptor.bind(address);
-        acceptor.listen();
-        this->state->accept();
-        return wire::endpoint{local.address, acceptor.local_endpoint().port()};
-    } catch (const std::exception& e) {
-        return base::fail(
-            base::error_code::io,
-            "cannot listen on " + local.address + ":" +
-                std::to_string(local.port) + ": " + e.what());
-    }
+    BOOST_LEAF_AUTO(
+        bound, internal::open_acceptor(this->state->acceptor, local));
+    this->state->accept();
+    return bound;
 }
 
 void http_server::drain()
--- a/oleanderhinge/net/link_table.cpp
+++ b/oleanderhinge/net/link_table.cpp
@@ -1,6 +1,7 @@
 #include "oleanderhinge/net/link_table.hpp"
 
 #include "oleanderhinge/net/internal/link_session.hpp"
+#include "oleanderhinge/net/internal/listen.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -169,22 +170,10 @@
 
 base::result<wire::endpoint> link_table::listen(const wire::endpoint& local)
 {
-    try {
-        const tcp::endpoint address(
-            asio::ip::make_address(local.address), local.port);
-        auto& acceptor = this->state->acceptor;
-        acceptor.open(address.protocol());
-        acceptor.set_option(tcp::acceptor::reuse_address(true));
-        acceptor.bind(address);
-        acceptor.listen();
-        this->state->accept();
-        return wire::endpoint{local.address, acceptor.local_endpoint().port()};
-    } catch (const std::exception& e) {
-        return base::fail(
-            base::error_code::io,
-            "cannot listen on " + local.address + ":" +
-                std::to_string(local.port) + ": " + e.what());
-    }
+    BOOST_LEAF_AUTO(
+        bound, internal::open_acceptor(this->state->acceptor, local));
+    this->state->accept();
+    return bound;
 }
 
 link_id link_table::connect(const wire::endpoint& peer)
--- a/standins/model_engine.cpp
+++ b/standins/model_engine.cpp
@@ -267,10 +267,10 @@
     std::string layers_before(
         const json::object& step, std::uint64_t token, std::string& fault) const
     {
-        const auto prefix = std::to_string(token) + ":";
+        auto prefix = std::to_string(token) + ":";
         if (this->span.first == 0)
             return prefix;
-        const std::string applied(step.at("activation").as_string());
+        std::string applied(step.at("activation").as_string());
         if (!applied.starts_with(prefix)) {
             fault = "the activation belongs to another token";
             return {};
