--- /dev/null
+++ b/daemons/oleanderhinge_gateway.cpp
@@ -0,0 +1,60 @@
+// The gateway daemon. See docs/OPERATIONS.md for its settings.
+#include "oleanderhinge/gateway/gateway_node.hpp"
+
+#include "platform/requests.hpp"
+
+#include <CLI/CLI.hpp>
+#include <spdlog/spdlog.h>
+
+#include <cstdio>
+
+using namespace oleanderhinge;
+
+namespace
+{
+
+constexpr int exit_usage = 2;
+constexpr int exit_failed = 1;
+
+int run(const std::string& file, bool check_only)
+{
+    return base::handle(
+        [&]() -> base::result<int> {
+            BOOST_LEAF_AUTO(
+                checked, settings::load(file, gateway::gateway_keys()));
+            BOOST_LEAF_AUTO(options, gateway::load_settings(checked));
+            if (check_only) {
+                std::puts("settings are valid");
+                return 0;
+            }
+            boost::asio::io_context io;
+            gateway::gateway_node node(io, options, platform::make_dialect());
+            BOOST_LEAF_CHECK(node.start());
+            const auto process = node.process_options();
+            return net::run_process(io, process);
+        },
+        [](const base::error& e) {
+            std::fprintf(
+                stderr, "oleanderhinge-gateway: %s\n", e.detail.c_str());
+            return exit_failed;
+        });
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    CLI::App app{"Gateway of oleanderhinge: forwards requests."};
+    app.set_version_flag("--version", OLEANDERHINGE_VERSION);
+    std::string file;
+    bool check_only = false;
+    app.add_option("--config", file, "INI file with the settings")->required();
+    app.add_flag("--check-config", check_only, "check the settings and exit");
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::ParseError& e) {
+        return app.exit(e) == 0 ? 0 : exit_usage;
+    }
+    spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%f%z %l %v");
+    return run(file, check_only);
+}
--- /dev/null
+++ b/oleanderhinge/control/fleet_watch.cpp
@@ -0,0 +1,95 @@
+#include "oleanderhinge/control/fleet_watch.hpp"
+
+namespace oleanderhinge::control
+{
+
+fleet::report_outcome report(
+    fleet_watch& fleet,
+    const wire::server_record& record,
+    bool relayed,
+    base::time_point now)
+{
+    const auto heard = now - std::chrono::milliseconds(record.age_ms);
+    const auto outcome = fleet::apply(fleet.servers, record, heard);
+    if (outcome == fleet::report_outcome::stale)
+        return outcome;
+    if (fleet.first_report == base::time_point{})
+        fleet.first_report = now;
+    if (outcome == fleet::report_outcome::changed)
+        fleet.changed.insert(record.id);
+    fleet.refreshed.insert(record.id);
+    if (!relayed)
+        fleet.own.insert(record.id);
+    return outcome;
+}
+
+fleet_changes take_changes(fleet_watch& fleet, base::time_point now)
+{
+    const bool all = now >= fleet.next_refresh;
+    if (all) {
+        fleet.next_refresh = now + refresh_interval;
+        fleet::expire(fleet.servers, now);
+    }
+    const auto& wanted = all ? fleet.refreshed : fleet.changed;
+    fleet_changes to_send;
+    for (const auto& id : wanted) {
+        const auto found = fleet.servers.servers.find(id);
+        if (found == fleet.servers.servers.end())
+            continue;
+        const auto record = fleet::aged(found->second, now);
+        to_send.for_gateways.records.push_back(record);
+        if (fleet.own.contains(id))
+            to_send.for_members.records.push_back(record);
+    }
+    for (const auto& record : to_send.for_gateways.records) {
+        fleet.refreshed.erase(record.id);
+        fleet.own.erase(record.id);
+    }
+    fleet.changed.clear();
+    if (all)
+        fleet.refreshed.clear();
+    return to_send;
+}
+
+wire::server_batch all_servers(const fleet_watch& fleet, base::time_point now)
+{
+    wire::server_batch batch;
+    for (const auto& [id, server] : fleet.servers.servers)
+        batch.records.push_back(fleet::aged(server, now));
+    return batch;
+}
+
+std::vector<fleet::place_order> plan_orders(
+    fleet_watch& fleet,
+    const wire::forwarding_table& table,
+    bool leads,
+    base::time_point now)
+{
+    if (leads != fleet.leads) {
+        fleet.leads = leads;
+        fleet.leads_since = now;
+        fleet.placements.clear();
+    }
+    if (!leads || fleet.first_report == base::time_point{} ||
+        now < fleet.leads_since + settle_time ||
+        now < fleet.first_report + settle_time)
+        return {};
+    std::vector<fleet::place_order> orders;
+    for (const auto& service : table.services) {
+        if (!service.engine || service.engine->layer_count == 0)
+            continue;
+        const auto ready = fleet::usable(fleet.servers, service.name);
+        auto& plan = fleet.placements[service.name];
+        fleet::update(plan, *service.engine, ready, now);
+        const auto due = fleet::due_orders(
+            plan,
+            *service.engine,
+            ready,
+            now < fleet.first_report + cold_start_time,
+            now);
+        orders.insert(orders.end(), due.begin(), due.end());
+    }
+    return orders;
+}
+
+} // namespace oleanderhinge::control
--- /dev/null
+++ b/oleanderhinge/control/group.cpp
@@ -0,0 +1,84 @@
+#include "oleanderhinge/control/group.hpp"
+
+#include <algorithm>
+
+namespace oleanderhinge::control
+{
+
+namespace
+{
+
+const replica::member*
+find(const replica::log_status& status, const base::vm_id& vm)
+{
+    const auto found = std::find_if(
+        status.members.begin(), status.members.end(), [&](const auto& item) {
+            return item.vm == vm;
+        });
+    return found == status.members.end() ? nullptr : &*found;
+}
+
+} // namespace
+
+void observe_links(
+    member_reach& reach,
+    const replica::log_status& status,
+    const base::vm_id& self,
+    const std::function<bool(const base::vm_id&)>& has_link,
+    base::time_point now)
+{
+    std::erase_if(reach.unreachable_since, [&](const auto& item) {
+        return find(status, item.first) == nullptr;
+    });
+    for (const auto& item : status.members) {
+        if (item.vm == self || has_link(item.vm))
+            reach.unreachable_since.erase(item.vm);
+        else
+            reach.unreachable_since.try_emplace(item.vm, now);
+    }
+}
+
+bool asks_for_admission(
+    const replica::log_status& status,
+    const base::vm_id& self,
+    base::time_point without_leader_since,
+    base::time_point now)
+{
+    if (find(status, self) == nullptr)
+        return true;
+    return !status.quorum && now >= without_leader_since + admission_wait;
+}
+
+bool should_add(const replica::log_status& status, const base::vm_id& asking)
+{
+    return status.role == replica::member_role::leader && status.quorum &&
+           find(status, asking) == nullptr;
+}
+
+std::optional<base::vm_id> member_to_remove(
+    const member_reach& reach,
+    const replica::log_status& status,
+    base::time_point now)
+{
+    if (status.role != replica::member_role::leader || !status.quorum ||
+        status.members.size() <= wanted_members)
+        return std::nullopt;
+    const auto lost = std::min_element(
+        reach.unreachable_since.begin(),
+        reach.unreachable_since.end(),
+        [](const auto& left, const auto& right) {
+            return left.second < right.second;
+        });
+    if (lost == reach.unreachable_since.end() ||
+        now < lost->second + lost_after)
+        return std::nullopt;
+    // A learner does not count yet; without its vote the group would lose a
+    // member before it gains one.
+    const bool others_vote = std::all_of(
+        status.members.begin(), status.members.end(), [&](const auto& item) {
+            return item.vm == lost->first || item.voter;
+        });
+    return others_vote ? std::optional(lost->first) : std::nullopt;
+}
+
+} // namespace oleanderhinge::control
--- a/oleanderhinge/control/json.cpp
+++ b/oleanderhinge/control/json.cpp
@@ -181,7 +181,8 @@
         "remove_customer",
         "put_order",
         "remove_order",
-        "put_shares"};
+        "put_shares",
+        "put_forwarding"};
     return names[item.index()];
 }
 
@@ -190,7 +191,11 @@
 {
     return std::visit(
         [](const auto& value) -> json::value {
-            if constexpr (requires { value.value; })
+            if constexpr (std::is_same_v<
+                              decltype(value),
+                              const wire::put_forwarding&>)
+                return json::object{{"version", value.value.version}};
+            else if constexpr (requires { value.value; })
                 return to_json(value.value);
             else
                 return nullptr;
--- a/oleanderhinge/control/program.cpp
+++ b/oleanderhinge/control/program.cpp
@@ -37,7 +37,8 @@
 {
     replica::node_setup setup;
     setup.self = chosen.service.link.self.vm;
-    setup.initial = chosen.members;
+    setup.initial =
+        chosen.forms_group ? chosen.members : std::vector<replica::member>{};
     setup.times = {
         chosen.times.raft_heartbeat,
         chosen.times.leader_lease,
@@ -87,7 +88,18 @@
     ::close(file);
 }
 
-int serve(const control_settings& chosen)
+service_options with_extension(
+    service_options options,
+    const extension& added,
+    boost::asio::io_context& io)
+{
+    options.extend_admin = added.extend_admin;
+    if (added.make_order_sender)
+        options.give_order = added.make_order_sender(io);
+    return options;
+}
+
+int serve(const control_settings& chosen, const extension& added)
 {
     prepare_folder(chosen.data_folder);
     const auto files = storage::make_posix_file_system(chosen.data_folder);
@@ -96,7 +108,7 @@
     service control(
         io,
         clock,
-        chosen.service,
+        with_extension(chosen.service, added, io),
         [&](replica::state_machine machine, consensus_sender send) {
             return open_log(
                 chosen, *files, std::move(machine), std::move(send));
@@ -135,7 +147,8 @@
          .stop = [&] { control.stop(); }});
 }
 
-int load_and_run(const std::string& path, bool check_only)
+int load_and_run(
+    const std::string& path, bool check_only, const extension& added)
 {
     return base::handle(
         [&]() -> base::result<int> {
@@ -145,7 +158,7 @@
                 std::cout << path << ": ok\n";
                 return 0;
             }
-            return serve(chosen);
+            return serve(chosen, added);
         },
         [&](const base::error& failure) {
             std::cerr << failure.detail << '\n';
@@ -155,7 +168,7 @@
 
 } // namespace
 
-int run_program(int argc, const char* const* argv)
+int run_program(int argc, const char* const* argv, const extension& added)
 {
     CLI::App app{"Control node of oleanderhinge: configuration, plans and "
                  "claims."};
@@ -168,7 +181,7 @@
     app.add_flag("--check-config", check_only, "check the settings and exit");
     try {
         app.parse(argc, argv);
-        return load_and_run(path, check_only);
+        return load_and_run(path, check_only, added);
     } catch (const CLI::ParseError& e) {
         return app.exit(e) == 0 ? 0 : exit_usage;
     } catch (const std::exception& e) {
--- a/oleanderhinge/control/service.cpp
+++ b/oleanderhinge/control/service.cpp
@@ -2,6 +2,8 @@
 
 #include "oleanderhinge/control/admin_api.hpp"
 #include "oleanderhinge/control/config_feed.hpp"
+#include "oleanderhinge/control/fleet_watch.hpp"
+#include "oleanderhinge/control/group.hpp"
 #include "oleanderhinge/control/metrics.hpp"
 #include "oleanderhinge/control/peer_table.hpp"
 #include "oleanderhinge/control/replicated_state.hpp"
@@ -46,6 +48,19 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
 }
 
+const char* operation_name(operation_state state)
+{
+    switch (state) {
+    case operation_state::done:
+        return "done";
+    case operation_state::elsewhere:
+        return "elsewhere";
+    case operation_state::unavailable:
+        return "unavailable";
+    }
+    return "unknown";
+}
+
 // What the time line says about a recorded outcome.
 const char* outcome_name(const wire::outcome_report& report)
 {
@@ -86,7 +101,7 @@
                .wall_ms = options.wall_ms,
                .new_plan_id = options.new_plan_id,
                .subscribers = [this] { return this->subscribers.load(); }})
-        , admin(context, {}, this->api.handler())
+        , admin(context, this->admin_limits(), this->admin_handler())
         , management(
               context,
               {},
@@ -165,6 +180,7 @@
         if (peer.sender == wire::role::control)
             this->links.set_busy(link, true);
         this->events.record(event_kind::link_opened, peer.vm.value());
+        spdlog::info("event=link_opened peer={}", peer.vm.value());
     }
 
     void on_closed(net::link_id link, net::close_reason reason)
@@ -178,6 +194,10 @@
         this->events.record(
             event_kind::link_closed,
             found->second.vm.value() + ": " + net::to_string(reason));
+        spdlog::info(
+            "event=link_closed peer={} reason={}",
+            found->second.vm.value(),
+            net::to_string(reason));
         this->known.erase(found);
     }
 
@@ -201,9 +221,285 @@
         } else if (
             const auto* report = std::get_if<wire::outcome_report>(&content)) {
             this->on_outcome(link, *report);
+        } else if (
+            const auto* batch = std::get_if<wire::server_batch>(&content)) {
+            if (peer->second.sender == wire::role::control)
+                for (const auto& record : batch->records)
+                    this->on_report(record, true);
+        } else if (
+            const auto* asking = std::get_if<wire::join_request>(&content)) {
+            if (peer->second.sender == wire::role::control)
+                this->on_join_request(*asking);
         }
     }
 
+    // --- Backend servers --------------------------------------------------
+
+    net::http_limits admin_limits() const
+    {
+        net::http_limits limits;
+        // The largest forwarding table is 4 MiB.
+        limits.body_bytes = std::size_t(5) << 20;
+        return limits;
+    }
+
+    net::http_handler admin_handler()
+    {
+        auto own = this->api.handler();
+        if (!this->options.extend_admin)
+            return own;
+        return this->options.extend_admin(
+            {.replace_forwarding =
+                 [this](auto command, auto done) {
+                     this->replace_forwarding(
+                         std::move(command), std::move(done));
+                 },
+             .read_forwarding =
+                 [this](auto done) { this->read_forwarding(std::move(done)); },
+             .report_server =
+                 [this](wire::server_record record) {
+                     this->on_strand([this, record = std::move(record)] {
+                         this->on_report(record, false);
+                     });
+                 }},
+            std::move(own));
+    }
+
+    // Admin endpoint of the leader; port 0 if it is unknown or this node.
+    wire::endpoint leader_endpoint() const
+    {
+        const auto status = this->consensus.log->status();
+        for (const auto& item : status.members)
+            if (item.vm == status.leader && item.vm != this->self)
+                return item.admin;
+        return {};
+    }
+
+    template <class Outcome>
+    Outcome not_here() const
+    {
+        Outcome outcome;
+        outcome.leader = this->leader_endpoint();
+        if (outcome.leader.port != 0)
+            outcome.state = operation_state::elsewhere;
+        return outcome;
+    }
+
+    void replace_forwarding(
+        control_state::replace_forwarding command,
+        std::function<void(replace_outcome)> done)
+    {
+        const auto version = command.table.version;
+        this->consensus.log->propose(
+            control_state::encode(command),
+            [this, version, done = std::move(done)](
+                const replica::propose_result& result) {
+                replace_outcome outcome;
+                if (result.state == replica::propose_state::not_leader)
+                    outcome = this->not_here<replace_outcome>();
+                else if (result.state == replica::propose_state::applied)
+                    outcome = applied_replacement(result);
+                spdlog::info(
+                    "event=replace_forwarding version={} outcome={} "
+                    "version_in_force={} index={}",
+                    version,
+                    operation_name(outcome.state),
+                    outcome.reply.version_in_force,
+                    result.index.value());
+                done(outcome);
+            });
+    }
+
+    static replace_outcome
+    applied_replacement(const replica::propose_result& result)
+    {
+        return base::handle(
+            [&]() -> base::result<replace_outcome> {
+                BOOST_LEAF_AUTO(
+                    reply, control_state::decode_reply(result.reply));
+                const auto* replaced =
+                    std::get_if<control_state::replace_reply>(&reply);
+                if (replaced == nullptr)
+                    return base::fail(
+                        base::error_code::malformed, "another reply");
+                return replace_outcome{operation_state::done, {}, *replaced};
+            },
+            [](const base::error& failure) -> replace_outcome {
+                spdlog::error(
+                    "event=replace_forwarding reply is unreadable: {}",
+                    failure.detail);
+                return {};
+            });
+    }
+
+    void read_forwarding(std::function<void(document_outcome)> done)
+    {
+        const auto status = this->consensus.log->status();
+        if (status.role != replica::member_role::leader)
+            return done(this->not_here<document_outcome>());
+        this->consensus.log->read_barrier(
+            [this, done = std::move(done)](replica::barrier_result result) {
+                document_outcome outcome;
+                if (result.ok)
+                    outcome =
+                        this->state.read([](const control_state::state& from) {
+                            return document_outcome{
+                                operation_state::done,
+                                {},
+                                from.config.forwarding.version,
+                                from.forwarding_document};
+                        });
+                done(outcome);
+            });
+    }
+
+    void on_report(const wire::server_record& record, bool relayed)
+    {
+        const auto outcome =
+            report(this->fleet, record, relayed, base::monotonic_now());
+        if (outcome != fleet::report_outcome::changed)
+            return;
+        spdlog::info(
+            "event=server_changed server={} state={} address={}:{} "
+            "layers={}-{} started_ms={} sequence={} age_ms={} relayed={}",
+            record.id.value(),
+            int(record.state),
+            record.address,
+            record.port,
+            record.layers.first.value(),
+            record.layers.end.value(),
+            record.started_ms,
+            record.sequence,
+            record.age_ms,
+            relayed);
+        this->send_servers();
+    }
+
+    void send_servers()
+    {
+        const auto batches = take_changes(this->fleet, base::monotonic_now());
+        if (batches.for_gateways.records.empty())
+            return;
+        for (const auto& [link, peer] : this->known) {
+            if (peer.sender == wire::role::entry)
+                this->links.send(link, batches.for_gateways);
+            else if (
+                !batches.for_members.records.empty() &&
+                link_to(this->peers, peer.vm) == link)
+                this->links.send(link, batches.for_members);
+        }
+    }
+
+    void place_layers(const replica::log_status& status, base::time_point now)
+    {
+        if (!this->options.give_order)
+            return;
+        const bool leads =
+            status.role == replica::member_role::leader && status.quorum;
+        const auto orders =
+            this->state.read([&](const control_state::state& from) {
+                return plan_orders(
+                    this->fleet, from.config.forwarding, leads, now);
+            });
+        for (const auto& order : orders) {
+            spdlog::info(
+                "event=order server={} layers={}-{} term={}",
+                order.server.value(),
+                order.layers.first.value(),
+                order.layers.end.value(),
+                status.current_term.value());
+            this->options.give_order(order, [order](order_result result) {
+                if (result != order_result::accepted)
+                    spdlog::warn(
+                        "event=order_failed server={} result={}",
+                        order.server.value(),
+                        result == order_result::refused ? "refused"
+                                                        : "unknown");
+            });
+        }
+    }
+
+    // --- Membership -------------------------------------------------------
+
+    void on_join_request(const wire::join_request& asking)
+    {
+        const auto status = this->consensus.log->status();
+        if (!should_add(status, asking.vm)) {
+            this->forward_join_request(status, asking);
+            return;
+        }
+        spdlog::info("event=member_adding vm={}", asking.vm.value());
+        this->consensus.log->add_member(
+            {asking.vm, asking.link, asking.admin, true},
+            [asking](const replica::propose_result& result) {
+                spdlog::info(
+                    "event=member_added vm={} applied={}",
+                    asking.vm.value(),
+                    result.state == replica::propose_state::applied);
+            });
+    }
+
+    // The asking node may know none of the present members but this one.
+    void forward_join_request(
+        const replica::log_status& status, const wire::join_request& asking)
+    {
+        if (status.leader.value().empty() || status.leader == this->self ||
+            status.leader == asking.vm)
+            return;
+        if (const auto link = link_to(this->peers, status.leader))
+            this->links.send(*link, asking);
+    }
+
+    void manage_group(const replica::log_status& status, base::time_point now)
+    {
+        if (!this->options.self_managed)
+            return;
+        observe_links(
+            this->reach,
+            status,
+            this->self,
+            [this](const base::vm_id& vm) {
+                return this->link_of(vm).has_value();
+            },
+            now);
+        if (status.quorum)
+            this->without_leader_since = now;
+        if (now >= this->next_join &&
+            asks_for_admission(
+                status, this->self, this->without_leader_since, now)) {
+            this->next_join = now + admission_interval;
+            const wire::join_request asking{
+                this->self,
+                this->options.link_listen,
+                this->options.admin_listen};
+            for (const auto& [link, peer] : this->known)
+                if (peer.sender == wire::role::control)
+                    this->links.send(link, asking);
+        }
+        if (const auto vm = member_to_remove(this->reach, status, now);
+            vm && !this->removing) {
+            this->removing = true;
+            spdlog::info("event=member_removing vm={}", vm->value());
+            this->consensus.log->remove_member(
+                *vm, [this, vm](const replica::propose_result& result) {
+                    spdlog::info(
+                        "event=member_removed vm={} applied={}",
+                        vm->value(),
+                        result.state == replica::propose_state::applied);
+                    this->removing = false;
+                });
+        }
+    }
+
+    void send_group(net::link_id link)
+    {
+        wire::control_group group;
+        for (const auto& item : this->consensus.log->status().members)
+            if (item.link.port != 0)
+                group.members.push_back(item.link);
+        this->links.send(link, group);
+    }
+
     void send(const std::vector<outgoing>& messages)
     {
         for (const auto& message : messages) {
@@ -250,7 +546,11 @@
 
     void on_subscribe(net::link_id link, const wire::subscribe& wanted)
     {
-        const auto alternatives = this->others();
+        // Gateways subscribe to every member, so that each can tell them of
+        // servers.
+        const auto alternatives = this->options.self_managed
+                                      ? std::vector<wire::endpoint>{}
+                                      : this->others();
         if (this->without_quorum() && !alternatives.empty()) {
             this->send({{{link}, wire::subscribe_redirect{alternatives}}});
             return;
@@ -258,6 +558,11 @@
         this->send(this->state.read([&](const control_state::state& from) {
             return subscribe(this->feed, link, wanted, from, alternatives);
         }));
+        if (this->options.self_managed) {
+            this->send_group(link);
+            this->links.send(
+                link, all_servers(this->fleet, base::monotonic_now()));
+        }
         this->confirm_round();
     }
 
@@ -389,12 +694,19 @@
         // Without another node to name, subscribers stay: they would not come
         // back by themselves.
         if (const auto alternatives = this->others();
-            this->without_quorum() && !alternatives.empty())
+            !this->options.self_managed && this->without_quorum() &&
+            !alternatives.empty())
             this->send(dismiss(this->feed, alternatives));
         if (now >= this->next_confirm) {
             this->next_confirm = now + this->options.confirm_interval;
             this->confirm_round();
+            if (this->options.self_managed)
+                for (const auto& [link, subscriber] : this->feed.subscribers)
+                    this->send_group(link);
         }
+        this->send_servers();
+        this->place_layers(status, now);
+        this->manage_group(status, now);
         if (now >= this->next_expire) {
             this->next_expire = now + this->options.expire_interval;
             if (status.role == replica::member_role::leader && status.quorum)
@@ -463,6 +775,11 @@
     peer_table peers;
     status_watch watch;
     std::map<net::link_id, wire::hello> known;
+    fleet_watch fleet;
+    member_reach reach;
+    base::time_point without_leader_since = base::monotonic_now();
+    base::time_point next_join;
+    std::atomic<bool> removing{false};
     base::time_point next_confirm;
     base::time_point next_expire;
     std::uint64_t redirects = 0;
--- a/oleanderhinge/control/service.hpp
+++ b/oleanderhinge/control/service.hpp
@@ -9,6 +9,7 @@
 
 #include "oleanderhinge/base/error.hpp"
 #include "oleanderhinge/control/claim_messages.hpp"
+#include "oleanderhinge/control/extension.hpp"
 #include "oleanderhinge/net/link_table.hpp"
 #include "oleanderhinge/replica/replicated_log.hpp"
 #include "oleanderhinge/timeline/hybrid_clock.hpp"
@@ -49,6 +50,13 @@
     // Plan ids for clients that choose none.
     std::function<std::string()> new_plan_id;
     std::uint64_t seed = 1;
+    // Nodes that find the group by seeds admit themselves, and members that
+    // are lost are replaced; see control/group.hpp.
+    bool self_managed = false;
+    // May be empty: no calls besides the admin API, no orders.
+    std::function<net::http_handler(operations, net::http_handler admin)>
+        extend_admin;
+    order_sender give_order;
 };
 
 // Sends a consensus message to another member; it may be lost.
--- a/oleanderhinge/control/settings.cpp
+++ b/oleanderhinge/control/settings.cpp
@@ -97,14 +97,29 @@
                   std::to_string(shortest) + "\n";
 }
 
-void check_self(const control_settings& chosen, std::string& faults)
+bool is_listed(const control_settings& chosen, const base::vm_id& vm)
 {
-    const auto& vm = chosen.service.link.self.vm;
-    const bool listed = std::any_of(
+    return std::any_of(
         chosen.members.begin(), chosen.members.end(), [&](const auto& item) {
             return item.vm == vm;
         });
-    if (!listed)
+}
+
+// Control nodes that are known by their admin endpoints only.
+std::vector<replica::member> members_of_seeds(
+    const std::vector<wire::endpoint>& seeds, std::uint16_t link_port)
+{
+    std::vector<replica::member> found;
+    for (const auto& seed : seeds)
+        found.push_back(
+            {base::vm_id{seed.address}, {seed.address, link_port}, seed, true});
+    return found;
+}
+
+void check_self(const control_settings& chosen, std::string& faults)
+{
+    const auto& vm = chosen.service.link.self.vm;
+    if (!is_listed(chosen, vm))
         faults += "control.members does not name node.vm " + vm.value() + "\n";
 }
 
@@ -174,7 +189,25 @@
          "",
          "",
          "members at the first start: name=link endpoint/admin endpoint, "
-         "separated by commas"},
+         "separated by commas; without it control.seeds is required",
+         true},
+        {"control",
+         "seeds",
+         value_type::endpoint_list,
+         "",
+         "",
+         "",
+         "admin endpoints of some control nodes, which are named by their "
+         "addresses and have this node's link port; node.vm must be the own "
+         "address",
+         true},
+        {"control",
+         "first_start",
+         value_type::boolean,
+         "true",
+         "",
+         "",
+         "whether the nodes of control.seeds may form a new group"},
         {"link",
          "listen",
          value_type::endpoint,
@@ -275,9 +308,23 @@
     control_settings chosen;
     chosen.times = settings::load_timing(checked);
     BOOST_LEAF_CHECK(settings::check_timing(chosen.times));
-    BOOST_LEAF_ASSIGN(
-        chosen.members, parse_members(checked.text("control.members")));
     chosen.service = read_service(checked, chosen.times);
+    if (checked.has("control.members")) {
+        BOOST_LEAF_ASSIGN(
+            chosen.members, parse_members(checked.text("control.members")));
+    } else if (checked.has("control.seeds")) {
+        chosen.members = members_of_seeds(
+            checked.endpoint_list("control.seeds"),
+            chosen.service.link_listen.port);
+        chosen.service.self_managed = true;
+        chosen.forms_group = checked.boolean("control.first_start") &&
+                             is_listed(chosen, chosen.service.link.self.vm);
+    } else {
+        return base::fail(
+            base::error_code::out_of_range,
+            "control.members and control.seeds are both missing, one is "
+            "required");
+    }
     chosen.service.initial_members = chosen.members;
     chosen.data_folder = checked.text("node.data_folder");
     chosen.threads = unsigned(checked.integer("node.threads"));
@@ -289,7 +336,8 @@
         chosen.service.link.cluster_secret,
         shortest_secret,
         faults);
-    check_self(chosen, faults);
+    if (!chosen.service.self_managed)
+        check_self(chosen, faults);
     if (faults.empty())
         return chosen;
     faults.pop_back();
--- a/oleanderhinge/control/settings.hpp
+++ b/oleanderhinge/control/settings.hpp
@@ -23,7 +23,9 @@
 struct control_settings {
     service_options service;
     settings::timing times;
-    // Members of the cluster at its first start.
+    // Members of the cluster at its first start, or where to find it.
+    // False: the group exists and admits this node.
+    bool forms_group = true;
     std::vector<replica::member> members;
     std::string data_folder;
     unsigned threads = 2;
--- a/oleanderhinge/control_state/commands.cpp
+++ b/oleanderhinge/control_state/commands.cpp
@@ -1,6 +1,7 @@
 #include "oleanderhinge/control_state/commands.hpp"
 
 #include "oleanderhinge/control_state/internal/claims.hpp"
+#include "oleanderhinge/control_state/internal/forwarding.hpp"
 #include "oleanderhinge/control_state/internal/plans.hpp"
 #include "oleanderhinge/wire/archive.hpp"
 
@@ -49,6 +50,10 @@
     {
         return internal::apply_outcome(this->target, item);
     }
+    reply operator()(const replace_forwarding& item) const
+    {
+        return internal::apply_replace(this->target, item);
+    }
     reply operator()(const expire& item) const
     {
         advance_clock(this->target, item.now_ms);
--- a/oleanderhinge/control_state/commands.hpp
+++ b/oleanderhinge/control_state/commands.hpp
@@ -100,8 +100,26 @@
     }
 };
 
-using command =
-    std::variant<create_plan, confirm_plan, claim, record_outcome, expire>;
+// Puts a forwarding table in force if its version is the highest so far.
+struct replace_forwarding {
+    wire::forwarding_table table;
+    // The table as its operator sent it.
+    std::string document;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->table, this->document);
+    }
+};
+
+using command = std::variant<
+    create_plan,
+    confirm_plan,
+    claim,
+    record_outcome,
+    expire,
+    replace_forwarding>;
 
 // Reply to `create_plan`.
 struct plan_reply {
@@ -191,6 +209,19 @@
     }
 };
 
+// Reply to `replace_forwarding`.
+struct replace_reply {
+    // False if the version in force is as high or higher; nothing changed.
+    bool in_force = false;
+    std::uint64_t version_in_force = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->in_force, this->version_in_force);
+    }
+};
+
 // The command could not be decoded; nothing changed.
 struct malformed_command {
     std::string detail;
@@ -208,7 +239,8 @@
     confirm_reply,
     claim_result,
     outcome_result,
-    expire_reply>;
+    expire_reply,
+    replace_reply>;
 
 // Applies a committed command. `index` is its place in the log; a command at
 // or below `target.applied` is a programming error and throws
--- /dev/null
+++ b/oleanderhinge/control_state/internal/forwarding.hpp
@@ -0,0 +1,11 @@
+// Commands on the forwarding table.
+#pragma once
+
+#include "oleanderhinge/control_state/commands.hpp"
+
+namespace oleanderhinge::control_state::internal
+{
+
+replace_reply apply_replace(state& target, const replace_forwarding& item);
+
+} // namespace oleanderhinge::control_state::internal
--- a/oleanderhinge/control_state/queries.cpp
+++ b/oleanderhinge/control_state/queries.cpp
@@ -59,6 +59,10 @@
     {
         return wire::change{wire::put_shares{this->config.shares}};
     }
+    found operator()(const wire::put_forwarding&) const
+    {
+        return wire::change{wire::put_forwarding{this->config.forwarding}};
+    }
 };
 
 // Value of a hexadecimal digit; -1 for other characters.
--- a/oleanderhinge/control_state/snapshot.cpp
+++ b/oleanderhinge/control_state/snapshot.cpp
@@ -16,7 +16,7 @@
 {
 
 constexpr std::string_view magic = "OHCS";
-constexpr std::uint8_t format_version = 1;
+constexpr std::uint8_t format_version = 2;
 constexpr std::size_t prefix_size = 5;
 constexpr std::size_t checksum_size = 4;
 
@@ -28,6 +28,7 @@
     archive(value.applied, value.clock_ms, value.config, value.changes);
     archive(value.changes_after, value.removals, value.removals_after);
     archive(value.plans, value.claims, value.claims_after_ms);
+    archive(value.forwarding_document);
 }
 
 const char* broken_plan(const state& decoded)
--- a/oleanderhinge/control_state/state.hpp
+++ b/oleanderhinge/control_state/state.hpp
@@ -156,6 +156,8 @@
     base::revision changes_after;
     // Revision that removed an object that does not exist now, by name.
     std::map<std::string, base::revision> removals;
+    // Text of `config.forwarding` as its operator sent it, for reading back.
+    std::string forwarding_document;
     // Removals up to this revision may be forgotten; a plan with a lower base
     // conflicts if its object does not exist.
     base::revision removals_after;
--- a/oleanderhinge/control_state/validate.cpp
+++ b/oleanderhinge/control_state/validate.cpp
@@ -304,6 +304,11 @@
                 std::to_string(sum) + ", must be at most 100");
     }
 
+    void check(const wire::put_forwarding&)
+    {
+        this->fault("is replaced as a whole, not by a plan");
+    }
+
     const wire::configuration& config;
     const std::vector<wire::change>& intents;
     std::set<base::route_id> added_routes;
--- /dev/null
+++ b/oleanderhinge/fleet/directory.cpp
@@ -0,0 +1,109 @@
+#include "oleanderhinge/fleet/directory.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace oleanderhinge::fleet
+{
+
+namespace
+{
+
+auto order_of(const wire::server_record& record)
+{
+    return std::tuple(record.started_ms, record.sequence);
+}
+
+bool same_content(
+    const wire::server_record& left, const wire::server_record& right)
+{
+    return left.state == right.state && left.layers == right.layers &&
+           left.address == right.address && left.port == right.port &&
+           left.service == right.service &&
+           left.started_ms == right.started_ms && left.slots == right.slots;
+}
+
+// A notice that the server leaves may not carry the fields of a report.
+bool end_process(known_server& server, const wire::server_record& notice)
+{
+    if (server.record.state == wire::reported_state::gone ||
+        (notice.started_ms != 0 &&
+         notice.started_ms != server.record.started_ms))
+        return false;
+    server.record.state = wire::reported_state::gone;
+    return true;
+}
+
+} // namespace
+
+report_outcome apply(
+    directory& known, const wire::server_record& record, base::time_point heard)
+{
+    known.newest = std::max(known.newest, heard);
+    auto found = known.servers.find(record.id);
+    if (found == known.servers.end()) {
+        known.servers.emplace(record.id, known_server{record, heard});
+        return report_outcome::changed;
+    }
+    auto& held = found->second;
+    // Goes before later reports of the same process, which may overtake it.
+    if (record.state == wire::reported_state::gone &&
+        record.started_ms <= held.record.started_ms)
+        return end_process(held, record) ? report_outcome::changed
+                                         : report_outcome::stale;
+    // A process that has left does not come back.
+    if (held.record.state == wire::reported_state::gone &&
+        record.started_ms <= held.record.started_ms)
+        return report_outcome::stale;
+    if (order_of(record) < order_of(held.record))
+        return report_outcome::stale;
+    const bool same = same_content(held.record, record);
+    held.heard = std::max(held.heard, heard);
+    held.record = record;
+    return same ? report_outcome::refreshed : report_outcome::changed;
+}
+
+void expire(directory& known, base::time_point now)
+{
+    std::erase_if(known.servers, [&](const auto& item) {
+        return item.second.heard + tombstone_time < now;
+    });
+}
+
+bool is_alive(const directory& known, const known_server& server)
+{
+    if (server.record.state == wire::reported_state::gone ||
+        server.heard + silence_limit < known.newest)
+        return false;
+    return std::none_of(
+        known.servers.begin(), known.servers.end(), [&](const auto& item) {
+            const auto& other = item.second.record;
+            return other.started_ms > server.record.started_ms &&
+                   other.address == server.record.address &&
+                   other.port == server.record.port;
+        });
+}
+
+std::vector<wire::server_record>
+usable(const directory& known, std::string_view service)
+{
+    std::vector<wire::server_record> found;
+    for (const auto& [id, server] : known.servers)
+        if (server.record.service == service &&
+            server.record.state == wire::reported_state::ready &&
+            is_alive(known, server))
+            found.push_back(server.record);
+    return found;
+}
+
+wire::server_record aged(const known_server& server, base::time_point now)
+{
+    auto record = server.record;
+    record.age_ms =
+        std::uint32_t(std::chrono::duration_cast<std::chrono::milliseconds>(
+                          std::max(now - server.heard, base::duration(0)))
+                          .count());
+    return record;
+}
+
+} // namespace oleanderhinge::fleet
--- /dev/null
+++ b/oleanderhinge/fleet/placement.hpp
@@ -0,0 +1,105 @@
+// Which backend server should hold which layers of a model.
+//
+// Each data centre gets as many whole copies (chains) as its memory allows
+// with room for requests. Inside a chain, layers are divided in proportion to
+// the memory of the accelerators: a path holds as many requests as its tightest
+// part. A place in the plan belongs to an address, so a server that restarts
+// empty gets its layers back, and nothing else moves.
+//
+// Example:
+//   placement plan;
+//   update(plan, profile, servers, now);
+//   for (const auto& order : due_orders(plan, profile, servers, now))
+//   send(order);
+#pragma once
+
+#include "oleanderhinge/base/time.hpp"
+#include "oleanderhinge/wire/forwarding.hpp"
+#include "oleanderhinge/wire/messages.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace oleanderhinge::fleet
+{
+
+// A data centre gets one chain for each multiple of this of the model's size
+// in its memory. The rest holds requests: with 1.7, at least 0.7 of the size
+// of the weights.
+inline constexpr double memory_per_chain = 1.7;
+// A data centre with less memory than this multiple of the model's size holds
+// no copy of its own; a tenth stays free for requests.
+inline constexpr double least_memory = 1.1;
+// Share of a server's memory that weights may take when it fills a gap; the
+// rest holds requests.
+inline constexpr double fullest_by_weights = 0.75;
+// A server that is missing this long is replaced in the plan. Crashed servers
+// are mostly back within 5 s, and a replacement costs a load of weights.
+inline constexpr base::duration replace_after = std::chrono::seconds(7);
+// An order that shows no effect in the server's reports is sent again: a
+// report is up to 1.2 s old, and some orders are carried out 12 s late.
+inline constexpr base::duration order_repeat = std::chrono::seconds(3);
+
+struct placed_server {
+    wire::endpoint address;
+    base::data_centre_id data_centre;
+    std::string kind;
+    double memory_mb = 0;
+    base::layer_range layers;
+    // Last time at which a ready server was known at the address.
+    base::time_point seen;
+    // When the last order went out, and what it said.
+    base::time_point ordered;
+    base::layer_range ordered_layers;
+    // Process that got the last order.
+    std::uint64_t ordered_start_ms = 0;
+};
+
+struct placement {
+    std::map<wire::endpoint, placed_server> servers;
+};
+
+// One order to a server: hold exactly these layers.
+struct place_order {
+    base::backend_server_id server;
+    wire::endpoint address;
+    base::layer_range layers;
+
+    bool operator==(const place_order&) const = default;
+};
+
+// Brings the plan up to date with the ready servers of the service. The first
+// call takes over what the servers hold or, if they are empty, divides the
+// model over each data centre; later calls fill places whose server has been
+// missing for `replace_after`, and ranges that nobody holds.
+void update(
+    placement& plan,
+    const wire::engine_profile& profile,
+    const std::vector<wire::server_record>& ready,
+    base::time_point now);
+
+// Orders to send now: servers that do not report their layers, at most
+// `profile.loads_at_once` loads at a time, all of them with `unbounded`.
+std::vector<place_order> due_orders(
+    placement& plan,
+    const wire::engine_profile& profile,
+    const std::vector<wire::server_record>& ready,
+    bool unbounded,
+    base::time_point now);
+
+// --- Queries ----------------------------------------------------------------
+
+// Layers that fit into the memory of a server.
+std::uint32_t
+largest_range(const wire::engine_profile& profile, double memory_mb);
+
+// Divides `layer_count` layers over servers in proportion to their memory, at
+// most `limits[i]` to server i; empty if they do not fit.
+std::vector<std::uint32_t> divide_layers(
+    std::uint32_t layer_count,
+    const std::vector<double>& memory,
+    const std::vector<std::uint32_t>& limits);
+
+} // namespace oleanderhinge::fleet
--- /dev/null
+++ b/oleanderhinge/gateway/event_stream.cpp
@@ -0,0 +1,99 @@
+#include "oleanderhinge/gateway/event_stream.hpp"
+
+#include <charconv>
+#include <optional>
+
+namespace oleanderhinge::gateway
+{
+
+namespace
+{
+
+std::string_view value_after(std::string_view line, std::string_view name)
+{
+    if (!line.starts_with(name))
+        return {};
+    line.remove_prefix(name.size());
+    if (line.starts_with(' '))
+        line.remove_prefix(1);
+    if (line.ends_with('\r'))
+        line.remove_suffix(1);
+    return line;
+}
+
+std::string_view id_of(std::string_view event)
+{
+    while (!event.empty()) {
+        const auto end = event.find('\n');
+        if (const auto id = value_after(event.substr(0, end), "id:");
+            !id.empty())
+            return id;
+        if (end == event.npos)
+            break;
+        event.remove_prefix(end + 1);
+    }
+    return {};
+}
+
+std::optional<std::uint64_t> number(std::string_view text)
+{
+    std::uint64_t value = 0;
+    const auto [end, failed] =
+        std::from_chars(text.data(), text.data() + text.size(), value);
+    if (failed != std::errc() || end != text.data() + text.size())
+        return std::nullopt;
+    return value;
+}
+
+// Length of the first event with its empty line; 0 if it is not whole.
+std::size_t first_event(std::string_view text)
+{
+    for (std::size_t at = text.find('\n'); at != text.npos;
+         at = text.find('\n', at + 1)) {
+        auto rest = text.substr(at + 1);
+        if (rest.starts_with('\n'))
+            return at + 2;
+        if (rest.starts_with("\r\n"))
+            return at + 3;
+    }
+    return 0;
+}
+
+bool is_repeat(const event_stream& stream, std::string_view id)
+{
+    const auto last = number(stream.last_id);
+    const auto next = number(id);
+    return last && next && *next <= *last;
+}
+
+} // namespace
+
+std::vector<std::string>
+take_events(event_stream& stream, std::string_view bytes)
+{
+    std::vector<std::string> events;
+    stream.partial.append(bytes);
+    std::size_t begin = 0;
+    while (const auto length =
+               first_event(std::string_view(stream.partial).substr(begin))) {
+        auto event = stream.partial.substr(begin, length);
+        begin += length;
+        const std::string id(id_of(event));
+        if (!id.empty() && is_repeat(stream, id))
+            continue;
+        if (!id.empty())
+            stream.last_id = id;
+        ++stream.taken;
+        events.push_back(std::move(event));
+    }
+    stream.partial.erase(0, begin);
+    stream.oversized = stream.partial.size() > largest_event;
+    return events;
+}
+
+void begin_resume(event_stream& stream)
+{
+    stream.partial.clear();
+}
+
+} // namespace oleanderhinge::gateway
--- /dev/null
+++ b/oleanderhinge/gateway/event_stream_test.cpp
@@ -0,0 +1,59 @@
+#include "oleanderhinge/gateway/event_stream.hpp"
+
+#include <gmock/gmock.h>
+
+namespace oleanderhinge::gateway
+{
+namespace
+{
+
+using testing::ElementsAre;
+using testing::IsEmpty;
+
+// Guards against a caller that gets half an event when a server breaks off.
+TEST(event_stream, passes_whole_events_only)
+{
+    event_stream stream;
+    EXPECT_THAT(take_events(stream, "id: 1\nda"), IsEmpty());
+    EXPECT_THAT(
+        take_events(stream, "ta: a\n\nid: 2\n"),
+        ElementsAre("id: 1\ndata: a\n\n"));
+    EXPECT_EQ(stream.last_id, "1");
+    begin_resume(stream);
+    EXPECT_THAT(
+        take_events(stream, "id: 2\ndata: b\n\n"),
+        ElementsAre("id: 2\ndata: b\n\n"));
+}
+
+// Guards against a doubled event after another server has continued.
+TEST(event_stream, drops_events_that_the_caller_has)
+{
+    event_stream stream;
+    take_events(stream, "id: 9\ndata: a\n\nid: 10\ndata: b\n\n");
+    begin_resume(stream);
+    EXPECT_THAT(
+        take_events(stream, "id: 10\ndata: b\n\nid: 11\ndata: c\n\n"),
+        ElementsAre("id: 11\ndata: c\n\n"));
+    EXPECT_EQ(stream.taken, 3U);
+}
+
+// Guards against events that are held back because of carriage returns.
+TEST(event_stream, takes_lines_with_carriage_returns)
+{
+    event_stream stream;
+    EXPECT_THAT(
+        take_events(stream, "id: 1\r\ndata: a\r\n\r\n"),
+        ElementsAre("id: 1\r\ndata: a\r\n\r\n"));
+    EXPECT_EQ(stream.last_id, "1");
+}
+
+// Guards against a server that sends bytes without an end of event for ever.
+TEST(event_stream, reports_oversized_events)
+{
+    event_stream stream;
+    take_events(stream, std::string(largest_event + 1, 'x'));
+    EXPECT_TRUE(stream.oversized);
+}
+
+} // namespace
+} // namespace oleanderhinge::gateway
--- /dev/null
+++ b/oleanderhinge/gateway/forwarder.cpp
@@ -0,0 +1,627 @@
+#include "oleanderhinge/gateway/forwarder.hpp"
+
+#include "oleanderhinge/gateway/headers.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace oleanderhinge::gateway
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using base::failure_code;
+using boost::system::error_code;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+// A connection to a server one data centre away takes 2 ms; a server without
+// power does not answer at all.
+constexpr auto connect_limit = milliseconds(300);
+// Share of the remaining time that one attempt at a repeatable call may take,
+// so that time is left for another server.
+constexpr double call_share = 0.4;
+// A stream that is silent for this many times its longest pause, and at least
+// `least_stall`, is continued elsewhere. Callers give up after 2 s.
+constexpr int stall_gaps = 4;
+constexpr auto least_stall = milliseconds(1000);
+// The first event may take this many times its target.
+constexpr double first_event_targets = 2.5;
+// Answers to other requests that are skipped on one connection.
+constexpr int most_stray_answers = 2;
+// When a refused caller may come back: after the time in which a path gets
+// room or a server is back in use, spread so that callers do not return at
+// once.
+constexpr double least_retry_after_s = 0.3;
+constexpr double retry_after_spread_s = 0.5;
+
+steady_time steady_now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+milliseconds left_until(steady_time limit)
+{
+    return std::max(
+        std::chrono::duration_cast<milliseconds>(limit - steady_now()),
+        milliseconds(0));
+}
+
+double ms_since(steady_time start)
+{
+    return std::chrono::duration<double, std::milli>(steady_now() - start)
+        .count();
+}
+
+// 503 promises that the request has not run and will not; other failures of
+// the gateway promise nothing.
+unsigned status_of(const base::verdict& why)
+{
+    if (why.state == base::execution::not_run &&
+        why.code != failure_code::unauthenticated &&
+        why.code != failure_code::unknown_route)
+        return 503;
+    const auto status = base::http_status(why);
+    return why.state != base::execution::not_run && status == 503 ? 502
+                                                                  : status;
+}
+
+bool is_repeatable(const wire::forwarding_route& route)
+{
+    return route.repeat != wire::repeat_rule::at_most_once;
+}
+
+std::string describe(const fleet::path& parts)
+{
+    std::string text;
+    for (const auto& part : parts)
+        text += (text.empty() ? "" : ",") + part.server.value();
+    return text;
+}
+
+} // namespace
+
+enum class attempt_end : std::uint8_t { answered, failed, caller_left };
+
+struct forwarder::attempt_result {
+    attempt_end end = attempt_end::answered;
+    base::verdict why;
+    // The server that is known to be at fault; empty address: unknown.
+    wire::endpoint at_fault;
+};
+
+namespace
+{
+
+template <class Result>
+Result failed_with(base::verdict why, wire::endpoint at_fault = {})
+{
+    return {attempt_end::failed, std::move(why), std::move(at_fault)};
+}
+
+} // namespace
+
+forwarder::forwarder(
+    asio::io_context& context,
+    const dialect& dialect_in,
+    server_choice& choice_in,
+    metrics& numbers_in,
+    forwarder_options options)
+    : io(context)
+    , speak(dialect_in)
+    , choice(choice_in)
+    , numbers(numbers_in)
+    , pool(context)
+    , budget(retry::make_budget(options.retries, base::monotonic_now()))
+    , random(options.seed)
+{
+}
+
+void forwarder::use(std::shared_ptr<const route_index> next)
+{
+    this->index = std::move(next);
+    this->numbers.table_version.Set(double(this->index->table().version));
+}
+
+asio::awaitable<void>
+forwarder::handle(net::http_request request, net::http_exchange& exchange)
+{
+    ++this->active;
+    this->numbers.in_progress.Set(double(this->active));
+    // Shared, since the callback may outlive this coroutine.
+    const auto held =
+        std::make_shared<forwarding_request>(std::move(request), exchange);
+    auto& r = *held;
+    r.index = this->index;
+    r.arrived = steady_now();
+    r.facts = this->speak.read_request(r.request.base());
+    exchange.watch_client([weak = std::weak_ptr(held)] {
+        const auto left = weak.lock();
+        if (!left)
+            return;
+        left->caller_left = true;
+        if (left->line)
+            left->line->cancel();
+    });
+    co_await this->serve(r);
+    --this->active;
+    this->numbers.in_progress.Set(double(this->active));
+    this->log_answer(r);
+}
+
+asio::awaitable<void> forwarder::serve(forwarding_request& r)
+{
+    if (!r.index) {
+        const auto why = base::not_run(
+            failure_code::not_ready, "no configuration yet", milliseconds(300));
+        co_return co_await this->refuse(r, why);
+    }
+    r.route = r.index->find_route(
+        std::string_view(r.request[http::field::host]),
+        std::string_view(r.request.target()));
+    if (r.route == nullptr) {
+        const auto why = base::not_run(
+            failure_code::unknown_route, "no route matches host and path");
+        co_return co_await this->refuse(r, why);
+    }
+    r.priority = r.route->priority;
+    if (r.index->table().needs_keys && !r.route->anonymous) {
+        const auto* customer = r.index->find_customer(r.facts.key);
+        if (customer == nullptr) {
+            const auto why =
+                base::not_run(failure_code::unauthenticated, "unknown key");
+            co_return co_await this->refuse(r, why);
+        }
+        r.customer = customer->id;
+        r.priority = customer->priority.value_or(r.route->priority);
+    }
+    const auto limit = milliseconds(r.route->timeout_ms);
+    r.deadline = r.arrived + std::min(r.facts.patience.value_or(limit), limit);
+    const auto& name = pick_target(*r.route, this->random);
+    r.service = r.index->find_service(name);
+    if (r.route->streaming && r.service->engine)
+        co_await this->serve_stream(r);
+    else
+        co_await this->serve_call(r);
+}
+
+asio::awaitable<void> forwarder::serve_call(forwarding_request& r)
+{
+    while (true) {
+        const auto now = base::monotonic_now();
+        const auto to = choose_server(
+            this->choice, r.service->name, r.tried, this->random, now);
+        if (!to) {
+            const auto why = base::not_run(
+                failure_code::no_server, "no server of the service is usable");
+            co_return co_await this->give_up(r, why);
+        }
+        r.path = to->id.value();
+        r.tried.insert(to->address);
+        note_started(this->choice, to->address);
+        const auto started = steady_now();
+        const auto result = co_await this->call_once(r, *to);
+        note_ended(this->choice, to->address);
+        this->log_attempt(r, result, now);
+        if (result.end == attempt_end::answered) {
+            note_success(this->choice, to->address, ms_since(started), now);
+            retry::note_success(this->budget);
+            co_return;
+        }
+        if (result.end == attempt_end::caller_left || r.caller_left) {
+            r.outcome = "caller_left";
+            co_return;
+        }
+        if (result.why.state == base::execution::not_run &&
+            result.why.code != failure_code::link_lost)
+            note_error(this->choice, to->address, now);
+        else
+            note_failure(this->choice, to->address, base::monotonic_now());
+        if (!this->may_repeat(r, result.why, base::monotonic_now()))
+            co_return co_await this->give_up(r, result.why);
+    }
+}
+
+asio::awaitable<void> forwarder::serve_stream(forwarding_request& r)
+{
+    while (true) {
+        const auto now = base::monotonic_now();
+        const auto parts = choose_path(this->choice, *r.service, r.tried, now);
+        if (parts.empty()) {
+            const auto why = base::not_run(
+                failure_code::no_server, "no path runs all layers");
+            co_return co_await this->give_up(r, why);
+        }
+        r.path = describe(parts);
+        for (const auto& part : parts)
+            note_started(this->choice, part.address);
+        const auto result = co_await this->stream_once(r, parts);
+        for (const auto& part : parts)
+            note_ended(this->choice, part.address);
+        this->log_attempt(r, result, now);
+        if (result.end == attempt_end::answered) {
+            retry::note_success(this->budget);
+            for (const auto& part : parts)
+                this->choice.health[part.address].failures_in_a_row = 0;
+            co_return;
+        }
+        if (result.end == attempt_end::caller_left || r.caller_left) {
+            r.outcome = "caller_left";
+            co_return;
+        }
+        if (!result.at_fault.address.empty()) {
+            r.tried.insert(result.at_fault);
+            note_failure(this->choice, result.at_fault, base::monotonic_now());
+        } else {
+            // Any of them may be at fault.
+            for (const auto& part : parts)
+                r.tried.insert(part.address);
+        }
+        if (!this->may_repeat(r, result.why, base::monotonic_now()))
+            co_return co_await this->give_up(r, result.why);
+        if (r.head_sent) {
+            begin_resume(r.events);
+            this->numbers.resumed_streams.Increment();
+        }
+    }
+}
+
+net::http_request forwarder::outgoing(
+    const forwarding_request& r,
+    const fleet::path& parts,
+    const base::backend_server_id& server) const
+{
+    net::http_request to = r.request;
+    remove_connection_fields(to.base());
+    to.version(11);
+    outgoing_facts facts;
+    facts.time_left = left_until(r.deadline);
+    facts.server = server;
+    facts.customer = r.customer;
+    facts.parts = parts;
+    facts.last_event = r.events.last_id;
+    facts.priority = r.priority;
+    this->speak.prepare(to.base(), facts);
+    to.prepare_payload();
+    return to;
+}
+
+// Sends the request; on success `r.line` awaits the answer.
+asio::awaitable<forwarder::attempt_result> forwarder::open(
+    forwarding_request& r, net::http_request to_send, net::reuse reuse)
+{
+    ++r.attempts;
+    this->numbers.attempts.Increment();
+    if (r.attempts > 1)
+        this->numbers.repeats.Increment();
+    const auto limit = std::min(r.deadline, steady_now() + connect_limit);
+    const error_code refused = co_await r.line->connect(limit);
+    if (refused)
+        co_return failed_with<attempt_result>(
+            base::not_run(
+                failure_code::link_lost, "connect: " + refused.message()),
+            r.line->server());
+    ++r.runs;
+    const error_code failed = co_await r.line->send(to_send, r.deadline);
+    if (failed)
+        co_return failed_with<attempt_result>(
+            base::may_have_run(
+                failure_code::link_lost, "send: " + failed.message()),
+            r.line->server());
+    // A kept connection may have been closed while the request was on its
+    // way; only repeatable requests use one.
+    static_cast<void>(reuse);
+    co_return attempt_result{};
+}
+
+// Reads up to the head of this request's answer. A refusal of the server and
+// an answer that is not the server's own end the attempt.
+asio::awaitable<forwarder::attempt_result>
+forwarder::read_answer_head(forwarding_request& r, steady_time limit)
+{
+    for (int stray = 0;; ++stray) {
+        const error_code failed = co_await r.line->read_head(limit);
+        if (failed)
+            co_return failed_with<attempt_result>(base::may_have_run(
+                steady_now() >= limit ? failure_code::deadline_exceeded
+                                      : failure_code::link_lost,
+                "answer: " + failed.message()));
+        const auto facts =
+            this->speak.read_answer(r.line->status(), r.line->fields());
+        if (facts.id.empty() || facts.id == r.facts.id) {
+            if (!facts.not_run)
+                co_return attempt_result{};
+            --r.runs;
+            co_return failed_with<attempt_result>(
+                base::not_run(
+                    failure_code::server_failed,
+                    "server refused with " + std::to_string(r.line->status())),
+                facts.at_fault.address.empty() ? r.line->server()
+                                               : facts.at_fault);
+        }
+        // An answer to an earlier request on this connection.
+        std::string skipped;
+        while (stray < most_stray_answers && !r.line->complete() &&
+               skipped.size() < largest_answer) {
+            const error_code broken =
+                co_await r.line->read_body(skipped, limit);
+            if (broken)
+                break;
+        }
+        if (!r.line->complete())
+            co_return failed_with<attempt_result>(base::may_have_run(
+                failure_code::server_failed, "answer to another request"));
+    }
+}
+
+asio::awaitable<forwarder::attempt_result>
+forwarder::call_once(forwarding_request& r, const chosen_server& to)
+{
+    const bool repeatable = is_repeatable(*r.route);
+    const auto reuse = repeatable ? net::reuse::allowed : net::reuse::never;
+    r.line = this->pool.take(to.address, reuse);
+    auto request = this->outgoing(r, {}, to.id);
+    const auto sent = co_await this->open(r, std::move(request), reuse);
+    if (sent.end != attempt_end::answered)
+        co_return sent;
+    auto limit = r.deadline;
+    if (repeatable && r.attempts < r.route->attempts)
+        limit = steady_now() +
+                milliseconds(std::int64_t(
+                    double(left_until(r.deadline).count()) * call_share));
+    const auto head = co_await this->read_answer_head(r, limit);
+    if (head.end != attempt_end::answered)
+        co_return head;
+    if (repeatable && r.line->status() >= 500 && r.runs < r.route->attempts &&
+        r.attempts < r.route->attempts) {
+        // Another server may do better; the last answer is passed on.
+        co_return failed_with<attempt_result>(base::may_have_run(
+            failure_code::server_failed,
+            "server answered " + std::to_string(r.line->status())));
+    }
+    co_return co_await this->pass_on(r);
+}
+
+// Reads the rest of an answer and gives it to the caller as it is.
+asio::awaitable<forwarder::attempt_result>
+forwarder::pass_on(forwarding_request& r)
+{
+    std::string body;
+    while (!r.line->complete()) {
+        const error_code failed = co_await r.line->read_body(body, r.deadline);
+        if (failed || body.size() > largest_answer)
+            co_return failed_with<attempt_result>(base::may_have_run(
+                steady_now() >= r.deadline ? failure_code::deadline_exceeded
+                                           : failure_code::server_failed,
+                "answer broke off: " + failed.message()));
+    }
+    const auto status = r.line->status();
+    const auto facts = this->speak.read_answer(status, r.line->fields());
+    const bool success = status >= 200 && status < 300;
+    const bool encoded =
+        !r.line->fields()[http::field::content_encoding].empty();
+    if (success && (!facts.sealed || encoded))
+        co_return failed_with<attempt_result>(base::may_have_run(
+            failure_code::server_failed, "answer without the server's mark"));
+    auto headers = end_to_end_fields(r.line->fields());
+    this->pool.keep(std::exchange(r.line, nullptr));
+    if (r.caller_left)
+        co_return attempt_result{attempt_end::caller_left, {}, {}};
+    r.outcome = std::to_string(status);
+    this->numbers.first_byte_seconds.Observe(ms_since(r.arrived) / 1000);
+    const bool delivered = co_await r.exchange.respond(
+        status, "", std::move(body), std::move(headers));
+    if (!delivered)
+        r.outcome = "caller_left";
+    co_return attempt_result{};
+}
+
+asio::awaitable<forwarder::attempt_result>
+forwarder::stream_once(forwarding_request& r, const fleet::path& parts)
+{
+    r.line = this->pool.take(
+        parts.front().address,
+        is_repeatable(*r.route) ? net::reuse::allowed : net::reuse::never);
+    auto request = this->outgoing(r, parts, parts.front().server);
+    const auto sent =
+        co_await this->open(r, std::move(request), net::reuse::allowed);
+    if (sent.end != attempt_end::answered)
+        co_return sent;
+    auto limit = r.deadline;
+    if (is_repeatable(*r.route) && r.runs < r.route->attempts &&
+        r.route->target_latency_ms != 0)
+        limit = std::min(
+            limit,
+            steady_now() +
+                milliseconds(std::int64_t(
+                    r.route->target_latency_ms * first_event_targets)));
+    const auto head = co_await this->read_answer_head(r, limit);
+    if (head.end != attempt_end::answered)
+        co_return head;
+    if (r.line->status() != 200) {
+        if (r.head_sent)
+            co_return failed_with<attempt_result>(base::may_have_run(
+                failure_code::server_failed,
+                "server answered " + std::to_string(r.line->status())));
+        co_return co_await this->pass_on(r);
+    }
+    const auto facts =
+        this->speak.read_answer(r.line->status(), r.line->fields());
+    if (!facts.sealed)
+        co_return failed_with<attempt_result>(base::may_have_run(
+            failure_code::server_failed, "answer without the server's mark"));
+    co_return co_await this->relay(r);
+}
+
+// Passes the events of the stream on until it ends.
+asio::awaitable<forwarder::attempt_result>
+forwarder::relay(forwarding_request& r)
+{
+    const auto stall = std::max<milliseconds>(
+        least_stall, stall_gaps * milliseconds(r.route->largest_gap_ms));
+    const auto headers = end_to_end_fields(r.line->fields());
+    while (!r.line->complete()) {
+        std::string bytes;
+        auto limit = r.deadline;
+        if (is_repeatable(*r.route) && r.runs < r.route->attempts)
+            limit = std::min(limit, steady_now() + stall);
+        const error_code failed = co_await r.line->read_body(bytes, limit);
+        const auto events = take_events(r.events, bytes);
+        if (!events.empty() && !r.head_sent) {
+            r.head_sent = true;
+            this->numbers.first_byte_seconds.Observe(
+                ms_since(r.arrived) / 1000);
+            const bool begun =
+                co_await r.exchange.begin_stream(200, "", headers);
+            if (!begun)
+                co_return attempt_result{attempt_end::caller_left, {}, {}};
+        }
+        const bool written = co_await this->write_events(r, events);
+        if (!written || r.caller_left)
+            co_return attempt_result{attempt_end::caller_left, {}, {}};
+        if (failed || r.events.oversized)
+            co_return failed_with<attempt_result>(base::may_have_run(
+                steady_now() >= limit ? failure_code::deadline_exceeded
+                                      : failure_code::server_failed,
+                "stream broke off: " + failed.message()));
+    }
+    if (!r.events.partial.empty() || !r.head_sent)
+        co_return failed_with<attempt_result>(base::may_have_run(
+            failure_code::server_failed, "stream ended inside an event"));
+    this->pool.keep(std::exchange(r.line, nullptr));
+    r.outcome = "200";
+    const bool ended = co_await r.exchange.end_stream();
+    if (!ended)
+        r.outcome = "caller_left";
+    co_return attempt_result{};
+}
+
+asio::awaitable<bool> forwarder::write_events(
+    forwarding_request& r, const std::vector<std::string>& events)
+{
+    for (const auto& event : events) {
+        const auto now = steady_now();
+        if (r.last_event != steady_time{})
+            this->numbers.gap_seconds.Observe(
+                std::chrono::duration<double>(now - r.last_event).count());
+        r.last_event = now;
+        this->numbers.events.Increment();
+        const bool written = co_await r.exchange.write_chunk(event);
+        if (!written)
+            co_return false;
+    }
+    co_return true;
+}
+
+bool forwarder::may_repeat(
+    forwarding_request& r, const base::verdict& why, base::time_point now)
+{
+    if (r.line) {
+        r.line->cancel();
+        r.line = nullptr;
+    }
+    if (r.runs >= r.route->attempts)
+        return false;
+    return retry::may_retry(
+               this->budget,
+               why,
+               is_repeatable(*r.route),
+               base::attempt_number{r.attempts},
+               left_until(r.deadline),
+               this->random,
+               now)
+        .retry;
+}
+
+// Ends a request that no server will answer.
+asio::awaitable<void>
+forwarder::give_up(forwarding_request& r, const base::verdict& why)
+{
+    // Earlier attempts may have run although the last one has not.
+    base::verdict whole = why;
+    if (r.runs > 0 && whole.state == base::execution::not_run)
+        whole = base::may_have_run(why.code, why.detail);
+    if (whole.state == base::execution::not_run)
+        whole.retry_after = milliseconds(std::int64_t(
+            1000 * (least_retry_after_s +
+                    retry_after_spread_s * this->random.unit())));
+    if (r.head_sent) {
+        // The connection closes without the end of the stream.
+        r.outcome = "broken_off";
+        co_return;
+    }
+    co_await this->refuse(r, whole);
+}
+
+asio::awaitable<void>
+forwarder::refuse(forwarding_request& r, const base::verdict& why)
+{
+    const auto status = status_of(why);
+    std::vector<wire::header> headers;
+    if (why.retry_after.count() > 0) {
+        auto seconds = std::to_string(double(why.retry_after.count()) / 1000);
+        seconds.resize(seconds.find('.') + 3);
+        headers.push_back({"Retry-After", std::move(seconds)});
+    }
+    r.outcome = std::to_string(status) + "/" + base::to_string(why.code);
+    auto body = net::problem_json(why);
+    co_await r.exchange.respond(
+        status,
+        "application/problem+json",
+        std::move(body),
+        std::move(headers));
+}
+
+void forwarder::log_attempt(
+    const forwarding_request& r,
+    const attempt_result& result,
+    base::time_point now)
+{
+    if (result.end != attempt_end::failed || !this->log.allows(now))
+        return;
+    spdlog::warn(
+        "event=attempt_failed request={} attempt={} runs={} to={} "
+        "execution={} code={} detail=\"{}\" at_fault={} after_ms={:.0f} "
+        "events={}",
+        r.facts.id,
+        r.attempts,
+        r.runs,
+        r.path,
+        base::to_string(result.why.state),
+        base::to_string(result.why.code),
+        result.why.detail,
+        result.at_fault.address,
+        ms_since(r.arrived),
+        r.events.taken);
+}
+
+void forwarder::log_answer(const forwarding_request& r)
+{
+    this->numbers.count_answer(r.outcome);
+    if (!this->log.allows(base::monotonic_now()))
+        return;
+    if (const auto dropped = this->log.take_dropped()) {
+        this->numbers.log_lines_dropped.Increment(double(dropped));
+        spdlog::warn("event=log_lines_dropped count={}", dropped);
+    }
+    spdlog::info(
+        "event=answer request={} route={} customer={} version={} outcome={} "
+        "attempts={} to={} events={} last_event={} took_ms={:.0f}",
+        r.facts.id,
+        r.route == nullptr ? "" : r.route->name,
+        r.customer.value(),
+        r.index ? r.index->table().version : 0,
+        r.outcome,
+        r.attempts,
+        r.path,
+        r.events.taken,
+        r.events.last_id,
+        ms_since(r.arrived));
+}
+
+} // namespace oleanderhinge::gateway
--- /dev/null
+++ b/oleanderhinge/gateway/forwarder.hpp
@@ -0,0 +1,140 @@
+// Forwards requests of callers to backend servers and relays the answers.
+//
+// A request is sent on as often as its route, the retry budget and the verdict
+// on the last attempt allow. A stream that breaks off is continued on another
+// path after its last whole event, within the same answer.
+//
+// Used on the gateway's thread only.
+//
+// Example:
+//   forwarder forward(io, speak, choice, numbers, options);
+//   forward.use(std::make_shared<route_index>(table));
+//   co_await forward.handle(request, exchange);
+#pragma once
+
+#include "oleanderhinge/base/verdict.hpp"
+#include "oleanderhinge/gateway/event_stream.hpp"
+#include "oleanderhinge/gateway/metrics.hpp"
+#include "oleanderhinge/gateway/request_log.hpp"
+#include "oleanderhinge/gateway/route_index.hpp"
+#include "oleanderhinge/gateway/server_choice.hpp"
+#include "oleanderhinge/gateway/upstream.hpp"
+#include "oleanderhinge/retry/budget.hpp"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <memory>
+#include <set>
+#include <string>
+
+namespace oleanderhinge::gateway
+{
+
+struct forwarder_options {
+    retry::budget_options retries;
+    std::uint64_t seed = 1;
+};
+
+// One request while it is served.
+struct forwarding_request {
+    forwarding_request(
+        net::http_request request_in, net::http_exchange& exchange_in)
+        : request(std::move(request_in))
+        , exchange(exchange_in)
+    {
+    }
+
+    net::http_request request;
+    net::http_exchange& exchange;
+    request_facts facts;
+    std::shared_ptr<const route_index> index;
+    const wire::forwarding_route* route = nullptr;
+    const wire::forwarding_service* service = nullptr;
+    base::customer_id customer;
+    std::uint32_t priority = 0;
+    steady_time arrived;
+    // When the caller or the route gives up.
+    steady_time deadline;
+    // Servers that failed or refused this request.
+    std::set<wire::endpoint> tried;
+    std::uint32_t attempts = 0;
+    // Servers that may have run the request.
+    std::uint32_t runs = 0;
+    // The connection in use, to be cancelled when the caller leaves.
+    upstream_pointer line;
+    bool caller_left = false;
+    bool head_sent = false;
+    steady_time last_event;
+    event_stream events;
+    // For the log.
+    std::string path;
+    std::string outcome;
+};
+
+class forwarder
+{
+public:
+    forwarder(
+        boost::asio::io_context& io,
+        const dialect& speak,
+        server_choice& choice,
+        metrics& numbers,
+        forwarder_options options);
+
+    // Puts a table in force for new requests.
+    void use(std::shared_ptr<const route_index> index);
+
+    boost::asio::awaitable<void>
+    handle(net::http_request request, net::http_exchange& exchange);
+
+    std::size_t in_progress() const { return this->active; }
+    std::size_t connections_opened() const { return this->pool.opened(); }
+
+private:
+    struct attempt_result;
+
+    boost::asio::awaitable<void> serve(forwarding_request& r);
+    boost::asio::awaitable<void> serve_call(forwarding_request& r);
+    boost::asio::awaitable<void> serve_stream(forwarding_request& r);
+    boost::asio::awaitable<attempt_result>
+    call_once(forwarding_request& r, const chosen_server& to);
+    boost::asio::awaitable<attempt_result>
+    stream_once(forwarding_request& r, const fleet::path& parts);
+    boost::asio::awaitable<attempt_result>
+    open(forwarding_request& r, net::http_request outgoing, net::reuse reuse);
+    boost::asio::awaitable<attempt_result>
+    read_answer_head(forwarding_request& r, steady_time limit);
+    boost::asio::awaitable<attempt_result> relay(forwarding_request& r);
+    boost::asio::awaitable<bool>
+    write_events(forwarding_request& r, const std::vector<std::string>& events);
+    boost::asio::awaitable<attempt_result> pass_on(forwarding_request& r);
+    boost::asio::awaitable<void>
+    refuse(forwarding_request& r, const base::verdict& why);
+    boost::asio::awaitable<void>
+    give_up(forwarding_request& r, const base::verdict& why);
+
+    net::http_request outgoing(
+        const forwarding_request& r,
+        const fleet::path& parts,
+        const base::backend_server_id& server) const;
+    bool may_repeat(
+        forwarding_request& r, const base::verdict& why, base::time_point now);
+    void log_attempt(
+        const forwarding_request& r,
+        const attempt_result& result,
+        base::time_point now);
+    void log_answer(const forwarding_request& r);
+
+    boost::asio::io_context& io;
+    const dialect& speak;
+    server_choice& choice;
+    metrics& numbers;
+    upstream_pool pool;
+    std::shared_ptr<const route_index> index;
+    retry::budget budget;
+    base::random_source random;
+    request_log log;
+    std::size_t active = 0;
+};
+
+} // namespace oleanderhinge::gateway
--- /dev/null
+++ b/oleanderhinge/gateway/gateway_node.cpp
@@ -0,0 +1,241 @@
+#include "oleanderhinge/gateway/gateway_node.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <utility>
+
+namespace oleanderhinge::gateway
+{
+
+namespace
+{
+
+constexpr auto tick_interval = std::chrono::milliseconds(100);
+constexpr std::size_t kept_events = 4096;
+// Callers use connections again that were idle for up to 12 s.
+constexpr auto caller_idle_limit = std::chrono::seconds(20);
+// The largest request body that the platform's callers send.
+constexpr std::size_t largest_body = std::size_t(4) << 20;
+constexpr std::size_t most_callers = 2000;
+
+} // namespace
+
+gateway_node::gateway_node(
+    boost::asio::io_context& context,
+    gateway_settings chosen,
+    dialect dialect_in)
+    : io(context)
+    , options(std::move(chosen))
+    , speak(std::move(dialect_in))
+    , self(base::entropy_seed())
+    , events(this->options.vm, this->clock, kept_events)
+    , numbers(this->registry)
+    , links(context, this->clock, this->link_options(), this->link_events())
+    , control(this->links, this->control_options(), this->make_control_events())
+    , forward(
+          context,
+          this->speak,
+          this->choice,
+          this->numbers,
+          {.retries = this->options.retries, .seed = base::entropy_seed()})
+    , callers(
+          context,
+          this->caller_limits(),
+          [this](net::http_request request, net::http_exchange& exchange) {
+              return this->forward.handle(std::move(request), exchange);
+          })
+    , management(
+          context, {}, net::management_handler(this->management_options()))
+    , timer(context)
+    , leave_timer(context)
+{
+    this->choice.home = this->options.data_centre;
+}
+
+net::link_options gateway_node::link_options() const
+{
+    const auto& times = this->options.times;
+    net::link_options to;
+    to.cluster_secret = this->options.cluster_secret;
+    to.self.sender = wire::role::entry;
+    to.self.vm = this->options.vm;
+    to.self.sender_incarnation = this->self;
+    to.self.region = this->options.region;
+    to.self.data_centre = this->options.data_centre;
+    to.timing = {
+        times.link_busy_heartbeat,
+        times.link_busy_silence,
+        times.link_idle_heartbeat,
+        times.link_idle_silence,
+        times.link_handshake};
+    return to;
+}
+
+net::link_events gateway_node::link_events()
+{
+    return {
+        .opened =
+            [this](net::link_id link, const wire::hello&) {
+                this->control.on_opened(link, base::monotonic_now());
+            },
+        .received =
+            [this](net::link_id link, wire::message content) {
+                this->control.on_message(
+                    link, std::move(content), base::monotonic_now());
+            },
+        .closed =
+            [this](net::link_id link, net::close_reason reason, bool) {
+                this->control.on_closed(link, reason, base::monotonic_now());
+            }};
+}
+
+control_client_options gateway_node::control_options() const
+{
+    control_client_options to;
+    to.vm = this->options.vm;
+    to.seeds = this->options.seeds;
+    to.view.lease = this->options.times.config_lease;
+    to.seed = base::entropy_seed();
+    return to;
+}
+
+control_events gateway_node::make_control_events()
+{
+    return {
+        .configuration =
+            [this](const std::shared_ptr<const wire::configuration>& config) {
+                if (config->forwarding.version != 0)
+                    this->forward.use(
+                        std::make_shared<route_index>(config->forwarding));
+            },
+        .servers =
+            [this](const wire::server_batch& batch) {
+                this->on_servers(batch);
+            }};
+}
+
+net::http_limits gateway_node::caller_limits() const
+{
+    net::http_limits limits;
+    limits.body_bytes = largest_body;
+    limits.idle_timeout = caller_idle_limit;
+    limits.max_connections = most_callers;
+    // Answers carry the fields of the backend server only.
+    limits.server_name.clear();
+    return limits;
+}
+
+net::management_options gateway_node::management_options()
+{
+    return {
+        .ready = [this] { return this->readiness(); },
+        .registry = this->registry,
+        .events = this->events,
+        .before_scrape =
+            [this] {
+                this->numbers.servers.Set(
+                    double(this->choice.servers.servers.size()));
+            }};
+}
+
+void gateway_node::on_servers(const wire::server_batch& batch)
+{
+    const auto now = base::monotonic_now();
+    for (const auto& record : batch.records) {
+        if (learn(this->choice, record, now) != fleet::report_outcome::changed)
+            continue;
+        spdlog::info(
+            "event=server_changed server={} service={} state={} address={}:{} "
+            "layers={}-{} sequence={} age_ms={}",
+            record.id.value(),
+            record.service,
+            int(record.state),
+            record.address,
+            record.port,
+            record.layers.first.value(),
+            record.layers.end.value(),
+            record.sequence,
+            record.age_ms);
+    }
+}
+
+base::result<void> gateway_node::start()
+{
+    BOOST_LEAF_CHECK(this->callers.listen(this->options.listen));
+    BOOST_LEAF_CHECK(this->management.listen(this->options.management));
+    for (const auto& address : this->options.metrics) {
+        auto page = std::make_unique<net::http_server>(
+            this->io,
+            net::http_limits{},
+            net::management_handler(this->management_options()));
+        BOOST_LEAF_CHECK(page->listen(address));
+        this->metrics_pages.push_back(std::move(page));
+    }
+    spdlog::info(
+        "event=started role=gateway vm={} data_centre={} callers={}:{}",
+        this->options.vm.value(),
+        this->options.data_centre.value(),
+        this->options.listen.address,
+        this->options.listen.port);
+    this->schedule_tick();
+    return {};
+}
+
+void gateway_node::schedule_tick()
+{
+    this->control.tick(base::monotonic_now());
+    this->timer.expires_after(tick_interval);
+    this->timer.async_wait([this](boost::system::error_code failed) {
+        if (!failed && !this->stopped)
+            this->schedule_tick();
+    });
+}
+
+net::readiness gateway_node::readiness() const
+{
+    if (this->draining)
+        return {false, "shutting down"};
+    if (!this->control.was_confirmed())
+        return {false, "no confirmed configuration"};
+    return {true, ""};
+}
+
+void gateway_node::begin_drain()
+{
+    spdlog::info(
+        "event=draining vm={} in_progress={} connections={}",
+        this->options.vm.value(),
+        this->forward.in_progress(),
+        this->callers.connections());
+    this->draining = true;
+    this->callers.stop_keeping();
+    this->leave_timer.expires_after(this->options.leave_time);
+    this->leave_timer.async_wait([this](boost::system::error_code) {
+        this->closed = true;
+        this->callers.drain();
+    });
+}
+
+net::process_options gateway_node::process_options()
+{
+    net::process_options to;
+    to.threads = 1;
+    to.drain_limit = this->options.times.drain_limit;
+    to.begin_drain = [this] { this->begin_drain(); };
+    to.drained = [this] {
+        return this->closed && this->callers.connections() == 0;
+    };
+    to.stop = [this] {
+        spdlog::info("event=stopped vm={}", this->options.vm.value());
+        this->stopped = true;
+        this->timer.cancel();
+        this->callers.shutdown();
+        this->management.shutdown();
+        for (const auto& page : this->metrics_pages)
+            page->shutdown();
+        this->links.shutdown();
+    };
+    return to;
+}
+
+} // namespace oleanderhinge::gateway
--- /dev/null
+++ b/oleanderhinge/gateway/headers.cpp
@@ -0,0 +1,45 @@
+#include "oleanderhinge/gateway/headers.hpp"
+
+#include <boost/beast/http/rfc7230.hpp>
+
+#include <array>
+
+namespace oleanderhinge::gateway
+{
+
+namespace http = boost::beast::http;
+
+void remove_connection_fields(http_fields& fields)
+{
+    std::vector<std::string> named;
+    for (const auto& name : http::token_list(fields[http::field::connection]))
+        named.emplace_back(name);
+    for (const auto& name : named)
+        fields.erase(name);
+    constexpr std::array always{
+        http::field::connection,
+        http::field::keep_alive,
+        http::field::proxy_connection,
+        http::field::proxy_authenticate,
+        http::field::proxy_authorization,
+        http::field::te,
+        http::field::trailer,
+        http::field::transfer_encoding,
+        http::field::upgrade};
+    for (const auto name : always)
+        fields.erase(name);
+}
+
+std::vector<wire::header> end_to_end_fields(const http_fields& fields)
+{
+    http_fields copy = fields;
+    remove_connection_fields(copy);
+    copy.erase(http::field::content_length);
+    std::vector<wire::header> kept;
+    for (const auto& field : copy)
+        kept.push_back(
+            {std::string(field.name_string()), std::string(field.value())});
+    return kept;
+}
+
+} // namespace oleanderhinge::gateway
--- /dev/null
+++ b/oleanderhinge/gateway/headers.hpp
@@ -0,0 +1,21 @@
+// Header fields that concern one connection only.
+//
+// Example:
+//   remove_connection_fields(request.base());
+#pragma once
+
+#include "oleanderhinge/gateway/dialect.hpp"
+
+#include <vector>
+
+namespace oleanderhinge::gateway
+{
+
+// Removes Connection and the fields that it names, Keep-Alive, TE, Trailer,
+// Transfer-Encoding, Upgrade and the Proxy fields.
+void remove_connection_fields(http_fields& fields);
+
+// Fields of an answer that the caller gets, without its framing.
+std::vector<wire::header> end_to_end_fields(const http_fields& fields);
+
+} // namespace oleanderhinge::gateway
--- /dev/null
+++ b/oleanderhinge/gateway/metrics.cpp
@@ -0,0 +1,95 @@
+#include "oleanderhinge/gateway/metrics.hpp"
+
+namespace oleanderhinge::gateway
+{
+
+namespace
+{
+
+prometheus::Counter&
+add_counter(prometheus::Registry& registry, const char* name, const char* help)
+{
+    return prometheus::BuildCounter()
+        .Name(name)
+        .Help(help)
+        .Register(registry)
+        .Add({});
+}
+
+prometheus::Gauge&
+add_gauge(prometheus::Registry& registry, const char* name, const char* help)
+{
+    return prometheus::BuildGauge()
+        .Name(name)
+        .Help(help)
+        .Register(registry)
+        .Add({});
+}
+
+prometheus::Histogram& add_histogram(
+    prometheus::Registry& registry, const char* name, const char* help)
+{
+    // Around the targets of today: 150 ms, 500 ms and 1 s; gaps of 250 ms.
+    const prometheus::Histogram::BucketBoundaries bounds{
+        0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1, 2, 5, 20};
+    return prometheus::BuildHistogram()
+        .Name(name)
+        .Help(help)
+        .Register(registry)
+        .Add({}, bounds);
+}
+
+} // namespace
+
+metrics::metrics(prometheus::Registry& registry)
+    : answers(prometheus::BuildCounter()
+                  .Name("oleanderhinge_gateway_answers_total")
+                  .Help("Requests by outcome")
+                  .Register(registry))
+    , attempts(add_counter(
+          registry,
+          "oleanderhinge_gateway_attempts_total",
+          "Requests sent to backend servers"))
+    , repeats(add_counter(
+          registry,
+          "oleanderhinge_gateway_repeats_total",
+          "Requests sent to another server after a failure"))
+    , resumed_streams(add_counter(
+          registry,
+          "oleanderhinge_gateway_resumed_streams_total",
+          "Streams that another path continued"))
+    , events(add_counter(
+          registry,
+          "oleanderhinge_gateway_events_total",
+          "Stream events passed to callers"))
+    , log_lines_dropped(add_counter(
+          registry,
+          "oleanderhinge_gateway_log_lines_dropped_total",
+          "Log lines above the limit"))
+    , first_byte_seconds(add_histogram(
+          registry,
+          "oleanderhinge_gateway_first_byte_seconds",
+          "Time to the first event or the whole answer"))
+    , gap_seconds(add_histogram(
+          registry,
+          "oleanderhinge_gateway_gap_seconds",
+          "Time between events of a stream"))
+    , in_progress(add_gauge(
+          registry,
+          "oleanderhinge_gateway_requests_in_progress",
+          "Requests in progress"))
+    , table_version(add_gauge(
+          registry,
+          "oleanderhinge_gateway_forwarding_version",
+          "Version of the forwarding table in force"))
+    , servers(add_gauge(
+          registry, "oleanderhinge_gateway_servers", "Backend servers known"))
+{
+}
+
+void metrics::count_answer(const std::string& outcome)
+{
+    this->answers.Add({{"outcome", outcome}}).Increment();
+}
+
+} // namespace oleanderhinge::gateway
--- /dev/null
+++ b/oleanderhinge/gateway/metrics.hpp
@@ -0,0 +1,33 @@
+// Metrics of a gateway.
+#pragma once
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <string>
+
+namespace oleanderhinge::gateway
+{
+
+struct metrics {
+    explicit metrics(prometheus::Registry& registry);
+
+    // Counts an answer by its outcome; see docs/OPERATIONS.md.
+    void count_answer(const std::string& outcome);
+
+    prometheus::Family<prometheus::Counter>& answers;
+    prometheus::Counter& attempts;
+    prometheus::Counter& repeats;
+    prometheus::Counter& resumed_streams;
+    prometheus::Counter& events;
+    prometheus::Counter& log_lines_dropped;
+    prometheus::Histogram& first_byte_seconds;
+    prometheus::Histogram& gap_seconds;
+    prometheus::Gauge& in_progress;
+    prometheus::Gauge& table_version;
+    prometheus::Gauge& servers;
+};
+
+} // namespace oleanderhinge::gateway
--- /dev/null
+++ b/oleanderhinge/gateway/route_index.cpp
@@ -0,0 +1,84 @@
+#include "oleanderhinge/gateway/route_index.hpp"
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace oleanderhinge::gateway
+{
+
+namespace
+{
+
+std::string host_key(std::string_view host)
+{
+    std::string key(host.substr(0, host.find(':')));
+    for (char& letter : key)
+        letter = char(std::tolower(static_cast<unsigned char>(letter)));
+    return key;
+}
+
+} // namespace
+
+route_index::route_index(wire::forwarding_table table_in)
+    : held(std::move(table_in))
+{
+    for (const auto& route : this->held.routes)
+        this->by_host[host_key(route.host)].push_back(&route);
+    for (auto& [host, routes] : this->by_host)
+        std::sort(
+            routes.begin(),
+            routes.end(),
+            [](const auto* left, const auto* right) {
+                return left->path_prefix.size() > right->path_prefix.size();
+            });
+    for (const auto& customer : this->held.customers)
+        for (const auto& key : customer.keys)
+            this->by_key.emplace(key, &customer);
+    for (const auto& service : this->held.services)
+        this->by_service.emplace(service.name, &service);
+}
+
+const wire::forwarding_route*
+route_index::find_route(std::string_view host, std::string_view target) const
+{
+    const auto found = this->by_host.find(host_key(host));
+    if (found == this->by_host.end())
+        return nullptr;
+    const auto path = target.substr(0, target.find('?'));
+    for (const auto* route : found->second)
+        if (path.starts_with(route->path_prefix))
+            return route;
+    return nullptr;
+}
+
+const wire::forwarding_customer*
+route_index::find_customer(std::string_view key) const
+{
+    const auto found = this->by_key.find(std::string(key));
+    return found == this->by_key.end() ? nullptr : found->second;
+}
+
+const wire::forwarding_service*
+route_index::find_service(std::string_view name) const
+{
+    const auto found = this->by_service.find(name);
+    return found == this->by_service.end() ? nullptr : found->second;
+}
+
+const std::string&
+pick_target(const wire::forwarding_route& route, base::random_source& random)
+{
+    std::uint64_t total = 0;
+    for (const auto& target : route.targets)
+        total += target.weight;
+    auto drawn = random.below(total);
+    for (const auto& target : route.targets) {
+        if (drawn < target.weight)
+            return target.service;
+        drawn -= target.weight;
+    }
+    return route.targets.back().service;
+}
+
+} // namespace oleanderhinge::gateway
--- /dev/null
+++ b/oleanderhinge/gateway/server_choice.hpp
@@ -0,0 +1,109 @@
+// Where a request goes: a server of a plain service or a path through engines.
+//
+// The choice rests on what servers report through control and on what this
+// gateway has seen of them: answers, failures and requests in progress.
+//
+// Example:
+//   server_choice choice;
+//   learn(choice, record, now);
+//   auto to = choose_path(choice, service, home, {}, now);
+//   note_started(choice, to); ... note_ended(choice, to);
+#pragma once
+
+#include "oleanderhinge/base/random.hpp"
+#include "oleanderhinge/fleet/directory.hpp"
+#include "oleanderhinge/fleet/paths.hpp"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace oleanderhinge::gateway
+{
+
+// A server that failed gets no requests for this long, doubled with each
+// further failure up to the largest. Crashed servers are mostly back in 5 s.
+inline constexpr base::duration first_ejection = std::chrono::milliseconds(500);
+inline constexpr base::duration largest_ejection = std::chrono::seconds(4);
+// Half-life of remembered failures and latencies.
+inline constexpr base::duration memory_half_life = std::chrono::seconds(3);
+// A server that failed every request costs as much as this many more requests
+// in progress.
+inline constexpr double failure_weight = 8;
+// A server of another data centre costs this much more than one at home.
+inline constexpr double remote_weight = 1.15;
+// Paths are computed again after this time, as load changes.
+inline constexpr base::duration path_age = std::chrono::milliseconds(250);
+
+struct server_health {
+    std::uint32_t in_progress = 0;
+    // Share of recent requests that failed, and their latency.
+    double failure_rate = 0;
+    double latency_ms = 0;
+    base::time_point updated;
+    std::uint32_t failures_in_a_row = 0;
+    base::time_point ejected_until;
+};
+
+struct chosen_server {
+    base::backend_server_id id;
+    wire::endpoint address;
+
+    bool operator==(const chosen_server&) const = default;
+};
+
+struct server_choice {
+    fleet::directory servers;
+    std::map<wire::endpoint, server_health> health;
+    base::data_centre_id home;
+    // Costs of a path are computed again when this grows.
+    std::uint64_t changes = 0;
+    struct cached_path {
+        std::uint64_t changes = 0;
+        base::time_point computed;
+        fleet::path parts;
+    };
+    std::map<std::string, cached_path> paths;
+};
+
+// --- Commands ---------------------------------------------------------------
+
+// Takes a record of control; its age counts from `now`.
+fleet::report_outcome learn(
+    server_choice& choice,
+    const wire::server_record& record,
+    base::time_point now);
+
+void note_started(server_choice& choice, const wire::endpoint& server);
+void note_ended(server_choice& choice, const wire::endpoint& server);
+void note_success(
+    server_choice& choice,
+    const wire::endpoint& server,
+    double latency_ms,
+    base::time_point now);
+// Takes the server out for a while.
+void note_failure(
+    server_choice& choice, const wire::endpoint& server, base::time_point now);
+// The server answered with an error of its own; it stays in use.
+void note_error(
+    server_choice& choice, const wire::endpoint& server, base::time_point now);
+
+// A server of the plain service that is not in `tried`, the one with the least
+// expected wait; one that is ejected only if all are. Empty if there is none.
+std::optional<chosen_server> choose_server(
+    const server_choice& choice,
+    const std::string& service,
+    const std::set<wire::endpoint>& tried,
+    base::random_source& random,
+    base::time_point now);
+
+// A path over all layers without the servers in `tried`; empty if there is
+// none.
+fleet::path choose_path(
+    server_choice& choice,
+    const wire::forwarding_service& service,
+    const std::set<wire::endpoint>& tried,
+    base::time_point now);
+
+} // namespace oleanderhinge::gateway
--- /dev/null
+++ b/oleanderhinge/gateway/upstream.cpp
@@ -0,0 +1,178 @@
+#include "oleanderhinge/gateway/upstream.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <array>
+#include <utility>
+
+namespace oleanderhinge::gateway
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace
+{
+
+constexpr auto as_pair = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t read_size = 8192;
+
+} // namespace
+
+upstream_connection::upstream_connection(
+    asio::io_context& io, wire::endpoint server, bool fresh_in)
+    : stream(io)
+    , peer(std::move(server))
+    , is_new(fresh_in)
+{
+}
+
+asio::awaitable<error_code> upstream_connection::connect(steady_time limit)
+{
+    if (!this->is_new)
+        co_return error_code{};
+    error_code failed;
+    const auto address = asio::ip::make_address(this->peer.address, failed);
+    if (failed)
+        co_return failed;
+    this->stream.expires_at(limit);
+    const auto [refused] = co_await this->stream.async_connect(
+        tcp::endpoint(address, this->peer.port), as_pair);
+    if (!refused)
+        this->stream.socket().set_option(tcp::no_delay(true), failed);
+    co_return this->cancelled ? asio::error::operation_aborted : refused;
+}
+
+asio::awaitable<error_code>
+upstream_connection::send(const net::http_request& request, steady_time limit)
+{
+    if (this->cancelled)
+        co_return asio::error::operation_aborted;
+    this->stream.expires_at(limit);
+    const auto [failed, size] =
+        co_await http::async_write(this->stream, request, as_pair);
+    co_return failed;
+}
+
+asio::awaitable<error_code> upstream_connection::read_head(steady_time limit)
+{
+    if (this->cancelled)
+        co_return asio::error::operation_aborted;
+    this->stream.expires_at(limit);
+    do {
+        this->answer.emplace();
+        this->answer->body_limit(boost::none);
+        const auto [failed, size] = co_await http::async_read_header(
+            this->stream, this->buffer, *this->answer, as_pair);
+        if (failed)
+            co_return failed;
+    } while (this->answer->get().result_int() < 200);
+    co_return error_code{};
+}
+
+asio::awaitable<error_code>
+upstream_connection::read_body(std::string& text, steady_time limit)
+{
+    if (this->cancelled)
+        co_return asio::error::operation_aborted;
+    if (this->answer->is_done())
+        co_return error_code{};
+    std::array<char, read_size> bytes{};
+    auto& body = this->answer->get().body();
+    body.data = bytes.data();
+    body.size = bytes.size();
+    this->stream.expires_at(limit);
+    auto [failed, size] = co_await http::async_read_some(
+        this->stream, this->buffer, *this->answer, as_pair);
+    text.append(bytes.data(), bytes.size() - body.size);
+    if (failed == http::error::need_buffer)
+        failed = {};
+    co_return failed;
+}
+
+void upstream_connection::cancel()
+{
+    this->cancelled = true;
+    error_code ignored;
+    this->stream.socket().close(ignored);
+}
+
+unsigned upstream_connection::status() const
+{
+    return this->answer->get().result_int();
+}
+
+const http_fields& upstream_connection::fields() const
+{
+    return this->answer->get().base();
+}
+
+bool upstream_connection::complete() const
+{
+    return this->answer && this->answer->is_done();
+}
+
+bool upstream_connection::reusable()
+{
+    // Bytes behind a complete answer belong to no request.
+    return !this->cancelled && this->complete() && this->answer->keep_alive() &&
+           this->buffer.size() == 0;
+}
+
+upstream_pool::upstream_pool(asio::io_context& context)
+    : io(context)
+{
+}
+
+upstream_pointer
+upstream_pool::take(const wire::endpoint& server, net::reuse allowed)
+{
+    auto& kept = this->idle[server];
+    const auto now = std::chrono::steady_clock::now();
+    while (allowed == net::reuse::allowed && !kept.empty()) {
+        auto candidate = std::move(kept.back());
+        kept.pop_back();
+        // Readable while idle: closed, or an answer that nobody asked for.
+        char byte = 0;
+        error_code failed;
+        auto& socket = candidate.line->stream.socket();
+        socket.non_blocking(true, failed);
+        socket.receive(
+            asio::buffer(&byte, 1), tcp::socket::message_peek, failed);
+        if (now - candidate.since < longest_idle &&
+            failed == asio::error::would_block)
+            return candidate.line;
+    }
+    ++this->connections_opened;
+    return std::make_shared<upstream_connection>(this->io, server, true);
+}
+
+void upstream_pool::keep(upstream_pointer line)
+{
+    if (!line->reusable())
+        return;
+    line->stream.expires_never();
+    line->is_new = false;
+    line->answer.reset();
+    auto& kept = this->idle[line->peer];
+    const auto now = std::chrono::steady_clock::now();
+    std::erase_if(kept, [&](const kept_connection& item) {
+        return now - item.since >= longest_idle;
+    });
+    if (kept.size() < most_kept)
+        kept.push_back({std::move(line), now});
+}
+
+void upstream_pool::drop(const wire::endpoint& server)
+{
+    this->idle.erase(server);
+}
+
+} // namespace oleanderhinge::gateway
--- a/oleanderhinge/net/http_server.cpp
+++ b/oleanderhinge/net/http_server.cpp
@@ -121,6 +121,21 @@
                failed != asio::error::try_again;
     }
 
+    void watch_client(std::function<void()> callback) override
+    {
+        this->leave =
+            std::make_shared<std::function<void()>>(std::move(callback));
+        // The wait may outlive the exchange; it then finds no callback.
+        this->stream.socket().async_wait(
+            tcp::socket::wait_read,
+            [this, held = std::weak_ptr(this->leave)](
+                boost::system::error_code failed) {
+                const auto notify = held.lock();
+                if (notify && !failed && this->client_gone())
+                    (*notify)();
+            });
+    }
+
     // A stream without its end must not look complete, so the connection is
     // closed then.
     bool reusable() const
@@ -138,11 +153,12 @@
         std::string_view content_type,
         const std::vector<wire::header>& headers)
     {
-        answer.set(http::field::server, "oleanderhinge");
+        if (!this->limits.server_name.empty())
+            answer.set(http::field::server, this->limits.server_name);
         if (!content_type.empty())
             answer.set(http::field::content_type, content_type);
         for (const auto& field : headers)
-            answer.set(field.name, field.value);
+            answer.insert(field.name, field.value);
     }
 
     bool ok(boost::system::error_code failed)
@@ -156,6 +172,7 @@
     const http_limits& limits;
     const unsigned version;
     const bool keep_alive;
+    std::shared_ptr<std::function<void()>> leave;
     bool answered = false;
     bool streaming = false;
     bool failed_write = false;
@@ -203,23 +220,25 @@
         beast::flat_buffer buffer;
         boost::system::error_code ignored;
         stream.socket().set_option(tcp::no_delay(true), ignored);
-        while (!self->draining && co_await self->exchange(stream, buffer)) {
+        while (!self->draining && co_await self->exchange(id, stream, buffer)) {
         }
         self->unregister(id);
         stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     }
 
     // Serves one request; returns whether the connection can be kept.
-    asio::awaitable<bool>
-    exchange(beast::tcp_stream& stream, beast::flat_buffer& buffer)
+    asio::awaitable<bool> exchange(
+        std::uint64_t id, beast::tcp_stream& stream, beast::flat_buffer& buffer)
     {
         http::request_parser<http::string_body> parser;
         parser.header_limit(std::uint32_t(this->limits.header_bytes));
         parser.body_limit(this->limits.body_bytes);
         if (buffer.size() == 0) {
             stream.expires_after(this->limits.idle_timeout);
+            this->set_idle(id, true);
             const auto [failed, size] =
                 co_await stream.async_read_some(buffer.prepare(4096), as_pair);
+            this->set_idle(id, false);
             if (failed)
                 co_return false;
             buffer.commit(size);
@@ -236,7 +255,7 @@
             stream,
             this->limits,
             request.version(),
-            request.keep_alive() && !this->draining);
+            request.keep_alive() && !this->draining && !this->closing);
         ++this->in_progress;
         stream.expires_never();
         try {
@@ -277,10 +296,32 @@
     {
         const std::lock_guard lock(this->mutex);
         ++this->open;
-        this->streams.emplace(this->next_id, &stream);
+        this->streams.emplace(this->next_id, connection{&stream});
         return this->next_id++;
     }
 
+    void set_idle(std::uint64_t id, bool idle)
+    {
+        const std::lock_guard lock(this->mutex);
+        this->streams.at(id).idle = idle;
+    }
+
+    // Ends the present operation of the connections, or of the idle ones.
+    void cancel(bool only_idle)
+    {
+        const std::lock_guard lock(this->mutex);
+        for (const auto& [id, kept] : this->streams)
+            asio::post(
+                kept.stream->get_executor(),
+                [self = this->shared_from_this(), id = id, only_idle] {
+                    const std::lock_guard inner(self->mutex);
+                    const auto found = self->streams.find(id);
+                    if (found != self->streams.end() &&
+                        (found->second.idle || !only_idle))
+                        found->second.stream->cancel();
+                });
+    }
+
     void unregister(std::uint64_t id)
     {
         const std::lock_guard lock(this->mutex);
@@ -293,12 +334,18 @@
     const http_limits limits;
     const http_handler handler;
     std::atomic<bool> draining{false};
+    std::atomic<bool> closing{false};
     std::atomic<std::size_t> open{0};
     std::atomic<std::size_t> in_progress{0};
     std::atomic<std::uint64_t> handler_failures{0};
     std::mutex mutex;
     std::uint64_t next_id = 1;
-    std::unordered_map<std::uint64_t, beast::tcp_stream*> streams;
+    struct connection {
+        beast::tcp_stream* stream = nullptr;
+        // Waits for the first byte of a request.
+        bool idle = false;
+    };
+    std::unordered_map<std::uint64_t, connection> streams;
 };
 
 http_server::http_server(
@@ -327,19 +374,18 @@
         boost::system::error_code ignored;
         state->acceptor.close(ignored);
     });
+    this->state->cancel(true);
+}
+
+void http_server::stop_keeping()
+{
+    this->state->closing = true;
 }
 
 void http_server::shutdown()
 {
     this->drain();
-    const std::lock_guard lock(this->state->mutex);
-    for (const auto& [id, stream] : this->state->streams)
-        asio::post(stream->get_executor(), [state = this->state, id = id] {
-            const std::lock_guard inner(state->mutex);
-            const auto found = state->streams.find(id);
-            if (found != state->streams.end())
-                found->second->cancel();
-        });
+    this->state->cancel(false);
 }
 
 std::size_t http_server::active() const
--- a/oleanderhinge/net/http_server.hpp
+++ b/oleanderhinge/net/http_server.hpp
@@ -43,6 +43,8 @@
     // For the next request on a kept connection.
     std::chrono::milliseconds idle_timeout{75000};
     std::size_t max_connections = 10000;
+    // Value of the Server field of answers; empty: none.
+    std::string server_name = "oleanderhinge";
 };
 
 // One request and its answer. Either `respond` once, or `begin_stream`, any
@@ -67,6 +69,9 @@
 
     // True if the client has closed the connection; checked without blocking.
     virtual bool client_gone() = 0;
+    // Calls `leave` once when the client closes the connection before the
+    // exchange has ended. At most one call an exchange.
+    virtual void watch_client(std::function<void()> leave) = 0;
 };
 
 using http_handler = std::function<boost::asio::awaitable<void>(
@@ -83,8 +88,11 @@
     http_server& operator=(const http_server&) = delete;
 
     base::result<wire::endpoint> listen(const wire::endpoint& local);
-    // Takes no new connections; open ones close after their present exchange.
+    // Takes no new connections; open ones close after their present exchange,
+    // idle ones at once.
     void drain();
+    // Open connections close after their next exchange; new ones are taken.
+    void stop_keeping();
     // Closes all connections.
     void shutdown();
 
--- a/oleanderhinge/wire/configuration.cpp
+++ b/oleanderhinge/wire/configuration.cpp
@@ -54,6 +54,11 @@
         this->config.shares = item.value;
         this->config.shares.modified = this->at;
     }
+    void operator()(const put_forwarding& item) const
+    {
+        this->config.forwarding = item.value;
+        this->config.forwarding.modified = this->at;
+    }
 };
 
 struct namer {
@@ -82,6 +87,10 @@
         return "server " + item.server.value();
     }
     std::string operator()(const put_shares&) const { return "rank shares"; }
+    std::string operator()(const put_forwarding&) const
+    {
+        return "forwarding table";
+    }
 };
 
 struct revision_finder {
@@ -115,6 +124,10 @@
     {
         return this->config.shares.modified;
     }
+    base::revision operator()(const put_forwarding&) const
+    {
+        return this->config.forwarding.modified;
+    }
 };
 
 } // namespace
--- a/oleanderhinge/wire/configuration.hpp
+++ b/oleanderhinge/wire/configuration.hpp
@@ -7,6 +7,7 @@
 
 #include "oleanderhinge/base/ids.hpp"
 #include "oleanderhinge/wire/archive.hpp"
+#include "oleanderhinge/wire/forwarding.hpp"
 
 #include <cstdint>
 #include <map>
@@ -131,6 +132,7 @@
     std::map<base::customer_id, customer> customers;
     std::map<base::backend_server_id, server_order> orders;
     rank_shares shares;
+    forwarding_table forwarding;
 
     bool operator==(const configuration&) const = default;
 
@@ -138,7 +140,7 @@
     void serialize(Archive& archive)
     {
         archive(this->at, this->routes, this->customers, this->orders);
-        archive(this->shares);
+        archive(this->shares, this->forwarding);
     }
 };
 
@@ -214,6 +216,18 @@
     }
 };
 
+// Replaces the forwarding table. Not an intent of a plan: the operators of the
+// platform send whole tables, which count as confirmed.
+struct put_forwarding {
+    forwarding_table value;
+    bool operator==(const put_forwarding&) const = default;
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->value);
+    }
+};
+
 using change = std::variant<
     put_route,
     remove_route,
@@ -221,7 +235,8 @@
     remove_customer,
     put_order,
     remove_order,
-    put_shares>;
+    put_shares,
+    put_forwarding>;
 
 // Applies one change and stamps the object with `at`. Sets `config.at`.
 void apply(configuration& config, const change& item, base::revision at);
--- a/oleanderhinge/wire/frame.cpp
+++ b/oleanderhinge/wire/frame.cpp
@@ -43,6 +43,9 @@
     "consensus_message",
     "model_summary",
     "entry_heartbeat",
+    "server_batch",
+    "control_group",
+    "join_request",
 };
 
 using payload_decoder = base::result<message> (*)(std::string_view);
--- a/oleanderhinge/wire/messages.hpp
+++ b/oleanderhinge/wire/messages.hpp
@@ -753,6 +753,44 @@
     }
 };
 
+// --- Gateways and control -------------------------------------------------
+
+// Control to gateway and to other control nodes: what backend servers last
+// said, with the age of each record at the sender.
+struct server_batch {
+    std::vector<server_record> records;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->records);
+    }
+};
+
+// Control to gateway: link endpoints of all members, to subscribe to each.
+struct control_group {
+    std::vector<endpoint> members;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->members);
+    }
+};
+
+// A control node that is no member, or hears no leader, asks to be admitted.
+struct join_request {
+    base::vm_id vm;
+    endpoint link;
+    endpoint admin;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->vm, this->link, this->admin);
+    }
+};
+
 using message = std::variant<
     hello,
     proof,
@@ -785,6 +823,9 @@
     outcome_ack,
     consensus_message,
     model_summary,
-    entry_heartbeat>;
+    entry_heartbeat,
+    server_batch,
+    control_group,
+    join_request>;
 
 } // namespace oleanderhinge::wire
