gateway, control: find the server that a stalled stream waits for

SIGHUP ended gateways (code 129).

Change: a stream without progress for 250 ms makes the gateway ask the first server of the path what it waits for; that server is suspected until it reports again, at every gateway and at control. Neighbours take over the layers of a server that is out for 400 ms. The retry slack is shared by the number of gateways that control counts. SIGHUP reloads seeds.

--- a/daemons/oleanderhinge_gateway.cpp
+++ b/daemons/oleanderhinge_gateway.cpp
@@ -16,6 +16,22 @@
 constexpr int exit_usage = 2;
 constexpr int exit_failed = 1;
 
+// Settings that are not valid leave the process as it is.
+void reload(gateway::gateway_node& node, const std::string& file)
+{
+    base::handle(
+        [&]() -> base::result<void> {
+            BOOST_LEAF_AUTO(
+                checked, settings::load(file, gateway::gateway_keys()));
+            BOOST_LEAF_AUTO(options, gateway::load_settings(checked));
+            node.reload(options);
+            return {};
+        },
+        [](const base::error& e) {
+            spdlog::error("event=reload_refused reason=\"{}\"", e.detail);
+        });
+}
+
 int run(const std::string& file, bool check_only)
 {
     return base::handle(
@@ -30,7 +46,8 @@
             boost::asio::io_context io;
             gateway::gateway_node node(io, options, platform::make_dialect());
             BOOST_LEAF_CHECK(node.start());
-            const auto process = node.process_options();
+            auto process = node.process_options();
+            process.reload = [&] { reload(node, file); };
             return net::run_process(io, process);
         },
         [](const base::error& e) {
--- a/oleanderhinge/control/program.cpp
+++ b/oleanderhinge/control/program.cpp
@@ -144,7 +144,12 @@
                  control.begin_drain();
              },
          .drained = [&] { return control.drained(); },
-         .stop = [&] { control.stop(); }});
+         .stop = [&] { control.stop(); },
+         .reload =
+             [] {
+                 // Members come from the log; seeds matter at the start only.
+                 spdlog::info("event=reload ignored=settings");
+             }});
 }
 
 int load_and_run(
--- a/oleanderhinge/control/service.cpp
+++ b/oleanderhinge/control/service.cpp
@@ -226,6 +226,9 @@
             if (peer->second.sender == wire::role::control)
                 for (const auto& record : batch->records)
                     this->on_report(record, true);
+        } else if (
+            const auto* doubt = std::get_if<wire::server_suspicion>(&content)) {
+            this->on_suspicion(link, *doubt);
         } else if (
             const auto* asking = std::get_if<wire::join_request>(&content)) {
             if (peer->second.sender == wire::role::control)
@@ -375,6 +378,27 @@
         this->send_servers();
     }
 
+    // A gateway tells one member, which tells everyone else.
+    void on_suspicion(net::link_id from, const wire::server_suspicion& doubt)
+    {
+        const auto now = base::monotonic_now();
+        if (!fleet::suspect(
+                this->fleet.servers,
+                doubt.server,
+                now - std::chrono::milliseconds(doubt.age_ms)))
+            return;
+        spdlog::warn(
+            "event=server_suspected address={}:{} age_ms={} from={}",
+            doubt.server.address,
+            doubt.server.port,
+            doubt.age_ms,
+            this->known[from].vm.value());
+        for (const auto& [link, peer] : this->known)
+            if (link != from && (peer.sender == wire::role::entry ||
+                                 link_to(this->peers, peer.vm) == link))
+                this->links.send(link, doubt);
+    }
+
     void send_servers()
     {
         const auto batches = take_changes(this->fleet, base::monotonic_now());
@@ -497,6 +521,9 @@
         for (const auto& item : this->consensus.log->status().members)
             if (item.link.port != 0)
                 group.members.push_back(item.link);
+        for (const auto& [other, peer] : this->known)
+            if (peer.sender == wire::role::entry)
+                ++group.gateways;
         this->links.send(link, group);
     }
 
--- a/oleanderhinge/fleet/directory.cpp
+++ b/oleanderhinge/fleet/directory.cpp
@@ -42,7 +42,7 @@
     known.newest = std::max(known.newest, heard);
     auto found = known.servers.find(record.id);
     if (found == known.servers.end()) {
-        known.servers.emplace(record.id, known_server{record, heard});
+        known.servers.emplace(record.id, known_server{record, heard, {}});
         return report_outcome::changed;
     }
     auto& held = found->second;
@@ -63,6 +63,20 @@
     return same ? report_outcome::refreshed : report_outcome::changed;
 }
 
+bool suspect(
+    directory& known, const wire::endpoint& address, base::time_point now)
+{
+    bool is_new = false;
+    for (auto& [id, server] : known.servers) {
+        if (server.record.address != address.address ||
+            server.record.port != address.port || !is_alive(known, server))
+            continue;
+        server.suspected = now;
+        is_new = true;
+    }
+    return is_new;
+}
+
 void expire(directory& known, base::time_point now)
 {
     std::erase_if(known.servers, [&](const auto& item) {
@@ -73,7 +87,9 @@
 bool is_alive(const directory& known, const known_server& server)
 {
     if (server.record.state == wire::reported_state::gone ||
-        server.heard + silence_limit < known.newest)
+        server.heard + silence_limit < known.newest ||
+        (server.suspected != base::time_point{} &&
+         server.heard < server.suspected + suspicion_margin))
         return false;
     return std::none_of(
         known.servers.begin(), known.servers.end(), [&](const auto& item) {
--- a/oleanderhinge/fleet/directory.hpp
+++ b/oleanderhinge/fleet/directory.hpp
@@ -12,6 +12,7 @@
 
 #include "oleanderhinge/base/time.hpp"
 #include "oleanderhinge/wire/forwarding.hpp"
+#include "oleanderhinge/wire/messages.hpp"
 
 #include <map>
 #include <string>
@@ -30,9 +31,16 @@
 // arrive late. Partitions of the platform last seconds.
 inline constexpr base::duration tombstone_time = std::chrono::seconds(120);
 
+// A report counts against a suspicion if it arrived at least this much later:
+// it may have been under way when the server died.
+inline constexpr base::duration suspicion_margin =
+    std::chrono::milliseconds(300);
+
 struct known_server {
     wire::server_record record;
     base::time_point heard;
+    // When work that depends on the server was seen to stand still.
+    base::time_point suspected;
 };
 
 struct directory {
@@ -56,12 +64,18 @@
     const wire::server_record& record,
     base::time_point heard);
 
+// Work that depends on the server at the address stands still: it is not used
+// until it reports again. True if that was not known.
+bool suspect(
+    directory& known, const wire::endpoint& address, base::time_point now);
+
 // Forgets processes that ended or fell silent long ago.
 void expire(directory& known, base::time_point now);
 
 // --- Queries ----------------------------------------------------------------
 
-// True while the process reports and no later one has its address.
+// True while the process reports, is not suspected and no later one has its
+// address.
 bool is_alive(const directory& known, const known_server& server);
 
 // Servers of the service that take requests: alive and ready.
--- /dev/null
+++ b/oleanderhinge/fleet/directory_test.cpp
@@ -0,0 +1,122 @@
+#include "oleanderhinge/fleet/directory.hpp"
+
+#include <gtest/gtest.h>
+
+namespace oleanderhinge::fleet
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using wire::reported_state;
+
+const base::time_point start{seconds(100)};
+
+wire::server_record make_record(
+    const std::string& id,
+    std::uint64_t started_ms,
+    std::uint64_t sequence,
+    reported_state state = reported_state::ready,
+    const std::string& address = "10.0.0.1")
+{
+    wire::server_record record;
+    record.id = base::backend_server_id{id};
+    record.started_ms = started_ms;
+    record.sequence = sequence;
+    record.service = "chat";
+    record.address = address;
+    record.port = 80;
+    record.state = state;
+    return record;
+}
+
+std::size_t usable_count(const directory& known)
+{
+    return usable(known, "chat").size();
+}
+
+// Guards against a late report that brings a leaving server back.
+TEST(directory, an_older_report_changes_nothing)
+{
+    directory known;
+    apply(known, make_record("a", 1, 5, reported_state::draining), start);
+    EXPECT_EQ(
+        apply(known, make_record("a", 1, 4), start + seconds(1)),
+        report_outcome::stale);
+    EXPECT_EQ(usable_count(known), 0U);
+}
+
+// Guards against a report that overtakes the notice that its server leaves.
+TEST(directory, a_process_that_left_does_not_come_back)
+{
+    directory known;
+    apply(known, make_record("a", 1, 5), start);
+    auto notice = make_record("a", 0, 0, reported_state::gone, "");
+    EXPECT_EQ(apply(known, notice, start), report_outcome::changed);
+    EXPECT_EQ(
+        apply(known, make_record("a", 1, 6), start), report_outcome::stale);
+    EXPECT_EQ(usable_count(known), 0U);
+    // A restarted process under the same id counts from the beginning.
+    EXPECT_EQ(
+        apply(known, make_record("a", 2, 1), start), report_outcome::changed);
+    EXPECT_EQ(usable_count(known), 1U);
+}
+
+// Guards against a leaving notice that was relayed behind later reports.
+TEST(directory, leaving_goes_before_later_reports_of_the_same_process)
+{
+    directory known;
+    apply(known, make_record("a", 1, 9), start);
+    apply(known, make_record("a", 1, 5, reported_state::gone), start);
+    EXPECT_EQ(usable_count(known), 0U);
+}
+
+// Guards against requests to the former owner of an address: a report that was
+// held up by a partition arrives after its sender has crashed.
+TEST(directory, an_address_belongs_to_the_process_that_started_last)
+{
+    directory known;
+    apply(known, make_record("new", 20, 1), start);
+    apply(known, make_record("old", 10, 30), start + milliseconds(10));
+    const auto found = usable(known, "chat");
+    ASSERT_EQ(found.size(), 1U);
+    EXPECT_EQ(found.front().id.value(), "new");
+}
+
+// Guards against an outage of control that takes every server out of use.
+TEST(directory, silence_is_measured_against_other_servers)
+{
+    directory known;
+    apply(known, make_record("a", 1, 1), start);
+    apply(
+        known,
+        make_record("b", 1, 1, reported_state::ready, "10.0.0.2"),
+        start);
+    EXPECT_EQ(usable_count(known), 2U);
+    // Only b is heard again.
+    apply(
+        known,
+        make_record("b", 1, 9, reported_state::ready, "10.0.0.2"),
+        start + silence_limit + seconds(1));
+    EXPECT_EQ(usable_count(known), 1U);
+}
+
+// Guards against requests that go on to a server that stands still until its
+// silence is noticed.
+TEST(directory, a_suspected_server_is_used_again_after_its_next_report)
+{
+    directory known;
+    apply(known, make_record("a", 1, 1), start);
+    EXPECT_TRUE(suspect(known, {"10.0.0.1", 80}, start + seconds(1)));
+    EXPECT_FALSE(suspect(known, {"10.0.0.1", 80}, start + seconds(1)));
+    EXPECT_EQ(usable_count(known), 0U);
+    // This report was under way when the server was seen to stand still.
+    apply(known, make_record("a", 1, 2), start + milliseconds(1100));
+    EXPECT_EQ(usable_count(known), 0U);
+    apply(known, make_record("a", 1, 3), start + seconds(2));
+    EXPECT_EQ(usable_count(known), 1U);
+}
+
+} // namespace
+} // namespace oleanderhinge::fleet
--- /dev/null
+++ b/oleanderhinge/fleet/paths_test.cpp
@@ -0,0 +1,111 @@
+#include "oleanderhinge/fleet/paths.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <set>
+
+namespace oleanderhinge::fleet
+{
+namespace
+{
+
+path_server make_server(
+    const std::string& id,
+    const std::string& place,
+    std::uint32_t first,
+    std::uint32_t end,
+    double ms_per_layer = 0.1)
+{
+    return {
+        base::backend_server_id{id},
+        {id, 80},
+        base::data_centre_id{place},
+        {base::layer_index{first}, base::layer_index{end}},
+        ms_per_layer};
+}
+
+std::string names(const path& parts)
+{
+    std::string text;
+    for (const auto& part : parts)
+        text += part.server.value() + ":" +
+                std::to_string(part.layers.first.value()) + "-" +
+                std::to_string(part.layers.end.value()) + " ";
+    return text;
+}
+
+const base::data_centre_id home{"a"};
+
+// Guards against a prompt that crosses between data centres for a little
+// speed: all transfers share one link.
+TEST(find_path, stays_at_home_unless_the_others_are_much_faster)
+{
+    std::vector<path_server> servers{
+        make_server("a1", "a", 0, 40),
+        make_server("a2", "a", 40, 80),
+        make_server("b1", "b", 0, 80, 0.05)};
+    EXPECT_EQ(names(find_path(servers, 80, home, {})), "a1:0-40 a2:40-80 ");
+    servers[2].ms_per_layer = 0.001;
+    servers[0].ms_per_layer = 1;
+    EXPECT_EQ(names(find_path(servers, 80, home, {})), "b1:0-80 ");
+}
+
+// Guards against a broken chain that takes its whole data centre out of use.
+TEST(find_path, borrows_missing_layers_from_another_data_centre)
+{
+    const std::vector<path_server> servers{
+        make_server("a1", "a", 0, 30),
+        make_server("a3", "a", 50, 80),
+        make_server("b1", "b", 20, 45),
+        make_server("b2", "b", 45, 60)};
+    const auto found = find_path(servers, 80, home, {});
+    EXPECT_TRUE(is_complete(found, 80));
+    EXPECT_EQ(found.front().server.value(), "a1");
+}
+
+// Guards against requests that are sent although some layer is held nowhere.
+TEST(find_path, finds_nothing_when_a_layer_is_missing)
+{
+    const std::vector<path_server> servers{
+        make_server("a1", "a", 0, 30), make_server("a2", "a", 31, 80)};
+    EXPECT_TRUE(find_path(servers, 80, home, {}).empty());
+    EXPECT_TRUE(find_path({}, 80, home, {}).empty());
+    EXPECT_TRUE(find_path(servers, 0, home, {}).empty());
+}
+
+// Guards against a layer that runs twice or never, for any set of ranges.
+RC_GTEST_PROP(find_path, a_path_runs_every_layer_once_and_in_order, ())
+{
+    const auto count = *rc::gen::inRange(1, 30);
+    std::vector<path_server> servers;
+    for (int i = 0; i < count; ++i) {
+        const auto first = *rc::gen::inRange<std::uint32_t>(0, 20);
+        const auto length = *rc::gen::inRange<std::uint32_t>(1, 12);
+        servers.push_back(make_server(
+            std::to_string(i),
+            *rc::gen::element<std::string>("a", "b", "c"),
+            first,
+            std::min(first + length, 20U),
+            *rc::gen::inRange(1, 100) / 100.0));
+    }
+    const auto found = find_path(servers, 20, home, {});
+    std::vector<bool> held(20);
+    for (const auto& server : servers)
+        for (auto i = server.layers.first.value();
+             i < server.layers.end.value();
+             ++i)
+            held[i] = true;
+    const bool possible =
+        std::find(held.begin(), held.end(), false) == held.end();
+    RC_ASSERT(possible == !found.empty());
+    if (!found.empty())
+        RC_ASSERT(is_complete(found, 20));
+    std::set<std::string> seen;
+    for (const auto& part : found)
+        RC_ASSERT(seen.insert(part.server.value()).second);
+}
+
+} // namespace
+} // namespace oleanderhinge::fleet
--- a/oleanderhinge/fleet/placement.cpp
+++ b/oleanderhinge/fleet/placement.cpp
@@ -26,6 +26,19 @@
 
 using group = std::vector<placed_server*>;
 
+// Orders a chain so that small servers stand next to large ones, which have
+// room to cover for them.
+group alternate(const group& by_memory)
+{
+    group ordered;
+    for (std::size_t low = by_memory.size(), high = 0; high < low;) {
+        ordered.push_back(by_memory[high++]);
+        if (high < low)
+            ordered.push_back(by_memory[--low]);
+    }
+    return ordered;
+}
+
 // Deals servers of one kind after another to the chains, so that each chain
 // gets its share of each kind.
 std::vector<group> deal(group members, std::size_t chains)
@@ -44,6 +57,8 @@
         dealt[round % 2 == 0 ? place : chains - 1 - place].push_back(
             members[i]);
     }
+    for (auto& chain : dealt)
+        chain = alternate(chain);
     return dealt;
 }
 
@@ -207,6 +222,131 @@
         assign_group(profile, members);
 }
 
+bool contains(const base::layer_range& outer, const base::layer_range& inner)
+{
+    return outer.first <= inner.first && inner.end <= outer.end;
+}
+
+// Notes which servers hold their place and are in use.
+void observe_places(
+    placement& plan,
+    const std::vector<wire::server_record>& ready,
+    base::time_point now)
+{
+    std::map<wire::endpoint, base::layer_range> held;
+    for (const auto& record : ready)
+        held[address_of(record)] = record.layers;
+    for (auto& [address, server] : plan.servers) {
+        const auto found = held.find(address);
+        if (found != held.end() && contains(found->second, server.layers)) {
+            server.out_since = {};
+            server.covered = false;
+        } else if (server.out_since == base::time_point{})
+            server.out_since = now;
+    }
+}
+
+// A range of layers that no server in use holds.
+struct gap {
+    std::uint32_t first = 0;
+    std::uint32_t end = 0;
+};
+
+bool is_in_use(const placed_server& server)
+{
+    return server.layers != base::layer_range{} &&
+           server.out_since == base::time_point{};
+}
+
+std::vector<gap> find_gaps(const group& members, std::uint32_t layer_count)
+{
+    std::vector<bool> held(layer_count);
+    for (const auto* server : members)
+        for (auto i = server->layers.first.value();
+             is_in_use(*server) && i < server->layers.end.value() &&
+             i < layer_count;
+             ++i)
+            held[i] = true;
+    std::vector<gap> gaps;
+    for (std::uint32_t i = 0; i < layer_count; ++i) {
+        if (held[i])
+            continue;
+        if (i == 0 || held[i - 1])
+            gaps.push_back({i, i});
+        gaps.back().end = i + 1;
+    }
+    return gaps;
+}
+
+// Layers that the server can take on; 0 for none.
+std::uint32_t
+room_to_cover(const placed_server* server, const wire::engine_profile& profile)
+{
+    if (server == nullptr)
+        return 0;
+    const auto most =
+        largest_range(profile, server->memory_mb * fullest_while_covering);
+    const auto has = server->wanted.end.value() - server->wanted.first.value();
+    return most > has ? most - has : 0;
+}
+
+// Extends the servers on both sides of the gap over it, if they can.
+void cover(
+    const group& members, const gap& open, const wire::engine_profile& profile)
+{
+    placed_server* left = nullptr;
+    placed_server* right = nullptr;
+    for (auto* server : members) {
+        if (!is_in_use(*server))
+            continue;
+        if (server->wanted.end.value() == open.first)
+            left = server;
+        if (server->wanted.first.value() == open.end)
+            right = server;
+    }
+    const auto size = open.end - open.first;
+    const auto left_room = room_to_cover(left, profile);
+    const auto right_room = room_to_cover(right, profile);
+    if (left_room + right_room < size)
+        return;
+    // In proportion to the room, within its limits.
+    const auto by_share = std::uint32_t(
+        std::uint64_t(size) * left_room / (left_room + right_room));
+    const auto to_left =
+        std::max(by_share, size > right_room ? size - right_room : 0);
+    if (to_left > 0)
+        left->wanted.end = base::layer_index{open.first + to_left};
+    if (to_left < size)
+        right->wanted.first = base::layer_index{open.first + to_left};
+}
+
+// A server that is loading its layers is in use soon; only one that is gone
+// needs neighbours to cover for it.
+bool needs_cover(const placed_server& server, base::time_point now)
+{
+    return server.layers != base::layer_range{} && !is_in_use(server) &&
+           server.seen < now && now >= server.out_since + cover_after;
+}
+
+// Sets what each server should hold now.
+void cover_gaps(
+    placement& plan, const wire::engine_profile& profile, base::time_point now)
+{
+    for (const auto& members : copy_groups(plan, profile)) {
+        bool waits = true;
+        for (auto* server : members) {
+            server->wanted = server->layers;
+            if (needs_cover(*server, now))
+                server->covered = true;
+            waits = waits && !server->covered;
+        }
+        if (waits)
+            continue;
+        for (const auto& open : find_gaps(members, profile.layer_count))
+            cover(members, open, profile);
+    }
+}
+
 bool has_plan(const placement& plan)
 {
     return std::any_of(
@@ -278,6 +418,8 @@
     fill_places(plan, profile, now);
     for (const auto& members : copy_groups(plan, profile))
         fill_holes(members, profile, now);
+    observe_places(plan, ready, now);
+    cover_gaps(plan, profile, now);
     std::erase_if(plan.servers, [&](const auto& item) {
         return item.second.layers == base::layer_range{} &&
                is_missing(item.second, now);
@@ -302,20 +444,20 @@
         if (found == plan.servers.end())
             continue;
         auto& server = found->second;
-        if (server.layers == base::layer_range{} ||
-            record.layers == server.layers)
+        if (server.wanted == base::layer_range{} ||
+            record.layers == server.wanted)
             continue;
         // A restarted server lost its orders with its layers.
-        const bool outstanding = server.ordered_layers == server.layers &&
+        const bool outstanding = server.ordered_layers == server.wanted &&
                                  server.ordered_start_ms == record.started_ms &&
                                  now < server.ordered + order_repeat;
         if (outstanding || (!unbounded && loading >= profile.loads_at_once))
             continue;
         server.ordered = now;
-        server.ordered_layers = server.layers;
+        server.ordered_layers = server.wanted;
         server.ordered_start_ms = record.started_ms;
         ++loading;
-        orders.push_back({record.id, server.address, server.layers});
+        orders.push_back({record.id, server.address, server.wanted});
     }
     return orders;
 }
--- a/oleanderhinge/fleet/placement.hpp
+++ b/oleanderhinge/fleet/placement.hpp
@@ -38,6 +38,11 @@
 // A server that is missing this long is replaced in the plan. Crashed servers
 // are mostly back within 5 s, and a replacement costs a load of weights.
 inline constexpr base::duration replace_after = std::chrono::seconds(7);
+// Neighbours take over the layers of a server that has been out of use this
+// long. A load of 5 layers takes a second; a crashed server is away for 5 s.
+inline constexpr base::duration cover_after = std::chrono::milliseconds(400);
+// Share of a server's memory that weights may take while it covers for others.
+inline constexpr double fullest_while_covering = 0.87;
 // An order that shows no effect in the server's reports is sent again: a
 // report is up to 1.2 s old, and some orders are carried out 12 s late.
 inline constexpr base::duration order_repeat = std::chrono::seconds(3);
@@ -47,7 +52,14 @@
     base::data_centre_id data_centre;
     std::string kind;
     double memory_mb = 0;
+    // Its place in the plan.
     base::layer_range layers;
+    // What it should hold now: its place, and what it covers for neighbours.
+    base::layer_range wanted;
+    // Since when it has not held its place in use; unset while it does.
+    base::time_point out_since;
+    // Neighbours cover for it until it holds its place again.
+    bool covered = false;
     // Last time at which a ready server was known at the address.
     base::time_point seen;
     // When the last order went out, and what it said.
--- a/oleanderhinge/gateway/control_client.cpp
+++ b/oleanderhinge/gateway/control_client.cpp
@@ -74,6 +74,9 @@
         this->events.servers(*batch);
     } else if (const auto* group = std::get_if<wire::control_group>(&content)) {
         this->on_group(*group, now);
+    } else if (
+        const auto* doubt = std::get_if<wire::server_suspicion>(&content)) {
+        this->events.suspicion(*doubt);
     }
 }
 
@@ -103,6 +106,14 @@
 {
     for (const auto& address : group.members)
         this->members[address].named = now;
+    this->events.gateways(group.gateways);
+}
+
+void control_client::report_suspicion(const wire::endpoint& server)
+{
+    for (const auto& [address, known] : this->members)
+        if (known.open)
+            this->links.send(*known.link, wire::server_suspicion{server, 0});
 }
 
 void control_client::on_closed(
--- a/oleanderhinge/gateway/control_client.hpp
+++ b/oleanderhinge/gateway/control_client.hpp
@@ -46,6 +46,10 @@
     std::function<void(std::shared_ptr<const wire::configuration>)>
         configuration;
     std::function<void(const wire::server_batch&)> servers;
+    // Another gateway saw work that stands still.
+    std::function<void(const wire::server_suspicion&)> suspicion;
+    // Gateways that share budgets with this one, itself included.
+    std::function<void(std::uint32_t)> gateways;
 };
 
 // Used on the gateway's thread only.
@@ -64,6 +68,8 @@
         net::link_id link, wire::message&& content, base::time_point now);
     void on_closed(
         net::link_id link, net::close_reason reason, base::time_point now);
+    // Tells control that work stands still.
+    void report_suspicion(const wire::endpoint& server);
     // The settings name other seeds.
     void use_seeds(const std::vector<wire::endpoint>& seeds);
 
--- a/oleanderhinge/gateway/dialect.hpp
+++ b/oleanderhinge/gateway/dialect.hpp
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "oleanderhinge/fleet/paths.hpp"
+#include "oleanderhinge/net/http_client.hpp"
 #include "oleanderhinge/net/http_server.hpp"
 
 #include <boost/beast/http/fields.hpp>
@@ -18,6 +19,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace oleanderhinge::gateway
 {
@@ -71,12 +73,24 @@
     std::optional<load> reported;
 };
 
+// A request that stands still at the first server of its path, and the server
+// that it waits for.
+struct stalled_request {
+    std::string request;
+    wire::endpoint waits_for;
+};
+
 struct dialect {
     std::function<request_facts(const http_fields&)> read_request;
     // Removes the fields that a server must not see and sets the gateway's.
     std::function<void(http_fields&, const outgoing_facts&)> prepare;
     std::function<answer_facts(unsigned status, const http_fields&)>
         read_answer;
+    // Asks the first server of a path for its state.
+    std::function<net::http_call()> ask_state;
+    // What stands still, by the answer to `ask_state`.
+    std::function<std::vector<stalled_request>(const std::string& body)>
+        read_stalls;
 };
 
 } // namespace oleanderhinge::gateway
--- a/oleanderhinge/gateway/forwarder.cpp
+++ b/oleanderhinge/gateway/forwarder.cpp
@@ -2,6 +2,8 @@
 
 #include "oleanderhinge/gateway/headers.hpp"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
@@ -28,10 +30,17 @@
 constexpr double call_share = 0.4;
 // A stream that is silent for this many times its longest pause, and at least
 // `least_stall`, is continued elsewhere. Callers give up after 2 s.
-constexpr int stall_gaps = 4;
-constexpr auto least_stall = milliseconds(1000);
+constexpr int stall_gaps = 6;
+constexpr auto least_stall = milliseconds(1500);
+// A stream without progress for this long is looked into: events come every 40
+// ms, first events within 200 ms, and a pause of 250 ms makes an answer late.
+constexpr auto suspicious_pause = milliseconds(250);
+// The state of one server is asked for at most this often.
+constexpr auto ask_interval = milliseconds(300);
+constexpr auto ask_limit = milliseconds(200);
+constexpr std::size_t kept_state_connections = 1;
 // The first event may take this many times its target.
-constexpr double first_event_targets = 2.5;
+constexpr double first_event_targets = 3.5;
 // Answers to other requests that are skipped on one connection.
 constexpr int most_stray_answers = 2;
 // When a refused caller may come back: after the time in which a path gets
@@ -111,17 +120,89 @@
     const dialect& dialect_in,
     server_choice& choice_in,
     metrics& numbers_in,
-    forwarder_options options)
+    forwarder_options chosen)
     : io(context)
     , speak(dialect_in)
     , choice(choice_in)
     , numbers(numbers_in)
     , pool(context)
+    , state_client(context, kept_state_connections)
+    , options(std::move(chosen))
     , budget(retry::make_budget(options.retries, base::monotonic_now()))
     , random(options.seed)
 {
 }
 
+void forwarder::share_budget(std::uint32_t gateways)
+{
+    const double share = std::max(gateways, 1U);
+    this->budget.options.floor_per_second =
+        this->options.retries.floor_per_second / share;
+    this->budget.options.max_saved =
+        std::max(1.0, this->options.retries.max_saved / share);
+}
+
+void forwarder::tick()
+{
+    const auto now = steady_now();
+    for (const auto& [id, r] : this->streams) {
+        if (!r->in_attempt || !r->line || now < r->progress + suspicious_pause)
+            continue;
+        auto& last = this->asked[r->line->server()];
+        if (now < last + ask_interval)
+            continue;
+        last = now;
+        asio::co_spawn(
+            this->io, this->ask_for_stalls(r->line->server()), asio::detached);
+    }
+}
+
+asio::awaitable<void> forwarder::ask_for_stalls(wire::endpoint first)
+{
+    const auto started = steady_now();
+    auto call = this->speak.ask_state();
+    const auto outcome = co_await this->state_client.call(
+        first, std::move(call), ask_limit, net::reuse::allowed);
+    if (outcome.failure != net::http_failure::none) {
+        // Whatever began there waits for the server itself.
+        for (const auto& [id, r] : this->streams)
+            if (r->in_attempt && r->line && r->line->server() == first &&
+                started >= r->progress + suspicious_pause) {
+                this->on_stall({id, first}, started);
+                break;
+            }
+        co_return;
+    }
+    for (const auto& stalled : this->speak.read_stalls(outcome.answer.body))
+        this->on_stall(stalled, started);
+}
+
+void forwarder::on_stall(const stalled_request& stalled, steady_time started)
+{
+    if (stalled.waits_for.address.empty())
+        return;
+    if (fleet::suspect(
+            this->choice.servers, stalled.waits_for, base::monotonic_now())) {
+        ++this->choice.changes;
+        spdlog::warn(
+            "event=server_suspected address={}:{} request={} age_ms={:.0f}",
+            stalled.waits_for.address,
+            stalled.waits_for.port,
+            stalled.request,
+            ms_since(started));
+        this->options.suspect(stalled.waits_for);
+    }
+    const auto found = this->streams.find(stalled.request);
+    if (found == this->streams.end() || !found->second->in_attempt)
+        return;
+    auto& r = *found->second;
+    // Only an attempt that is still without progress is ended.
+    if (!r.line || started < r.progress + suspicious_pause)
+        return;
+    r.waits_for = stalled.waits_for;
+    r.line->cancel();
+}
+
 void forwarder::use(std::shared_ptr<const route_index> next)
 {
     this->index = std::move(next);
@@ -148,7 +229,9 @@
         if (left->line)
             left->line->cancel();
     });
+    this->streams.insert_or_assign(r.facts.id, held);
     co_await this->serve(r);
+    this->streams.erase(r.facts.id);
     --this->active;
     this->numbers.in_progress.Set(double(this->active));
     this->log_answer(r);
@@ -240,7 +323,13 @@
         r.path = describe(parts);
         for (const auto& part : parts)
             note_started(this->choice, part.address);
-        const auto result = co_await this->stream_once(r, parts);
+        r.progress = steady_now();
+        r.waits_for = {};
+        r.in_attempt = true;
+        auto result = co_await this->stream_once(r, parts);
+        r.in_attempt = false;
+        if (result.end == attempt_end::failed && !r.waits_for.address.empty())
+            result.at_fault = r.waits_for;
         for (const auto& part : parts)
             note_ended(this->choice, part.address);
         this->log_attempt(r, result, now);
@@ -256,7 +345,13 @@
         }
         if (!result.at_fault.address.empty()) {
             r.tried.insert(result.at_fault);
-            note_failure(this->choice, result.at_fault, base::monotonic_now());
+            if (result.why.state == base::execution::not_run &&
+                result.why.code == failure_code::server_failed)
+                note_refusal(
+                    this->choice, result.at_fault, base::monotonic_now());
+            else
+                note_failure(
+                    this->choice, result.at_fault, base::monotonic_now());
         } else {
             // Any of them may be at fault.
             for (const auto& part : parts)
@@ -510,6 +605,7 @@
             this->numbers.gap_seconds.Observe(
                 std::chrono::duration<double>(now - r.last_event).count());
         r.last_event = now;
+        r.progress = now;
         this->numbers.events.Increment();
         const bool written = co_await r.exchange.write_chunk(event);
         if (!written)
--- a/oleanderhinge/gateway/forwarder.hpp
+++ b/oleanderhinge/gateway/forwarder.hpp
@@ -23,6 +23,8 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -33,6 +35,8 @@
 struct forwarder_options {
     retry::budget_options retries;
     std::uint64_t seed = 1;
+    // Called when work that depends on a server stands still.
+    std::function<void(const wire::endpoint&)> suspect;
 };
 
 // One request while it is served.
@@ -62,6 +66,11 @@
     std::uint32_t runs = 0;
     // The connection in use, to be cancelled when the caller leaves.
     upstream_pointer line;
+    // Last event, or the start of the attempt, while an attempt is under way.
+    steady_time progress;
+    bool in_attempt = false;
+    // A server of the path that the attempt waits for in vain.
+    wire::endpoint waits_for;
     bool caller_left = false;
     bool head_sent = false;
     steady_time last_event;
@@ -84,6 +93,12 @@
     // Puts a table in force for new requests.
     void use(std::shared_ptr<const route_index> index);
 
+    // Looks for streams that stand still and asks their first servers why.
+    // Call it ten times a second.
+    void tick();
+    // Retries are shared by this many gateways.
+    void share_budget(std::uint32_t gateways);
+
     boost::asio::awaitable<void>
     handle(net::http_request request, net::http_exchange& exchange);
 
@@ -93,6 +108,9 @@
 private:
     struct attempt_result;
 
+    boost::asio::awaitable<void> ask_for_stalls(wire::endpoint first);
+    void on_stall(const stalled_request& stalled, steady_time asked);
+
     boost::asio::awaitable<void> serve(forwarding_request& r);
     boost::asio::awaitable<void> serve_call(forwarding_request& r);
     boost::asio::awaitable<void> serve_stream(forwarding_request& r);
@@ -130,6 +148,11 @@
     server_choice& choice;
     metrics& numbers;
     upstream_pool pool;
+    net::http_client state_client;
+    std::map<std::string, std::shared_ptr<forwarding_request>> streams;
+    // When the state of a first server was asked for last.
+    std::map<wire::endpoint, steady_time> asked;
+    const forwarder_options options;
     std::shared_ptr<const route_index> index;
     retry::budget budget;
     base::random_source random;
--- a/oleanderhinge/gateway/gateway_node.cpp
+++ b/oleanderhinge/gateway/gateway_node.cpp
@@ -37,7 +37,12 @@
           this->speak,
           this->choice,
           this->numbers,
-          {.retries = this->options.retries, .seed = base::entropy_seed()})
+          {.retries = this->options.retries,
+           .seed = base::entropy_seed(),
+           .suspect =
+               [this](const wire::endpoint& server) {
+                   this->control.report_suspicion(server);
+               }})
     , callers(
           context,
           this->caller_limits(),
@@ -111,6 +116,17 @@
         .servers =
             [this](const wire::server_batch& batch) {
                 this->on_servers(batch);
+            },
+        .suspicion =
+            [this](const wire::server_suspicion& doubt) {
+                const auto seen = base::monotonic_now() -
+                                  std::chrono::milliseconds(doubt.age_ms);
+                if (fleet::suspect(this->choice.servers, doubt.server, seen))
+                    ++this->choice.changes;
+            },
+        .gateways =
+            [this](std::uint32_t number) {
+                this->forward.share_budget(number);
             }};
 }
 
@@ -181,9 +197,16 @@
     return {};
 }
 
+void gateway_node::reload(const gateway_settings& changed)
+{
+    spdlog::info("event=reload seeds={}", changed.seeds.size());
+    this->control.use_seeds(changed.seeds);
+}
+
 void gateway_node::schedule_tick()
 {
     this->control.tick(base::monotonic_now());
+    this->forward.tick();
     this->timer.expires_after(tick_interval);
     this->timer.async_wait([this](boost::system::error_code failed) {
         if (!failed && !this->stopped)
--- a/oleanderhinge/gateway/gateway_node.hpp
+++ b/oleanderhinge/gateway/gateway_node.hpp
@@ -34,6 +34,8 @@
 
     // Opens the ports. Fails with `io`.
     base::result<void> start();
+    // Takes the seeds of changed settings; other settings need a restart.
+    void reload(const gateway_settings& changed);
     net::process_options process_options();
 
 private:
--- a/oleanderhinge/gateway/server_choice.cpp
+++ b/oleanderhinge/gateway/server_choice.cpp
@@ -149,6 +149,14 @@
     ++choice.changes;
 }
 
+void note_refusal(
+    server_choice& choice, const wire::endpoint& server, base::time_point now)
+{
+    auto& health = choice.health[server];
+    health.ejected_until = std::max(health.ejected_until, now + refusal_pause);
+    ++choice.changes;
+}
+
 void note_error(
     server_choice& choice, const wire::endpoint& server, base::time_point now)
 {
--- a/oleanderhinge/gateway/server_choice.hpp
+++ b/oleanderhinge/gateway/server_choice.hpp
@@ -26,6 +26,9 @@
 // further failure up to the largest. Crashed servers are mostly back in 5 s.
 inline constexpr base::duration first_ejection = std::chrono::milliseconds(500);
 inline constexpr base::duration largest_ejection = std::chrono::seconds(4);
+// Memory comes free as requests end: at 50 a second and path, some ten of them
+// in this time.
+inline constexpr base::duration refusal_pause = std::chrono::milliseconds(200);
 // Half-life of remembered failures and latencies.
 inline constexpr base::duration memory_half_life = std::chrono::seconds(3);
 // A server that failed every request costs as much as this many more requests
@@ -85,6 +88,10 @@
 // Takes the server out for a while.
 void note_failure(
     server_choice& choice, const wire::endpoint& server, base::time_point now);
+// The server refused a part of a path, mostly for want of memory: it is left
+// alone for `refusal_pause`.
+void note_refusal(
+    server_choice& choice, const wire::endpoint& server, base::time_point now);
 // The server answered with an error of its own; it stays in use.
 void note_error(
     server_choice& choice, const wire::endpoint& server, base::time_point now);
--- a/oleanderhinge/gateway/settings.cpp
+++ b/oleanderhinge/gateway/settings.cpp
@@ -67,13 +67,6 @@
          "1s",
          "10min",
          "window of retries.slack"},
-        {"retries",
-         "gateways",
-         value_type::integer,
-         "48",
-         "1",
-         "100000",
-         "gateways that share retries.slack"},
         {"management",
          "listen",
          value_type::endpoint,
@@ -93,17 +86,16 @@
 
 retry::budget_options read_retries(const settings::values& checked)
 {
-    // Half of what is allowed: the other half is for bursts at the edges of
-    // windows and for gateways beyond the number in the settings.
-    constexpr double margin = 0.5;
+    // Half of the slack may be saved up and half flows in a window; a tenth is
+    // left for gateways that do not know of each other yet.
+    constexpr double margin = 0.45;
     const std::chrono::duration<double> window =
         checked.duration("retries.window");
-    const double slack = double(checked.integer("retries.slack")) /
-                         double(checked.integer("retries.gateways"));
+    const auto slack = double(checked.integer("retries.slack"));
     retry::budget_options options;
     options.success_share = checked.number("retries.share") * margin;
     options.floor_per_second = slack * margin / window.count();
-    options.max_saved = std::max(1.0, slack * margin);
+    options.max_saved = slack * margin;
     options.max_attempts = most_attempts;
     return options;
 }
--- a/oleanderhinge/net/process.cpp
+++ b/oleanderhinge/net/process.cpp
@@ -29,9 +29,11 @@
         : io(context)
         , options(chosen)
         , signals(context, SIGTERM, SIGINT)
+        , hangups(context, SIGHUP)
         , timer(context)
     {
         this->wait_for_signal();
+        this->wait_for_hangup();
     }
 
     int exit_code = 0;
@@ -52,6 +54,17 @@
         });
     }
 
+    void wait_for_hangup()
+    {
+        this->hangups.async_wait([this](boost::system::error_code failed, int) {
+            if (failed)
+                return;
+            if (this->options.reload)
+                this->options.reload();
+            this->wait_for_hangup();
+        });
+    }
+
     void poll()
     {
         this->timer.expires_after(drain_poll);
@@ -73,6 +86,7 @@
         this->exit_code = this->options.drained() ? 0 : exit_cut_off;
         boost::system::error_code ignored;
         this->signals.cancel(ignored);
+        this->hangups.cancel(ignored);
         this->options.stop();
         this->timer.expires_after(flush_time);
         this->timer.async_wait(
@@ -82,6 +96,7 @@
     asio::io_context& io;
     const process_options& options;
     asio::signal_set signals;
+    asio::signal_set hangups;
     asio::steady_timer timer;
     base::time_point deadline;
     bool draining = false;
--- a/oleanderhinge/net/process.hpp
+++ b/oleanderhinge/net/process.hpp
@@ -29,11 +29,13 @@
     std::function<bool()> drained;
     // Closes everything.
     std::function<void()> stop;
+    // SIGHUP: the settings file has changed. May be empty.
+    std::function<void()> reload = {};
 };
 
 // Runs `io` until the process has been told to end. The first signal starts
 // the drain; a second one or the limit ends it at once. Returns the exit code:
-// 0 after a complete drain, 3 if work was cut off.
+// 0 after a complete drain, 3 if work was cut off. SIGHUP never ends it.
 int run_process(boost::asio::io_context& io, const process_options& options);
 
 } // namespace oleanderhinge::net
--- /dev/null
+++ b/oleanderhinge/net/process_test.cpp
@@ -0,0 +1,37 @@
+#include "oleanderhinge/net/process.hpp"
+
+#include <boost/asio/post.hpp>
+#include <gtest/gtest.h>
+
+#include <csignal>
+
+namespace oleanderhinge::net
+{
+namespace
+{
+
+// Guards against a daemon that dies when its settings file changes: without a
+// handler, SIGHUP ends a process.
+TEST(process, a_hangup_reloads_and_does_not_end_the_process)
+{
+    boost::asio::io_context io;
+    int reloads = 0;
+    bool drained = false;
+    process_options options;
+    options.threads = 1;
+    options.begin_drain = [&] { drained = true; };
+    options.drained = [&] { return drained; };
+    options.stop = [] {};
+    options.reload = [&] {
+        if (++reloads < 2)
+            std::raise(SIGHUP);
+        else
+            std::raise(SIGTERM);
+    };
+    boost::asio::post(io, [] { std::raise(SIGHUP); });
+    EXPECT_EQ(run_process(io, options), 0);
+    EXPECT_EQ(reloads, 2);
+}
+
+} // namespace
+} // namespace oleanderhinge::net
--- a/oleanderhinge/wire/frame.cpp
+++ b/oleanderhinge/wire/frame.cpp
@@ -46,6 +46,7 @@
     "server_batch",
     "control_group",
     "join_request",
+    "server_suspicion",
 };
 
 using payload_decoder = base::result<message> (*)(std::string_view);
--- a/oleanderhinge/wire/messages.hpp
+++ b/oleanderhinge/wire/messages.hpp
@@ -767,14 +767,29 @@
     }
 };
 
+// Gateway to control, and control to the other gateways: work that depends on
+// the server at this address stands still.
+struct server_suspicion {
+    endpoint server;
+    std::uint32_t age_ms = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->server, this->age_ms);
+    }
+};
+
 // Control to gateway: link endpoints of all members, to subscribe to each.
 struct control_group {
     std::vector<endpoint> members;
+    // Gateways that have a link to the sender, to share budgets.
+    std::uint32_t gateways = 0;
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(this->members);
+        archive(this->members, this->gateways);
     }
 };
 
@@ -826,6 +841,7 @@
     entry_heartbeat,
     server_batch,
     control_group,
-    join_request>;
+    join_request,
+    server_suspicion>;
 
 } // namespace oleanderhinge::wire
