fleet, control, gateway: loads of engines, paths by load, recorded places

Change: the leader asks each engine for its state once a second and passes it to gateways; a path costs more as its caches fill and its servers slow down, requests spread over the best path from each data centre, and work is refused at once when all caches are too full for its rank. Slow servers are covered like crashed ones. The places of the plan are recorded in the log, and a data centre is divided anew when a place stays empty for 7 s.

Recorded places are not measured yet.

--- a/oleanderhinge/control/extension.hpp
+++ b/oleanderhinge/control/extension.hpp
@@ -65,11 +65,17 @@
 using order_sender = std::function<void(
     const fleet::place_order&, std::function<void(order_result)>)>;
 
+// Asks an engine for its state; an empty result means no usable answer.
+using load_reader = std::function<void(
+    const wire::endpoint&,
+    std::function<void(std::optional<wire::engine_load>)>)>;
+
 struct extension {
     // Combines the handler of the admin API with the calls of the adapter.
     std::function<net::http_handler(operations, net::http_handler admin)>
         extend_admin;
     std::function<order_sender(boost::asio::io_context&)> make_order_sender;
+    std::function<load_reader(boost::asio::io_context&)> make_load_reader;
 };
 
 } // namespace oleanderhinge::control
--- a/oleanderhinge/control/fleet_watch.cpp
+++ b/oleanderhinge/control/fleet_watch.cpp
@@ -59,9 +59,46 @@
     return batch;
 }
 
+std::vector<wire::server_record> due_for_load(
+    fleet_watch& fleet,
+    const wire::forwarding_table& table,
+    bool leads,
+    base::time_point now)
+{
+    if (!leads || now < fleet.next_load_round)
+        return {};
+    fleet.next_load_round = now + load_interval / int(load_rounds);
+    const auto round = fleet.load_round++ % load_rounds;
+    std::vector<wire::server_record> due;
+    std::size_t place = 0;
+    for (const auto& service : table.services) {
+        if (!service.engine || service.engine->layer_count == 0)
+            continue;
+        for (auto& record : fleet::usable(fleet.servers, service.name))
+            if (place++ % load_rounds == round)
+                due.push_back(std::move(record));
+    }
+    return due;
+}
+
+std::vector<control_state::record_places> due_records(fleet_watch& fleet)
+{
+    std::vector<control_state::record_places> due;
+    for (const auto& [service, plan] : fleet.placements) {
+        auto places = fleet::places_of(plan);
+        auto& last = fleet.recorded[service];
+        if (places.empty() || places == last)
+            continue;
+        last = places;
+        due.push_back({service, std::move(places)});
+    }
+    return due;
+}
+
 std::vector<fleet::place_order> plan_orders(
     fleet_watch& fleet,
     const wire::forwarding_table& table,
+    const std::map<std::string, fleet::places>& kept,
     bool leads,
     base::time_point now)
 {
@@ -69,6 +106,10 @@
         fleet.leads = leads;
         fleet.leads_since = now;
         fleet.placements.clear();
+        fleet.recorded.clear();
+        if (leads)
+            for (const auto& [service, places] : kept)
+                fleet.placements[service] = fleet::restore(places, now);
     }
     if (!leads || fleet.first_report == base::time_point{} ||
         now < fleet.leads_since + settle_time ||
--- a/oleanderhinge/control/program.cpp
+++ b/oleanderhinge/control/program.cpp
@@ -96,6 +96,8 @@
     options.extend_admin = added.extend_admin;
     if (added.make_order_sender)
         options.give_order = added.make_order_sender(io);
+    if (added.make_load_reader)
+        options.read_load = added.make_load_reader(io);
     return options;
 }
 
--- a/oleanderhinge/control/service.cpp
+++ b/oleanderhinge/control/service.cpp
@@ -423,8 +423,27 @@
         const auto orders =
             this->state.read([&](const control_state::state& from) {
                 return plan_orders(
-                    this->fleet, from.config.forwarding, leads, now);
+                    this->fleet,
+                    from.config.forwarding,
+                    from.places,
+                    leads,
+                    now);
             });
+        if (leads)
+            for (auto& record : due_records(this->fleet)) {
+                spdlog::info(
+                    "event=record_places service={} servers={}",
+                    record.service,
+                    record.places.size());
+                this->consensus.log->propose(
+                    control_state::encode(record),
+                    [](const replica::propose_result& result) {
+                        if (result.state != replica::propose_state::applied)
+                            spdlog::warn(
+                                "event=record_places_failed state={}",
+                                int(result.state));
+                    });
+            }
         for (const auto& order : orders) {
             spdlog::info(
                 "event=order server={} layers={}-{} term={}",
@@ -443,6 +462,40 @@
         }
     }
 
+    void ask_for_loads(const replica::log_status& status, base::time_point now)
+    {
+        if (!this->options.read_load)
+            return;
+        const bool leads =
+            status.role == replica::member_role::leader && status.quorum;
+        const auto due =
+            this->state.read([&](const control_state::state& from) {
+                return due_for_load(
+                    this->fleet, from.config.forwarding, leads, now);
+            });
+        for (const auto& server : due)
+            this->options.read_load(
+                {server.address, server.port},
+                [this, id = server.id](std::optional<wire::engine_load> load) {
+                    if (load)
+                        this->on_strand([this, id, load = *load] {
+                            if (fleet::note_load(this->fleet.servers, id, load))
+                                this->fleet.changed.insert(id);
+                            this->new_loads.items.push_back({id, load});
+                        });
+                });
+    }
+
+    void send_loads()
+    {
+        if (this->new_loads.items.empty())
+            return;
+        for (const auto& [link, peer] : this->known)
+            if (peer.sender == wire::role::entry)
+                this->links.send(link, this->new_loads);
+        this->new_loads.items.clear();
+    }
+
     // --- Membership -------------------------------------------------------
 
     void on_join_request(const wire::join_request& asking)
@@ -732,6 +785,8 @@
                     this->send_group(link);
         }
         this->send_servers();
+        this->send_loads();
+        this->ask_for_loads(status, now);
         this->place_layers(status, now);
         this->manage_group(status, now);
         if (now >= this->next_expire) {
@@ -803,6 +858,7 @@
     status_watch watch;
     std::map<net::link_id, wire::hello> known;
     fleet_watch fleet;
+    wire::server_loads new_loads;
     member_reach reach;
     base::time_point without_leader_since = base::monotonic_now();
     base::time_point next_join;
--- a/oleanderhinge/control/service.hpp
+++ b/oleanderhinge/control/service.hpp
@@ -57,6 +57,7 @@
     std::function<net::http_handler(operations, net::http_handler admin)>
         extend_admin;
     order_sender give_order;
+    load_reader read_load;
 };
 
 // Sends a consensus message to another member; it may be lost.
--- a/oleanderhinge/control_state/commands.cpp
+++ b/oleanderhinge/control_state/commands.cpp
@@ -54,6 +54,11 @@
     {
         return internal::apply_replace(this->target, item);
     }
+    reply operator()(const record_places& item) const
+    {
+        this->target.places[item.service] = item.places;
+        return places_reply{};
+    }
     reply operator()(const expire& item) const
     {
         advance_clock(this->target, item.now_ms);
--- a/oleanderhinge/control_state/commands.hpp
+++ b/oleanderhinge/control_state/commands.hpp
@@ -113,13 +113,26 @@
     }
 };
 
+// Keeps the places of a plan for the leader's successors.
+struct record_places {
+    std::string service;
+    std::vector<wire::server_place> places;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->service, this->places);
+    }
+};
+
 using command = std::variant<
     create_plan,
     confirm_plan,
     claim,
     record_outcome,
     expire,
-    replace_forwarding>;
+    replace_forwarding,
+    record_places>;
 
 // Reply to `create_plan`.
 struct plan_reply {
@@ -222,6 +235,14 @@
     }
 };
 
+// Reply to `record_places`.
+struct places_reply {
+    template <class Archive>
+    void serialize(Archive&)
+    {
+    }
+};
+
 // The command could not be decoded; nothing changed.
 struct malformed_command {
     std::string detail;
@@ -240,7 +261,8 @@
     claim_result,
     outcome_result,
     expire_reply,
-    replace_reply>;
+    replace_reply,
+    places_reply>;
 
 // Applies a committed command. `index` is its place in the log; a command at
 // or below `target.applied` is a programming error and throws
--- a/oleanderhinge/control_state/snapshot.cpp
+++ b/oleanderhinge/control_state/snapshot.cpp
@@ -28,7 +28,7 @@
     archive(value.applied, value.clock_ms, value.config, value.changes);
     archive(value.changes_after, value.removals, value.removals_after);
     archive(value.plans, value.claims, value.claims_after_ms);
-    archive(value.forwarding_document);
+    archive(value.forwarding_document, value.places);
 }
 
 const char* broken_plan(const state& decoded)
--- a/oleanderhinge/control_state/state.hpp
+++ b/oleanderhinge/control_state/state.hpp
@@ -158,6 +158,8 @@
     std::map<std::string, base::revision> removals;
     // Text of `config.forwarding` as its operator sent it, for reading back.
     std::string forwarding_document;
+    // Places of the plan for each service with engines.
+    std::map<std::string, std::vector<wire::server_place>> places;
     // Removals up to this revision may be forgotten; a plan with a lower base
     // conflicts if its object does not exist.
     base::revision removals_after;
--- a/oleanderhinge/fleet/directory.cpp
+++ b/oleanderhinge/fleet/directory.cpp
@@ -59,7 +59,12 @@
         return report_outcome::stale;
     const bool same = same_content(held.record, record);
     held.heard = std::max(held.heard, heard);
+    const auto load = held.record.load;
+    const bool same_process = held.record.started_ms == record.started_ms;
     held.record = record;
+    // Reports do not carry the state.
+    if (!record.load && same_process)
+        held.record.load = load;
     return same ? report_outcome::refreshed : report_outcome::changed;
 }
 
@@ -77,6 +82,21 @@
     return is_new;
 }
 
+bool note_load(
+    directory& known,
+    const base::backend_server_id& id,
+    const wire::engine_load& load)
+{
+    const auto found = known.servers.find(id);
+    if (found == known.servers.end())
+        return false;
+    auto& record = found->second.record;
+    const bool moved = record.layers != load.layers;
+    record.load = load;
+    record.layers = load.layers;
+    return moved;
+}
+
 void expire(directory& known, base::time_point now)
 {
     std::erase_if(known.servers, [&](const auto& item) {
--- a/oleanderhinge/fleet/directory.hpp
+++ b/oleanderhinge/fleet/directory.hpp
@@ -69,6 +69,13 @@
 bool suspect(
     directory& known, const wire::endpoint& address, base::time_point now);
 
+// Takes the state of an engine that was asked for. Ignored for unknown ids.
+// True if its layers changed.
+bool note_load(
+    directory& known,
+    const base::backend_server_id& id,
+    const wire::engine_load& load);
+
 // Forgets processes that ended or fell silent long ago.
 void expire(directory& known, base::time_point now);
 
--- a/oleanderhinge/fleet/paths.cpp
+++ b/oleanderhinge/fleet/paths.cpp
@@ -72,10 +72,11 @@
             if (server.layers.first.value() > at || end <= at)
                 continue;
             const auto next_place = this->places_by_server[i];
-            const double cost =
-                here.cost + server.ms_per_layer * (end - at) +
-                this->costs.part_ms +
-                (next_place == place ? 0 : this->costs.crossing_ms);
+            const double cost = here.cost + server.ms_per_layer * (end - at) +
+                                this->costs.part_ms +
+                                (next_place == place ? 0
+                                 : at == 0 ? this->costs.remote_start_ms
+                                           : this->costs.crossing_ms);
             auto& next = this->table[end][next_place];
             if (cost < next.cost)
                 next = {cost, i, at, place, here.parts + 1};
@@ -127,6 +128,31 @@
     return search(servers, layer_count, home, costs).run();
 }
 
+double cost_of(
+    const path& parts,
+    const std::vector<path_server>& servers,
+    const base::data_centre_id& home,
+    const path_costs& costs)
+{
+    double cost = 0;
+    const auto* place = &home;
+    for (const auto& part : parts) {
+        const auto server = std::find_if(
+            servers.begin(), servers.end(), [&](const path_server& item) {
+                return item.id == part.server;
+            });
+        if (server == servers.end())
+            return std::numeric_limits<double>::infinity();
+        const auto layers = part.layers.end.value() - part.layers.first.value();
+        cost += server->ms_per_layer * layers + costs.part_ms;
+        if (part.data_centre != *place)
+            cost += &part == &parts.front() ? costs.remote_start_ms
+                                            : costs.crossing_ms;
+        place = &part.data_centre;
+    }
+    return cost;
+}
+
 bool is_complete(const path& parts, std::uint32_t layer_count)
 {
     std::uint32_t next = 0;
--- a/oleanderhinge/fleet/paths.hpp
+++ b/oleanderhinge/fleet/paths.hpp
@@ -42,10 +42,12 @@
 using path = std::vector<path_part>;
 
 struct path_costs {
-    // A change of data centre costs as much as this time of one token. Two
-    // crossings of a prompt of 774 tokens take 19 ms of a link that all share,
-    // so a path stays inside a data centre unless the others are much faster.
-    double crossing_ms = 8;
+    // A change of data centre between two parts costs as much as this time of
+    // one token: a delay of 0.75 ms, and the prompt takes 9.6 ms of a link that
+    // all share, which a third of all requests would fill.
+    double crossing_ms = 3;
+    // The first part in another data centre: only events cross.
+    double remote_start_ms = 0.75;
     // Each server of a path adds a pass and a transfer to each token.
     double part_ms = 0.2;
     // Parts that the engines accept in one path.
@@ -61,6 +63,13 @@
     const base::data_centre_id& home,
     const path_costs& costs);
 
+// Time of one token on the path, in milliseconds, as `find_path` counts it.
+double cost_of(
+    const path& parts,
+    const std::vector<path_server>& servers,
+    const base::data_centre_id& home,
+    const path_costs& costs);
+
 // True if the parts cover all layers once and in order.
 bool is_complete(const path& parts, std::uint32_t layer_count);
 
--- a/oleanderhinge/fleet/placement.cpp
+++ b/oleanderhinge/fleet/placement.cpp
@@ -222,12 +222,40 @@
         assign_group(profile, members);
 }
 
+// Divides a group anew if a place stays empty: its server is gone and no other
+// has taken the place.
+void divide_again(
+    placement& plan, const wire::engine_profile& profile, base::time_point now)
+{
+    for (const auto& members : copy_groups(plan, profile)) {
+        group present;
+        bool lost = false;
+        for (auto* server : members) {
+            const bool missing = is_missing(*server, now);
+            lost = lost || (missing && server->layers != base::layer_range{});
+            if (!missing)
+                present.push_back(server);
+        }
+        if (!lost || present.empty())
+            continue;
+        for (auto* server : members)
+            server->layers = {};
+        assign_group(profile, present);
+    }
+}
+
 bool contains(const base::layer_range& outer, const base::layer_range& inner)
 {
     return outer.first <= inner.first && inner.end <= outer.end;
 }
 
-// Notes which servers hold their place and are in use.
+bool is_slow(const wire::server_record& record)
+{
+    return record.load && record.load->slowness >= slow_from;
+}
+
+// Notes which servers hold their place and are in use. Slow ones count as out:
+// a path is as slow as its slowest part.
 void observe_places(
     placement& plan,
     const std::vector<wire::server_record>& ready,
@@ -235,7 +263,12 @@
 {
     std::map<wire::endpoint, base::layer_range> held;
     for (const auto& record : ready)
-        held[address_of(record)] = record.layers;
+        if (!is_slow(record))
+            held[address_of(record)] = record.layers;
+    for (const auto& record : ready)
+        if (const auto found = plan.servers.find(address_of(record));
+            found != plan.servers.end())
+            found->second.slow = is_slow(record);
     for (auto& [address, server] : plan.servers) {
         const auto found = held.find(address);
         if (found != held.end() && contains(found->second, server.layers)) {
@@ -325,7 +358,8 @@
 bool needs_cover(const placed_server& server, base::time_point now)
 {
     return server.layers != base::layer_range{} && !is_in_use(server) &&
-           server.seen < now && now >= server.out_since + cover_after;
+           (server.seen < now || server.slow) &&
+           now >= server.out_since + cover_after;
 }
 
 // Sets what each server should hold now.
@@ -357,6 +391,38 @@
 
 } // namespace
 
+places places_of(const placement& plan)
+{
+    places kept;
+    for (const auto& [address, server] : plan.servers)
+        if (server.layers != base::layer_range{})
+            kept.push_back(
+                {address.address,
+                 address.port,
+                 server.data_centre,
+                 server.kind,
+                 server.memory_mb,
+                 server.layers});
+    return kept;
+}
+
+placement restore(const places& kept, base::time_point now)
+{
+    placement plan;
+    for (const auto& item : kept) {
+        placed_server server;
+        server.address = {item.address, item.port};
+        server.data_centre = item.data_centre;
+        server.kind = item.kind;
+        server.memory_mb = item.memory_mb;
+        server.layers = item.layers;
+        // It gets the usual time to be heard of.
+        server.seen = now;
+        plan.servers.emplace(server.address, server);
+    }
+    return plan;
+}
+
 std::uint32_t
 largest_range(const wire::engine_profile& profile, double memory_mb)
 {
@@ -416,6 +482,7 @@
     if (!has_plan(plan) && !adopt(plan, ready))
         assign_all(plan, profile);
     fill_places(plan, profile, now);
+    divide_again(plan, profile, now);
     for (const auto& members : copy_groups(plan, profile))
         fill_holes(members, profile, now);
     observe_places(plan, ready, now);
@@ -435,10 +502,17 @@
 {
     std::vector<place_order> orders;
     std::size_t loading = 0;
-    for (const auto& [address, server] : plan.servers)
-        if (server.ordered != base::time_point{} &&
-            now < server.ordered + order_repeat)
-            ++loading;
+    for (const auto& record : ready) {
+        const auto found = plan.servers.find(address_of(record));
+        if (found == plan.servers.end())
+            continue;
+        auto& server = found->second;
+        server.loading = server.loading &&
+                         record.layers != server.ordered_layers &&
+                         server.ordered_start_ms == record.started_ms &&
+                         now < server.ordered + order_repeat;
+        loading += server.loading ? 1 : 0;
+    }
     for (const auto& record : ready) {
         const auto found = plan.servers.find(address_of(record));
         if (found == plan.servers.end())
@@ -448,14 +522,14 @@
             record.layers == server.wanted)
             continue;
         // A restarted server lost its orders with its layers.
-        const bool outstanding = server.ordered_layers == server.wanted &&
-                                 server.ordered_start_ms == record.started_ms &&
-                                 now < server.ordered + order_repeat;
+        const bool outstanding =
+            server.loading && server.ordered_layers == server.wanted;
         if (outstanding || (!unbounded && loading >= profile.loads_at_once))
             continue;
         server.ordered = now;
         server.ordered_layers = server.wanted;
         server.ordered_start_ms = record.started_ms;
+        server.loading = true;
         ++loading;
         orders.push_back({record.id, server.address, server.wanted});
     }
--- a/oleanderhinge/fleet/placement.hpp
+++ b/oleanderhinge/fleet/placement.hpp
@@ -41,6 +41,8 @@
 // Neighbours take over the layers of a server that has been out of use this
 // long. A load of 5 layers takes a second; a crashed server is away for 5 s.
 inline constexpr base::duration cover_after = std::chrono::milliseconds(400);
+// A server counts as slow from this factor on its times.
+inline constexpr double slow_from = 2;
 // Share of a server's memory that weights may take while it covers for others.
 inline constexpr double fullest_while_covering = 0.87;
 // An order that shows no effect in the server's reports is sent again: a
@@ -58,6 +60,8 @@
     base::layer_range wanted;
     // Since when it has not held its place in use; unset while it does.
     base::time_point out_since;
+    // At its last report it was `slow_from` times slower than usual.
+    bool slow = false;
     // Neighbours cover for it until it holds its place again.
     bool covered = false;
     // Last time at which a ready server was known at the address.
@@ -67,12 +71,19 @@
     base::layer_range ordered_layers;
     // Process that got the last order.
     std::uint64_t ordered_start_ms = 0;
+    // The last order is not carried out yet.
+    bool loading = false;
 };
 
 struct placement {
     std::map<wire::endpoint, placed_server> servers;
 };
 
+// The places of a plan, which outlive the leader that made it.
+using places = std::vector<wire::server_place>;
+places places_of(const placement& plan);
+placement restore(const places& kept, base::time_point now);
+
 // One order to a server: hold exactly these layers.
 struct place_order {
     base::backend_server_id server;
--- a/oleanderhinge/gateway/control_client.cpp
+++ b/oleanderhinge/gateway/control_client.cpp
@@ -77,6 +77,8 @@
     } else if (
         const auto* doubt = std::get_if<wire::server_suspicion>(&content)) {
         this->events.suspicion(*doubt);
+    } else if (const auto* loads = std::get_if<wire::server_loads>(&content)) {
+        this->events.loads(*loads);
     }
 }
 
--- a/oleanderhinge/gateway/control_client.hpp
+++ b/oleanderhinge/gateway/control_client.hpp
@@ -46,6 +46,7 @@
     std::function<void(std::shared_ptr<const wire::configuration>)>
         configuration;
     std::function<void(const wire::server_batch&)> servers;
+    std::function<void(const wire::server_loads&)> loads;
     // Another gateway saw work that stands still.
     std::function<void(const wire::server_suspicion&)> suspicion;
     // Gateways that share budgets with this one, itself included.
--- a/oleanderhinge/gateway/forwarder.cpp
+++ b/oleanderhinge/gateway/forwarder.cpp
@@ -314,10 +314,17 @@
 {
     while (true) {
         const auto now = base::monotonic_now();
-        const auto parts = choose_path(this->choice, *r.service, r.tried, now);
+        const auto found = choose_path(
+            this->choice, *r.service, r.tried, r.priority, this->random, now);
+        const auto& parts = found.parts;
         if (parts.empty()) {
-            const auto why = base::not_run(
-                failure_code::no_server, "no path runs all layers");
+            const auto why =
+                found.full
+                    ? base::not_run(
+                          failure_code::overloaded,
+                          "the memory of all paths is in use")
+                    : base::not_run(
+                          failure_code::no_server, "no path runs all layers");
             co_return co_await this->give_up(r, why);
         }
         r.path = describe(parts);
--- a/oleanderhinge/gateway/gateway_node.cpp
+++ b/oleanderhinge/gateway/gateway_node.cpp
@@ -117,6 +117,13 @@
             [this](const wire::server_batch& batch) {
                 this->on_servers(batch);
             },
+        .loads =
+            [this](const wire::server_loads& loads) {
+                for (const auto& item : loads.items)
+                    if (fleet::note_load(
+                            this->choice.servers, item.server, item.load))
+                        ++this->choice.changes;
+            },
         .suspicion =
             [this](const wire::server_suspicion& doubt) {
                 const auto seen = base::monotonic_now() -
--- a/oleanderhinge/gateway/server_choice.cpp
+++ b/oleanderhinge/gateway/server_choice.cpp
@@ -1,6 +1,7 @@
 #include "oleanderhinge/gateway/server_choice.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 namespace oleanderhinge::gateway
@@ -60,6 +61,28 @@
     return nullptr;
 }
 
+double fullness(const wire::server_record& record)
+{
+    if (!record.load || record.load->cache_total == 0)
+        return 0;
+    return double(record.load->cache_used) / double(record.load->cache_total);
+}
+
+// Expected time of one token in one layer: what the engine's operator states,
+// slowed by what runs there, and more as its cache fills.
+double layer_time(
+    const wire::engine_profile& engine,
+    const wire::accelerator_kind& kind,
+    const wire::server_record& record)
+{
+    double step = engine.step_ms;
+    if (record.load)
+        step = (step + engine.step_ms_per_request * record.load->running) *
+               record.load->slowness;
+    return step * kind.step_factor / engine.layer_count /
+           (1 - std::min(fullness(record), fullest_cache));
+}
+
 std::vector<fleet::path_server> path_servers(
     const server_choice& choice,
     const wire::forwarding_service& service,
@@ -67,31 +90,76 @@
     bool with_ejected,
     base::time_point now)
 {
-    const auto& engine = *service.engine;
     std::vector<fleet::path_server> found;
     for (const auto& record : fleet::usable(choice.servers, service.name)) {
         const wire::endpoint address{record.address, record.port};
-        const auto* kind = find_kind(engine, record.kind);
+        const auto* kind = find_kind(*service.engine, record.kind);
         if (kind == nullptr || record.layers == base::layer_range{} ||
             tried.contains(address) ||
             (!with_ejected && is_ejected(choice, address, now)))
             continue;
-        double running = 0;
-        if (const auto known = choice.health.find(address);
-            known != choice.health.end())
-            running = known->second.in_progress;
-        const double step =
-            engine.step_ms + engine.step_ms_per_request * running;
         found.push_back(
             {record.id,
              address,
              record.data_centre,
              record.layers,
-             kind->step_factor * step / engine.layer_count});
+             layer_time(*service.engine, *kind, record)});
+    }
+    return found;
+}
+
+double fullest_part(const server_choice& choice, const fleet::path& parts)
+{
+    double fullest = 0;
+    for (const auto& part : parts)
+        if (const auto found = choice.servers.servers.find(part.server);
+            found != choice.servers.servers.end())
+            fullest = std::max(fullest, fullness(found->second.record));
+    return fullest;
+}
+
+// The best path from each data centre.
+std::vector<server_choice::candidate> find_candidates(
+    const server_choice& choice,
+    const wire::forwarding_service& service,
+    const std::set<wire::endpoint>& tried,
+    bool with_ejected,
+    base::time_point now)
+{
+    const auto servers =
+        path_servers(choice, service, tried, with_ejected, now);
+    std::set<base::data_centre_id> places;
+    for (const auto& server : servers)
+        places.insert(server.data_centre);
+    std::vector<server_choice::candidate> found;
+    for (const auto& place : places) {
+        auto parts =
+            fleet::find_path(servers, service.engine->layer_count, place, {});
+        const bool known =
+            std::any_of(found.begin(), found.end(), [&](const auto& item) {
+                return item.parts == parts;
+            });
+        if (parts.empty() || known)
+            continue;
+        const auto cost = fleet::cost_of(parts, servers, choice.home, {});
+        const auto fullest = fullest_part(choice, parts);
+        found.push_back({std::move(parts), cost, fullest});
     }
     return found;
 }
 
+std::vector<server_choice::candidate> find_candidates(
+    const server_choice& choice,
+    const wire::forwarding_service& service,
+    const std::set<wire::endpoint>& tried,
+    base::time_point now)
+{
+    auto found = find_candidates(choice, service, tried, false, now);
+    if (found.empty())
+        found = find_candidates(choice, service, tried, true, now);
+    return found;
+}
+
 } // namespace
 
 fleet::report_outcome learn(
@@ -192,32 +260,45 @@
     return best;
 }
 
-fleet::path choose_path(
+double cache_limit(std::uint32_t priority)
+{
+    // Requests that run grow by their answers, a fifth of their size.
+    constexpr std::array limits{0.97, 0.9, 0.82};
+    return limits[std::min<std::size_t>(priority, limits.size() - 1)];
+}
+
+path_choice choose_path(
     server_choice& choice,
     const wire::forwarding_service& service,
     const std::set<wire::endpoint>& tried,
+    std::uint32_t priority,
+    base::random_source& random,
     base::time_point now)
 {
-    const auto compute = [&](bool with_ejected) {
-        return fleet::find_path(
-            path_servers(choice, service, tried, with_ejected, now),
-            service.engine->layer_count,
-            choice.home,
-            {});
-    };
+    std::vector<server_choice::candidate> without_tried;
+    auto& cached = choice.paths[service.name];
     if (!tried.empty()) {
-        auto parts = compute(false);
-        return parts.empty() ? compute(true) : parts;
+        without_tried = find_candidates(choice, service, tried, now);
+    } else if (
+        cached.changes != choice.changes || now >= cached.computed + path_age) {
+        cached = {
+            choice.changes, now, find_candidates(choice, service, tried, now)};
     }
-    auto& cached = choice.paths[service.name];
-    if (cached.changes != choice.changes || now >= cached.computed + path_age) {
-        cached.parts = compute(false);
-        if (cached.parts.empty())
-            cached.parts = compute(true);
-        cached.changes = choice.changes;
-        cached.computed = now;
+    const auto& candidates = tried.empty() ? cached.candidates : without_tried;
+    std::vector<double> weights;
+    double total = 0;
+    for (const auto& item : candidates) {
+        const bool fits = item.fullest <= cache_limit(priority);
+        weights.push_back(fits ? std::pow(1 / item.cost, path_preference) : 0);
+        total += weights.back();
     }
-    return cached.parts;
+    if (total <= 0)
+        return {{}, !candidates.empty()};
+    double drawn = random.unit() * total;
+    std::size_t at = 0;
+    while (at + 1 < candidates.size() && drawn >= weights[at])
+        drawn -= weights[at++];
+    return {candidates[at].parts, false};
 }
 
 } // namespace oleanderhinge::gateway
--- a/oleanderhinge/gateway/server_choice.hpp
+++ b/oleanderhinge/gateway/server_choice.hpp
@@ -38,6 +38,11 @@
 inline constexpr double remote_weight = 1.15;
 // Paths are computed again after this time, as load changes.
 inline constexpr base::duration path_age = std::chrono::milliseconds(250);
+// Requests spread over the paths that begin in each data centre by this power
+// of their speed: gateways see loads a second late and must not all move.
+inline constexpr double path_preference = 4;
+// A part whose cache is fuller than this costs no more than that.
+inline constexpr double fullest_cache = 0.95;
 
 struct server_health {
     std::uint32_t in_progress = 0;
@@ -62,12 +67,19 @@
     base::data_centre_id home;
     // Costs of a path are computed again when this grows.
     std::uint64_t changes = 0;
-    struct cached_path {
+    struct candidate {
+        fleet::path parts;
+        // Time of one token, in milliseconds, with what runs there.
+        double cost = 0;
+        // Fullest cache of its parts, 0 to 1.
+        double fullest = 0;
+    };
+    struct cached_paths {
         std::uint64_t changes = 0;
         base::time_point computed;
-        fleet::path parts;
+        std::vector<candidate> candidates;
     };
-    std::map<std::string, cached_path> paths;
+    std::map<std::string, cached_paths> paths;
 };
 
 // --- Commands ---------------------------------------------------------------
@@ -105,12 +117,24 @@
     base::random_source& random,
     base::time_point now);
 
-// A path over all layers without the servers in `tried`; empty if there is
-// none.
-fleet::path choose_path(
+// The largest share of a cache that may be in use for new work of a priority;
+// the rest is kept for more urgent work and for what is already running.
+double cache_limit(std::uint32_t priority);
+
+struct path_choice {
+    // Empty if there is none.
+    fleet::path parts;
+    // There are paths, but their caches are too full for the priority.
+    bool full = false;
+};
+
+// A path over all layers without the servers in `tried`.
+path_choice choose_path(
     server_choice& choice,
     const wire::forwarding_service& service,
     const std::set<wire::endpoint>& tried,
+    std::uint32_t priority,
+    base::random_source& random,
     base::time_point now);
 
 } // namespace oleanderhinge::gateway
--- a/oleanderhinge/wire/forwarding.hpp
+++ b/oleanderhinge/wire/forwarding.hpp
@@ -190,6 +190,47 @@
     }
 };
 
+// The place of a server in the plan for a service with engines.
+struct server_place {
+    std::string address;
+    std::uint16_t port = 0;
+    base::data_centre_id data_centre;
+    std::string kind;
+    double memory_mb = 0;
+    base::layer_range layers;
+
+    bool operator==(const server_place&) const = default;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->address, this->port, this->data_centre, this->kind);
+        archive(this->memory_mb, this->layers);
+    }
+};
+
+// State of an engine, some hundred milliseconds old when it is read.
+struct engine_load {
+    // Factor on all times; above 1 the server is slow.
+    double slowness = 1;
+    // Cache in tokens times layers: in use, and in total.
+    std::uint64_t cache_used = 0;
+    std::uint64_t cache_total = 0;
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    // Layers that it holds now; a report of the server may say so later.
+    base::layer_range layers;
+
+    bool operator==(const engine_load&) const = default;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->slowness, this->cache_used, this->cache_total);
+        archive(this->running, this->waiting, this->layers);
+    }
+};
+
 // What a backend server last said of itself, with the age of that knowledge.
 enum class reported_state : std::uint8_t { ready, draining, gone };
 
@@ -212,6 +253,8 @@
     base::layer_range layers;
     // Time since the report arrived at control.
     std::uint32_t age_ms = 0;
+    // Known for engines that control has asked.
+    std::optional<engine_load> load;
 
     bool operator==(const server_record&) const = default;
 
@@ -221,6 +264,7 @@
         archive(this->id, this->started_ms, this->sequence, this->service);
         archive(this->address, this->port, this->data_centre, this->slots);
         archive(this->state, this->kind, this->layers, this->age_ms);
+        archive(this->load);
     }
 };
 
--- a/oleanderhinge/wire/frame.cpp
+++ b/oleanderhinge/wire/frame.cpp
@@ -47,6 +47,7 @@
     "control_group",
     "join_request",
     "server_suspicion",
+    "server_loads",
 };
 
 using payload_decoder = base::result<message> (*)(std::string_view);
--- a/oleanderhinge/wire/messages.hpp
+++ b/oleanderhinge/wire/messages.hpp
@@ -767,6 +767,27 @@
     }
 };
 
+// Control to gateway: states of engines that the leader asked for.
+struct server_loads {
+    struct item {
+        base::backend_server_id server;
+        engine_load load;
+
+        template <class Archive>
+        void serialize(Archive& archive)
+        {
+            archive(this->server, this->load);
+        }
+    };
+    std::vector<item> items;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->items);
+    }
+};
+
 // Gateway to control, and control to the other gateways: work that depends on
 // the server at this address stands still.
 struct server_suspicion {
@@ -842,6 +863,7 @@
     server_batch,
     control_group,
     join_request,
-    server_suspicion>;
+    server_suspicion,
+    server_loads>;
 
 } // namespace oleanderhinge::wire
