gateway: refuse at once where first events wait, repeat calls that time out

A repeatable call whose attempt ran out of its share of the time was answered 504, since the code said that the request's deadline had passed.

Change: fullness costs, and refuses only full caches; a path whose oldest request waits long for its first event gets less, and none of the less urgent work. The end of an attempt's share is no deadline. Crossings of prompts cost 8 ms again, paths from other data centres 2 ms.

Tests name the pattern that each rule answers.

--- a/oleanderhinge/fleet/paths.hpp
+++ b/oleanderhinge/fleet/paths.hpp
@@ -45,9 +45,9 @@
     // A change of data centre between two parts costs as much as this time of
     // one token: a delay of 0.75 ms, and the prompt takes 9.6 ms of a link that
     // all share, which a third of all requests would fill.
-    double crossing_ms = 3;
+    double crossing_ms = 8;
     // The first part in another data centre: only events cross.
-    double remote_start_ms = 0.75;
+    double remote_start_ms = 2;
     // Each server of a path adds a pass and a transfer to each token.
     double part_ms = 0.2;
     // Parts that the engines accept in one path.
--- a/oleanderhinge/gateway/forwarder.cpp
+++ b/oleanderhinge/gateway/forwarder.cpp
@@ -145,7 +145,14 @@
 void forwarder::tick()
 {
     const auto now = steady_now();
+    this->choice.first_event_waits.clear();
     for (const auto& [id, r] : this->streams) {
+        if (r->in_attempt && r->line && r->events.taken == 0) {
+            auto& longest = this->choice.first_event_waits[r->line->server()];
+            longest = std::max(
+                longest,
+                std::chrono::duration_cast<base::duration>(now - r->progress));
+        }
         if (!r->in_attempt || !r->line || now < r->progress + suspicious_pause)
             continue;
         auto& last = this->asked[r->line->server()];
@@ -430,8 +437,8 @@
         const error_code failed = co_await r.line->read_head(limit);
         if (failed)
             co_return failed_with<attempt_result>(base::may_have_run(
-                steady_now() >= limit ? failure_code::deadline_exceeded
-                                      : failure_code::link_lost,
+                steady_now() >= r.deadline ? failure_code::deadline_exceeded
+                                           : failure_code::link_lost,
                 "answer: " + failed.message()));
         const auto facts =
             this->speak.read_answer(r.line->status(), r.line->fields());
@@ -588,8 +595,8 @@
             co_return attempt_result{attempt_end::caller_left, {}, {}};
         if (failed || r.events.oversized)
             co_return failed_with<attempt_result>(base::may_have_run(
-                steady_now() >= limit ? failure_code::deadline_exceeded
-                                      : failure_code::server_failed,
+                steady_now() >= r.deadline ? failure_code::deadline_exceeded
+                                           : failure_code::server_failed,
                 "stream broke off: " + failed.message()));
     }
     if (!r.events.partial.empty() || !r.head_sent)
--- /dev/null
+++ b/oleanderhinge/gateway/forwarder_test.cpp
@@ -0,0 +1,378 @@
+#include "oleanderhinge/gateway/forwarder.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <gtest/gtest.h>
+
+#include <charconv>
+
+namespace oleanderhinge::gateway
+{
+namespace
+{
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+
+// Field names of this test's own.
+dialect make_dialect()
+{
+    dialect speak;
+    speak.read_request = [](const http_fields& fields) {
+        request_facts facts;
+        facts.id = std::string(fields["Id"]);
+        facts.key = std::string(fields["Key"]);
+        facts.patience = 2000ms;
+        return facts;
+    };
+    speak.prepare = [](http_fields& fields, const outgoing_facts& facts) {
+        fields.erase("Key");
+        fields.set("Customer", facts.customer.value());
+        fields.set("Server", facts.server.value());
+        fields.set("Left", std::to_string(facts.time_left.count()));
+        if (!facts.last_event.empty())
+            fields.set("After", facts.last_event);
+    };
+    speak.read_answer = [](unsigned, const http_fields& fields) {
+        answer_facts facts;
+        facts.id = std::string(fields["Id"]);
+        facts.not_run = !fields["Not-Run"].empty();
+        facts.sealed = !fields["Seal"].empty();
+        return facts;
+    };
+    speak.ask_state = [] { return net::http_call{"GET", "/state", {}, ""}; };
+    speak.read_stalls = [](const std::string&) {
+        return std::vector<stalled_request>{};
+    };
+    return speak;
+}
+
+// A backend server whose behaviour a test sets.
+struct backend {
+    using behaviour = std::function<asio::awaitable<void>(
+        const net::http_request&, net::http_exchange&)>;
+
+    explicit backend(asio::io_context& io)
+        : server(
+              io,
+              {},
+              [this](net::http_request request, net::http_exchange& exchange)
+                  -> asio::awaitable<void> {
+                  this->seen.push_back(request);
+                  co_await this->behave(request, exchange);
+              })
+    {
+        this->address = base::handle(
+            [this] {
+                return this->server.listen({"127.0.0.1", 0});
+            },
+            [](const base::error& e) -> wire::endpoint {
+                ADD_FAILURE() << e.detail;
+                return {};
+            });
+    }
+
+    std::vector<net::http_request> seen;
+    behaviour behave;
+    net::http_server server;
+    wire::endpoint address;
+};
+
+std::vector<wire::header> marks(const net::http_request& request)
+{
+    return {{"Id", std::string(request["Id"])}, {"Seal", "1"}};
+}
+
+asio::awaitable<void>
+answer(const net::http_request& request, net::http_exchange& exchange)
+{
+    auto headers = marks(request);
+    co_await exchange.respond(200, "", "done", std::move(headers));
+}
+
+asio::awaitable<void>
+refuse(const net::http_request& request, net::http_exchange& exchange)
+{
+    auto headers = marks(request);
+    headers.push_back({"Not-Run", "1"});
+    co_await exchange.respond(503, "", "", std::move(headers));
+}
+
+// Begins an answer and closes the connection.
+asio::awaitable<void>
+break_off(const net::http_request& request, net::http_exchange& exchange)
+{
+    auto headers = marks(request);
+    co_await exchange.begin_stream(200, "", std::move(headers));
+    co_await exchange.write_chunk("id: 1\ndata: a\n\nid: 2\nda");
+}
+
+asio::awaitable<void>
+answer_another(const net::http_request&, net::http_exchange& exchange)
+{
+    std::vector<wire::header> headers{{"Id", "other"}, {"Seal", "1"}};
+    co_await exchange.respond(200, "", "not yours", std::move(headers));
+}
+
+// Streams the events 1 to 3, or those behind the field After.
+asio::awaitable<void>
+stream(const net::http_request& request, net::http_exchange& exchange)
+{
+    int first = 1;
+    const std::string after(request["After"]);
+    if (!after.empty())
+        first = std::stoi(after) + 1;
+    auto headers = marks(request);
+    co_await exchange.begin_stream(200, "", std::move(headers));
+    for (int id = first; id <= 3; ++id) {
+        const auto event = "id: " + std::to_string(id) + "\ndata: x\n\n";
+        co_await exchange.write_chunk(event);
+    }
+    co_await exchange.end_stream();
+}
+
+class forwarder_fixture : public testing::Test
+{
+protected:
+    forwarder_fixture()
+        : numbers(registry)
+        , speak(make_dialect())
+        , first(io)
+        , second(io)
+        , forward(
+              io,
+              speak,
+              choice,
+              numbers,
+              {.retries = {.floor_per_second = 10},
+               .seed = 1,
+               .suspect = [](const wire::endpoint&) {}})
+        , front(
+              io,
+              {},
+              [this](net::http_request request, net::http_exchange& exchange) {
+                  return this->forward.handle(std::move(request), exchange);
+              })
+        , client(io, 1)
+    {
+        this->address = base::handle(
+            [this] {
+                return this->front.listen({"127.0.0.1", 0});
+            },
+            [](const base::error& e) -> wire::endpoint {
+                ADD_FAILURE() << e.detail;
+                return {};
+            });
+        this->use_table();
+        // The first one is chosen first: the other is in another data centre.
+        this->choice.home = base::data_centre_id{"near"};
+        this->add_server("first", "near", this->first);
+        this->add_server("second", "far", this->second);
+    }
+
+    void use_table()
+    {
+        wire::forwarding_table table;
+        table.version = 1;
+        table.needs_keys = true;
+        table.customers = {{base::customer_id{"hule"}, {"key"}, {}}};
+        table.services = {{"desk", "", 0, {}}, {"chat", "", 0, {}}};
+        auto& engine = table.services[1].engine.emplace();
+        engine.layer_count = 4;
+        engine.step_ms = 1;
+        engine.kinds = {{"card", 1000, 1, 1}};
+        const auto add = [&](const char* prefix, auto repeat, bool streams) {
+            wire::forwarding_route route;
+            route.name = prefix;
+            route.host = "127.0.0.1";
+            route.path_prefix = prefix;
+            route.repeat = repeat;
+            route.streaming = streams;
+            route.timeout_ms = 2000;
+            route.attempts = 2;
+            route.targets = {{streams ? "chat" : "desk", 1}};
+            table.routes.push_back(route);
+        };
+        add("/once/", wire::repeat_rule::at_most_once, false);
+        add("/read/", wire::repeat_rule::idempotent, false);
+        add("/talk/", wire::repeat_rule::resumable, true);
+        this->forward.use(std::make_shared<route_index>(table));
+    }
+
+    void add_server(const char* id, const char* place, const backend& server)
+    {
+        for (const auto* service : {"desk", "chat"}) {
+            wire::server_record record;
+            record.id = base::backend_server_id{std::string(id) + service};
+            record.started_ms = 1;
+            record.sequence = 1;
+            record.service = service;
+            record.address = server.address.address;
+            record.port = server.address.port;
+            record.data_centre = base::data_centre_id{place};
+            record.kind = "card";
+            record.layers = {base::layer_index{0}, base::layer_index{4}};
+            learn(this->choice, record, base::monotonic_now());
+        }
+    }
+
+    net::http_outcome ask(const std::string& target)
+    {
+        net::http_outcome outcome;
+        bool done = false;
+        asio::co_spawn(
+            this->io,
+            [&]() -> asio::awaitable<void> {
+                net::http_call call{
+                    "POST", target, {{"Id", "r1"}, {"Key", this->key}}, "body"};
+                outcome = co_await this->client.call(
+                    this->address, std::move(call), 5s, net::reuse::never);
+                done = true;
+            },
+            asio::detached);
+        while (!done)
+            this->io.run_one();
+        return outcome;
+    }
+
+    std::size_t runs() const
+    {
+        return this->first.seen.size() + this->second.seen.size();
+    }
+
+    asio::io_context io;
+    prometheus::Registry registry;
+    metrics numbers;
+    server_choice choice;
+    dialect speak;
+    backend first;
+    backend second;
+    forwarder forward;
+    net::http_server front;
+    net::http_client client;
+    wire::endpoint address;
+    std::string key = "key";
+};
+
+// Each row: what the two servers do, and what the caller of which route gets.
+// Guards against a second run of a call that may run once, against a refusal
+// that is not true, and against answers of other requests.
+TEST_F(forwarder_fixture, verdicts_decide_what_is_sent_again)
+{
+    struct row {
+        const char* what;
+        const char* target;
+        backend::behaviour first;
+        backend::behaviour second;
+        unsigned status;
+        std::size_t sent;
+    };
+    const std::vector<row> rows{
+        {"a call", "/once/x", answer, answer, 200, 1},
+        {"refused, so it may go on", "/once/x", refuse, answer, 200, 2},
+        {"refused by both", "/once/x", refuse, refuse, 503, 2},
+        {"broken off: it may have run", "/once/x", break_off, answer, 502, 1},
+        // The own answer may follow a strange one, so it is waited for.
+        {"a strange answer", "/once/x", answer_another, answer, 504, 1},
+        {"broken off, may be repeated", "/read/x", break_off, answer, 200, 2},
+        {"strange, may be repeated", "/read/x", answer_another, answer, 200, 2},
+        {"broken off by both", "/read/x", break_off, break_off, 502, 2},
+        {"a stream", "/talk/x", stream, stream, 200, 1},
+        {"a stream, refused", "/talk/x", refuse, stream, 200, 2},
+        {"a stream, refused by both", "/talk/x", refuse, refuse, 503, 2},
+    };
+    for (const auto& row : rows) {
+        // What follows the last answer must not count for this row.
+        this->io.poll();
+        this->choice.health.clear();
+        ++this->choice.changes;
+        this->first.seen.clear();
+        this->second.seen.clear();
+        this->first.behave = row.first;
+        this->second.behave = row.second;
+        // Paths are drawn by weight; make the far one unattractive.
+        fleet::note_load(
+            this->choice.servers,
+            base::backend_server_id{"secondchat"},
+            {.slowness = 1000,
+             .layers = {base::layer_index{0}, base::layer_index{4}}});
+        const auto outcome = this->ask(row.target);
+        EXPECT_EQ(outcome.answer.status, row.status) << row.what;
+        EXPECT_EQ(this->runs(), row.sent) << row.what;
+        EXPECT_EQ(outcome.answer.body.find("not yours"), std::string::npos)
+            << row.what;
+    }
+}
+
+// Guards against lost, doubled or joined events when a server breaks off
+// inside an event.
+TEST_F(forwarder_fixture, a_stream_goes_on_at_another_path)
+{
+    fleet::note_load(
+        this->choice.servers,
+        base::backend_server_id{"secondchat"},
+        {.slowness = 1000,
+         .layers = {base::layer_index{0}, base::layer_index{4}}});
+    this->first.behave = break_off;
+    this->second.behave = stream;
+    const auto outcome = this->ask("/talk/x");
+    EXPECT_EQ(outcome.answer.status, 200U);
+    EXPECT_EQ(
+        outcome.answer.body,
+        "id: 1\ndata: a\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n");
+    ASSERT_EQ(this->second.seen.size(), 1U);
+    EXPECT_EQ(this->second.seen[0]["After"], "1");
+}
+
+// Guards against a stream that looks complete although its server broke off.
+TEST_F(forwarder_fixture, a_stream_that_cannot_go_on_does_not_end_properly)
+{
+    this->first.behave = break_off;
+    this->second.behave = refuse;
+    const auto outcome = this->ask("/talk/x");
+    EXPECT_NE(outcome.failure, net::http_failure::none);
+}
+
+// Guards against requests that pass without a route or a customer, and against
+// a refusal of proper requests by a gateway that knows no table yet.
+TEST_F(forwarder_fixture, requests_that_no_table_allows_reach_no_server)
+{
+    this->first.behave = answer;
+    EXPECT_EQ(this->ask("/none/x").answer.status, 404U);
+    this->key = "unknown";
+    EXPECT_EQ(this->ask("/once/x").answer.status, 401U);
+    EXPECT_EQ(this->runs(), 0U);
+    forwarder fresh(this->io, this->speak, this->choice, this->numbers, {});
+    net::http_server other(
+        this->io,
+        {},
+        [&](net::http_request request, net::http_exchange& exchange) {
+            return fresh.handle(std::move(request), exchange);
+        });
+    this->address = base::handle(
+        [&] {
+            return other.listen({"127.0.0.1", 0});
+        },
+        [](const base::error&) { return wire::endpoint{}; });
+    EXPECT_EQ(this->ask("/once/x").answer.status, 503U);
+}
+
+// Guards against a key that reaches a server and a customer that the caller
+// names itself.
+TEST_F(forwarder_fixture, servers_get_the_customer_and_the_time_left)
+{
+    this->first.behave = answer;
+    this->ask("/once/x?y=1");
+    ASSERT_EQ(this->first.seen.size(), 1U);
+    const auto& seen = this->first.seen[0];
+    EXPECT_EQ(seen.target(), "/once/x?y=1");
+    EXPECT_EQ(seen.body(), "body");
+    EXPECT_EQ(seen["Customer"], "hule");
+    EXPECT_EQ(seen["Server"], "firstdesk");
+    EXPECT_EQ(seen["Key"], "");
+    EXPECT_LE(std::stoi(std::string(seen["Left"])), 2000);
+    EXPECT_GT(std::stoi(std::string(seen["Left"])), 0);
+}
+
+} // namespace
+} // namespace oleanderhinge::gateway
--- a/oleanderhinge/gateway/server_choice.cpp
+++ b/oleanderhinge/gateway/server_choice.cpp
@@ -263,7 +263,15 @@
 double cache_limit(std::uint32_t priority)
 {
     // Requests that run grow by their answers, a fifth of their size.
-    constexpr std::array limits{0.97, 0.9, 0.82};
+    constexpr std::array limits{1.0, 1.0, 0.95};
+    return limits[std::min<std::size_t>(priority, limits.size() - 1)];
+}
+
+base::duration wait_limit(std::uint32_t priority)
+{
+    using std::chrono::milliseconds;
+    constexpr std::array limits{
+        milliseconds(1200), milliseconds(900), milliseconds(600)};
     return limits[std::min<std::size_t>(priority, limits.size() - 1)];
 }
 
@@ -288,8 +296,17 @@
     std::vector<double> weights;
     double total = 0;
     for (const auto& item : candidates) {
-        const bool fits = item.fullest <= cache_limit(priority);
-        weights.push_back(fits ? std::pow(1 / item.cost, path_preference) : 0);
+        const auto found =
+            choice.first_event_waits.find(item.parts.front().address);
+        const auto wait = found == choice.first_event_waits.end()
+                              ? base::duration(0)
+                              : found->second;
+        const bool fits = item.fullest <= cache_limit(priority) &&
+                          wait <= wait_limit(priority);
+        const double slowed =
+            1 + double(wait.count()) / double(halving_wait.count());
+        weights.push_back(
+            fits ? std::pow(1 / item.cost, path_preference) / slowed : 0);
         total += weights.back();
     }
     if (total <= 0)
--- a/oleanderhinge/gateway/server_choice.hpp
+++ b/oleanderhinge/gateway/server_choice.hpp
@@ -41,6 +41,9 @@
 // Requests spread over the paths that begin in each data centre by this power
 // of their speed: gateways see loads a second late and must not all move.
 inline constexpr double path_preference = 4;
+// A path on which a request waits this long for its first event is half as
+// attractive; first events take 80 ms.
+inline constexpr base::duration halving_wait = std::chrono::milliseconds(200);
 // A part whose cache is fuller than this costs no more than that.
 inline constexpr double fullest_cache = 0.95;
 
@@ -80,6 +83,9 @@
         std::vector<candidate> candidates;
     };
     std::map<std::string, cached_paths> paths;
+    // Longest wait for a first event among the requests of this gateway, by
+    // the first server of the path.
+    std::map<wire::endpoint, base::duration> first_event_waits;
 };
 
 // --- Commands ---------------------------------------------------------------
@@ -121,10 +127,15 @@
 // the rest is kept for more urgent work and for what is already running.
 double cache_limit(std::uint32_t priority);
 
+// The longest wait for a first event on a path that takes new work of a
+// priority. Callers leave after 2 s, so a request that would wait longer than
+// this is better refused than begun in vain; less urgent work stops earlier.
+base::duration wait_limit(std::uint32_t priority);
+
 struct path_choice {
     // Empty if there is none.
     fleet::path parts;
-    // There are paths, but their caches are too full for the priority.
+    // There are paths, but their caches are too full or their queues too long.
     bool full = false;
 };
 
