--- a/oleanderhinge/gateway/forwarder.cpp
+++ b/oleanderhinge/gateway/forwarder.cpp
@@ -435,10 +435,13 @@
 {
     for (int stray = 0;; ++stray) {
         const error_code failed = co_await r.line->read_head(limit);
+        // The caller of a stream leaves soon after this limit, so another
+        // attempt would be in vain; a call has a share of its time left.
+        const auto last = r.route->streaming ? limit : r.deadline;
         if (failed)
             co_return failed_with<attempt_result>(base::may_have_run(
-                steady_now() >= r.deadline ? failure_code::deadline_exceeded
-                                           : failure_code::link_lost,
+                steady_now() >= last ? failure_code::deadline_exceeded
+                                     : failure_code::link_lost,
                 "answer: " + failed.message()));
         const auto facts =
             this->speak.read_answer(r.line->status(), r.line->fields());
@@ -595,8 +598,8 @@
             co_return attempt_result{attempt_end::caller_left, {}, {}};
         if (failed || r.events.oversized)
             co_return failed_with<attempt_result>(base::may_have_run(
-                steady_now() >= r.deadline ? failure_code::deadline_exceeded
-                                           : failure_code::server_failed,
+                steady_now() >= limit ? failure_code::deadline_exceeded
+                                      : failure_code::server_failed,
                 "stream broke off: " + failed.message()));
     }
     if (!r.events.partial.empty() || !r.head_sent)
