docs, tools, tests: operations page, developers' page, names of the wire, templates

Change: docs/operators.md becomes docs/OPERATIONS.md with the gateway and three kinds of failed request; DEVELOPERS.md; tools/check-wire-names in the test script; tests/deploy_test.cpp renders the templates; http_limits holds no string, one find_kind serves fleet and gateway.

Ruled out: a second page for operators beside the old one.

--- a/daemons/oleanderhinge_entry.cpp
+++ b/daemons/oleanderhinge_entry.cpp
@@ -1,4 +1,4 @@
-// The entry daemon. See docs/operators.md for its settings.
+// The entry daemon. See docs/OPERATIONS.md for its settings.
 #include "oleanderhinge/entry/entry_node.hpp"
 
 #include <CLI/CLI.hpp>
--- a/oleanderhinge/control/settings.cpp
+++ b/oleanderhinge/control/settings.cpp
@@ -110,6 +110,7 @@
     const std::vector<wire::endpoint>& seeds, std::uint16_t link_port)
 {
     std::vector<replica::member> found;
+    found.reserve(seeds.size());
     for (const auto& seed : seeds)
         found.push_back(
             {base::vm_id{seed.address}, {seed.address, link_port}, seed, true});
--- a/oleanderhinge/fleet/placement.cpp
+++ b/oleanderhinge/fleet/placement.cpp
@@ -14,16 +14,6 @@
     return {server.address, server.port};
 }
 
-const wire::accelerator_kind*
-find_kind(const wire::engine_profile& profile, const std::string& name)
-{
-    const auto found = std::find_if(
-        profile.kinds.begin(), profile.kinds.end(), [&](const auto& kind) {
-            return kind.name == name;
-        });
-    return found == profile.kinds.end() ? nullptr : &*found;
-}
-
 using group = std::vector<placed_server*>;
 
 // Orders a chain so that small servers stand next to large ones, which have
@@ -423,6 +413,16 @@
     return plan;
 }
 
+const wire::accelerator_kind*
+find_kind(const wire::engine_profile& profile, const std::string& name)
+{
+    const auto found = std::find_if(
+        profile.kinds.begin(), profile.kinds.end(), [&](const auto& kind) {
+            return kind.name == name;
+        });
+    return found == profile.kinds.end() ? nullptr : &*found;
+}
+
 std::uint32_t
 largest_range(const wire::engine_profile& profile, double memory_mb)
 {
--- a/oleanderhinge/fleet/placement.hpp
+++ b/oleanderhinge/fleet/placement.hpp
@@ -114,6 +114,10 @@
 
 // --- Queries ----------------------------------------------------------------
 
+// Null if the profile has no such kind.
+const wire::accelerator_kind*
+find_kind(const wire::engine_profile& profile, const std::string& name);
+
 // Layers that fit into the memory of a server.
 std::uint32_t
 largest_range(const wire::engine_profile& profile, double memory_mb);
--- a/oleanderhinge/gateway/forwarder.cpp
+++ b/oleanderhinge/gateway/forwarder.cpp
@@ -401,8 +401,8 @@
 }
 
 // Sends the request; on success `r.line` awaits the answer.
-asio::awaitable<forwarder::attempt_result> forwarder::open(
-    forwarding_request& r, net::http_request to_send, net::reuse reuse)
+asio::awaitable<forwarder::attempt_result>
+forwarder::open(forwarding_request& r, net::http_request to_send)
 {
     ++r.attempts;
     this->numbers.attempts.Increment();
@@ -422,9 +422,6 @@
             base::may_have_run(
                 failure_code::link_lost, "send: " + failed.message()),
             r.line->server());
-    // A kept connection may have been closed while the request was on its
-    // way; only repeatable requests use one.
-    static_cast<void>(reuse);
     co_return attempt_result{};
 }
 
@@ -478,7 +475,7 @@
     const auto reuse = repeatable ? net::reuse::allowed : net::reuse::never;
     r.line = this->pool.take(to.address, reuse);
     auto request = this->outgoing(r, {}, to.id);
-    const auto sent = co_await this->open(r, std::move(request), reuse);
+    const auto sent = co_await this->open(r, std::move(request));
     if (sent.end != attempt_end::answered)
         co_return sent;
     auto limit = r.deadline;
@@ -540,8 +537,7 @@
         parts.front().address,
         is_repeatable(*r.route) ? net::reuse::allowed : net::reuse::never);
     auto request = this->outgoing(r, parts, parts.front().server);
-    const auto sent =
-        co_await this->open(r, std::move(request), net::reuse::allowed);
+    const auto sent = co_await this->open(r, std::move(request));
     if (sent.end != attempt_end::answered)
         co_return sent;
     auto limit = r.deadline;
--- a/oleanderhinge/gateway/forwarder.hpp
+++ b/oleanderhinge/gateway/forwarder.hpp
@@ -119,7 +119,7 @@
     boost::asio::awaitable<attempt_result>
     stream_once(forwarding_request& r, const fleet::path& parts);
     boost::asio::awaitable<attempt_result>
-    open(forwarding_request& r, net::http_request outgoing, net::reuse reuse);
+    open(forwarding_request& r, net::http_request to_send);
     boost::asio::awaitable<attempt_result>
     read_answer_head(forwarding_request& r, steady_time limit);
     boost::asio::awaitable<attempt_result> relay(forwarding_request& r);
--- a/oleanderhinge/gateway/gateway_node.cpp
+++ b/oleanderhinge/gateway/gateway_node.cpp
@@ -144,7 +144,7 @@
     limits.idle_timeout = caller_idle_limit;
     limits.max_connections = most_callers;
     // Answers carry the fields of the backend server only.
-    limits.server_name.clear();
+    limits.names_itself = false;
     return limits;
 }
 
--- a/oleanderhinge/gateway/server_choice.cpp
+++ b/oleanderhinge/gateway/server_choice.cpp
@@ -1,5 +1,7 @@
 #include "oleanderhinge/gateway/server_choice.hpp"
 
+#include "oleanderhinge/fleet/placement.hpp"
+
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -52,15 +54,6 @@
     return cost * std::max(health.latency_ms, 1.0);
 }
 
-const wire::accelerator_kind*
-find_kind(const wire::engine_profile& engine, const std::string& name)
-{
-    for (const auto& kind : engine.kinds)
-        if (kind.name == name)
-            return &kind;
-    return nullptr;
-}
-
 double fullness(const wire::server_record& record)
 {
     if (!record.load || record.load->cache_total == 0)
@@ -93,7 +86,7 @@
     std::vector<fleet::path_server> found;
     for (const auto& record : fleet::usable(choice.servers, service.name)) {
         const wire::endpoint address{record.address, record.port};
-        const auto* kind = find_kind(*service.engine, record.kind);
+        const auto* kind = fleet::find_kind(*service.engine, record.kind);
         if (kind == nullptr || record.layers == base::layer_range{} ||
             tried.contains(address) ||
             (!with_ejected && is_ejected(choice, address, now)))
--- a/oleanderhinge/net/http_server.cpp
+++ b/oleanderhinge/net/http_server.cpp
@@ -153,8 +153,8 @@
         std::string_view content_type,
         const std::vector<wire::header>& headers)
     {
-        if (!this->limits.server_name.empty())
-            answer.set(http::field::server, this->limits.server_name);
+        if (this->limits.names_itself)
+            answer.set(http::field::server, "oleanderhinge");
         if (!content_type.empty())
             answer.set(http::field::content_type, content_type);
         for (const auto& field : headers)
--- a/oleanderhinge/net/http_server.hpp
+++ b/oleanderhinge/net/http_server.hpp
@@ -43,8 +43,8 @@
     // For the next request on a kept connection.
     std::chrono::milliseconds idle_timeout{75000};
     std::size_t max_connections = 10000;
-    // Value of the Server field of answers; empty: none.
-    std::string server_name = "oleanderhinge";
+    // Whether answers carry a Server field of this program.
+    bool names_itself = true;
 };
 
 // One request and its answer. Either `respond` once, or `begin_stream`, any
--- a/oleanderhinge/settings/schema.hpp
+++ b/oleanderhinge/settings/schema.hpp
@@ -86,7 +86,7 @@
 parse(const std::string& contents, const schema& keys, const std::string& name);
 
 // Markdown table of the keys with type, default, range and help, for
-// docs/operators.md.
+// docs/OPERATIONS.md.
 std::string document(const schema& keys);
 
 } // namespace oleanderhinge::settings
--- /dev/null
+++ b/tests/deploy_test.cpp
@@ -0,0 +1,88 @@
+// Guards against settings files of the platform that our own checks refuse: a
+// process that ends at its start is started again and again.
+#include "oleanderhinge/control/settings.hpp"
+#include "oleanderhinge/gateway/settings.hpp"
+
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <map>
+#include <sstream>
+
+namespace oleanderhinge::tests
+{
+namespace
+{
+
+// Values of the same form as the platform's.
+std::string fill_in(const std::string& name)
+{
+    const std::map<std::string, std::string> values{
+        {"nodeName", "edge-glasgow-1"},
+        {"region", "scotland"},
+        {"zone", "glasgow"},
+        {"ip", "10.1.0.40"},
+        {"dataDirectory", "/data/control"},
+        {"bootstrap", "true"},
+        {"seeds", "10.1.0.40:8229,10.2.0.29:8229,10.3.0.19:8229"},
+        {"internalPorts.0", "7340"},
+        {"listen.frontend", "10.1.0.40:8227"},
+        {"listen.ready", "10.1.0.40:8220"},
+        {"listen.controlPlane", "10.1.0.40:8229"},
+        {"bounds.retryBudgetRatio", "0.2"},
+        {"bounds.budgetSlack", "416"},
+        {"bounds.budgetWindowS", "10"}};
+    std::ifstream in(std::string(OLEANDERHINGE_SOURCE_DIR) + "/deploy/" + name);
+    std::ostringstream contents;
+    contents << in.rdbuf();
+    auto text = contents.str();
+    for (auto open = text.find("{{"); open != text.npos;
+         open = text.find("{{")) {
+        const auto close = text.find("}}", open);
+        const auto key = text.substr(open + 2, close - open - 2);
+        const auto found = values.find(key);
+        EXPECT_NE(found, values.end()) << key;
+        text.replace(
+            open, close + 2 - open, found == values.end() ? "" : found->second);
+    }
+    return text;
+}
+
+template <class Settings, class Load>
+Settings
+checked(const std::string& name, const settings::schema& keys, const Load& load)
+{
+    return base::handle(
+        [&]() -> base::result<Settings> {
+            BOOST_LEAF_AUTO(values, settings::parse(fill_in(name), keys, name));
+            return load(values);
+        },
+        [](const base::error& e) -> Settings {
+            ADD_FAILURE() << e.detail;
+            return {};
+        });
+}
+
+TEST(deploy, the_gateways_template_gives_valid_settings)
+{
+    const auto chosen = checked<gateway::gateway_settings>(
+        "gateway.ini", gateway::gateway_keys(), gateway::load_settings);
+    ASSERT_EQ(chosen.seeds.size(), 3U);
+    EXPECT_EQ(chosen.seeds[1], (wire::endpoint{"10.2.0.29", 7340}));
+    // SIGKILL follows 8 s after SIGTERM.
+    EXPECT_LT(chosen.times.drain_limit, std::chrono::seconds(8));
+}
+
+TEST(deploy, the_control_template_gives_valid_settings)
+{
+    const auto chosen = checked<control::control_settings>(
+        "control.ini", control::control_keys(), control::load_settings);
+    ASSERT_EQ(chosen.members.size(), 3U);
+    EXPECT_TRUE(chosen.forms_group);
+    EXPECT_EQ(chosen.members[0].vm.value(), "10.1.0.40");
+    EXPECT_EQ(chosen.members[2].link, (wire::endpoint{"10.3.0.19", 7340}));
+    EXPECT_EQ(chosen.members[2].admin, (wire::endpoint{"10.3.0.19", 8229}));
+}
+
+} // namespace
+} // namespace oleanderhinge::tests
--- a/tests/documents_test.cpp
+++ b/tests/documents_test.cpp
@@ -3,6 +3,7 @@
 #include "oleanderhinge/base/verdict.hpp"
 #include "oleanderhinge/control/settings.hpp"
 #include "oleanderhinge/entry/entry_node.hpp"
+#include "oleanderhinge/gateway/settings.hpp"
 
 #include <gtest/gtest.h>
 
@@ -26,9 +27,12 @@
 // type, default, range and meaning.
 TEST(documents, operators_page_has_every_setting)
 {
-    const auto page = read_document("operators.md");
+    const auto page = read_document("OPERATIONS.md");
     const settings::schema schemas[] = {
-        entry::entry_schema(), agent::agent_keys(), control::control_keys()};
+        entry::entry_schema(),
+        agent::agent_keys(),
+        control::control_keys(),
+        gateway::gateway_keys()};
     for (const auto& keys : schemas) {
         std::istringstream rows(settings::document(keys));
         for (std::string row; std::getline(rows, row);)
