--- /dev/null
+++ b/oleanderhinge/control/group_test.cpp
@@ -0,0 +1,78 @@
+#include "oleanderhinge/control/group.hpp"
+
+#include <gtest/gtest.h>
+
+namespace oleanderhinge::control
+{
+namespace
+{
+
+using std::chrono::seconds;
+
+const base::time_point start{seconds(100)};
+
+replica::log_status
+make_status(const std::vector<std::string>& members, bool last_votes = true)
+{
+    replica::log_status status;
+    status.role = replica::member_role::leader;
+    status.quorum = true;
+    for (const auto& vm : members)
+        status.members.push_back({base::vm_id{vm}, {}, {}, true});
+    status.members.back().voter = last_votes;
+    return status;
+}
+
+const base::vm_id self{"a"};
+
+// Guards against a member that is removed because it restarts: three are kept.
+TEST(group, no_member_is_removed_while_only_three_are_left)
+{
+    member_reach reach;
+    const auto status = make_status({"a", "b", "c"});
+    const auto none = [](const base::vm_id&) { return false; };
+    observe_links(reach, status, self, none, start);
+    EXPECT_FALSE(member_to_remove(reach, status, start + seconds(60)));
+}
+
+// Guards against a replaced machine that counts for the majority for ever, and
+// against its removal before the new one votes.
+TEST(group, a_lost_member_goes_once_its_successor_votes)
+{
+    member_reach reach;
+    const auto has_link = [](const base::vm_id& vm) {
+        return vm.value() != "c";
+    };
+    const auto learning = make_status({"a", "b", "c", "d"}, false);
+    observe_links(reach, learning, self, has_link, start);
+    EXPECT_FALSE(member_to_remove(reach, learning, start + seconds(10)));
+    const auto voting = make_status({"a", "b", "c", "d"});
+    observe_links(reach, voting, self, has_link, start + seconds(1));
+    EXPECT_FALSE(member_to_remove(reach, voting, start + seconds(2)));
+    EXPECT_EQ(
+        member_to_remove(reach, voting, start + seconds(3)), base::vm_id{"c"});
+    // Only the leader removes, and only with a quorum.
+    auto follower = voting;
+    follower.role = replica::member_role::follower;
+    EXPECT_FALSE(member_to_remove(reach, follower, start + seconds(3)));
+}
+
+// Guards against a member that was removed while it was away and never comes
+// back, and against members that ask although they have a leader.
+TEST(group, a_node_without_a_group_or_a_leader_asks_for_admission)
+{
+    auto status = make_status({"b", "c"});
+    EXPECT_TRUE(asks_for_admission(status, self, start, start));
+    status = make_status({"a", "b", "c"});
+    EXPECT_FALSE(asks_for_admission(status, self, start, start + seconds(9)));
+    status.quorum = false;
+    EXPECT_FALSE(asks_for_admission(status, self, start, start + seconds(1)));
+    EXPECT_TRUE(asks_for_admission(status, self, start, start + seconds(9)));
+    EXPECT_FALSE(should_add(status, base::vm_id{"d"}));
+    status.quorum = true;
+    EXPECT_TRUE(should_add(status, base::vm_id{"d"}));
+    EXPECT_FALSE(should_add(status, base::vm_id{"b"}));
+}
+
+} // namespace
+} // namespace oleanderhinge::control
--- a/oleanderhinge/control_state/commands_test.cpp
+++ b/oleanderhinge/control_state/commands_test.cpp
@@ -644,4 +644,52 @@
     }));
 }
 
+// Guards against an older table that comes into force, and against other
+// content under the version that is held.
+TEST(forwarding, the_highest_version_is_in_force)
+{
+    state held;
+    std::uint64_t index = 0;
+    const auto replace = [&](std::uint64_t version, const char* document) {
+        replace_forwarding item;
+        item.table.version = version;
+        item.document = document;
+        return std::get<replace_reply>(
+            apply(held, item, base::log_index{++index}));
+    };
+    EXPECT_TRUE(replace(7, "seven").in_force);
+    EXPECT_FALSE(replace(7, "other").in_force);
+    EXPECT_FALSE(replace(3, "three").in_force);
+    EXPECT_EQ(held.forwarding_document, "seven");
+    EXPECT_EQ(held.config.forwarding.version, 7U);
+    EXPECT_EQ(held.config.at, base::revision{1});
+    EXPECT_TRUE(replace(9, "nine").in_force);
+    EXPECT_EQ(held.config.at, base::revision{2});
+    // A subscriber at the revision before gets the change alone.
+    ASSERT_EQ(held.changes.size(), 1U);
+    EXPECT_EQ(held.changes_after, base::revision{1});
+}
+
+// Guards against a table, its text or the places that a snapshot loses.
+TEST(forwarding, survives_a_snapshot)
+{
+    state held;
+    replace_forwarding item;
+    item.table.version = 7;
+    item.table.routes.push_back({.name = "a", .path_prefix = "/a/"});
+    item.document = "seven";
+    apply(held, item, base::log_index{1});
+    apply(
+        held,
+        record_places{"chat", {{.address = "10.0.0.1", .port = 80}}},
+        base::log_index{2});
+    const auto restored = base::handle(
+        [&] { return decode_snapshot(encode_snapshot(held)); },
+        [](const base::error& e) -> state {
+            ADD_FAILURE() << e.detail;
+            return {};
+        });
+    EXPECT_EQ(restored, held);
+}
+
 } // namespace oleanderhinge::control_state
