fleet, gateway: several first servers a chain, layers divided for the rate

A first server runs the batches of its requests one after another through the whole path; a chain had one of them, and reading a usual prompt takes some 30 ms on the path. So each data centre saturated at about 30 requests a second, whatever memory was left, and first events queued even under the usual load.

Change: fleet/division divides layers for the most requests a second by the engine's published times, over a choice of first servers; find_paths gives one path for each first server from one search backwards over the layers; first servers stand in for lost servers behind them, since neighbours have no room left; a lost first server moves nothing; a successor keeps the stand-ins. placement.cpp is split (internal/chains, internal/cover).

Tests name the pattern that each rule answers.

--- /dev/null
+++ b/oleanderhinge/fleet/division_test.cpp
@@ -0,0 +1,129 @@
+#include "oleanderhinge/fleet/division.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <numeric>
+
+namespace oleanderhinge::fleet
+{
+namespace
+{
+
+wire::engine_profile make_profile()
+{
+    wire::engine_profile profile;
+    profile.layer_count = 80;
+    profile.layer_mb = 1750;
+    profile.cache_bytes_per_token = 590000;
+    profile.step_ms = 1.02;
+    profile.step_ms_per_request = 0.00459;
+    profile.step_ms_per_1000_context = 0.00615;
+    profile.read_tokens_per_second = 164000;
+    profile.usual_prompt_tokens = 774;
+    profile.usual_answer_tokens = 210;
+    return profile;
+}
+
+constexpr part_shape large{72000, 1, 2.4, 3.2};
+constexpr part_shape small{14400, 1, 5.3, 7.9};
+constexpr part_shape slow{21600, 1, 16, 8.2};
+
+part_shape several(part_shape part, std::size_t servers)
+{
+    part.servers = servers;
+    return part;
+}
+
+std::uint32_t total(const division& found)
+{
+    return std::accumulate(found.shares.begin(), found.shares.end(), 0U);
+}
+
+// Pattern: more prompts a second than one batch after another can read. Guards
+// against a chain whose only first server stands still while it reads.
+TEST(divide_layers, first_servers_side_by_side_serve_more)
+{
+    const auto profile = make_profile();
+    const auto one = divide_layers(
+        profile,
+        {slow,
+         large,
+         small,
+         small,
+         small,
+         small,
+         small,
+         small,
+         slow,
+         slow,
+         slow,
+         slow,
+         slow});
+    const auto four = divide_layers(
+        profile,
+        {several(slow, 4),
+         large,
+         small,
+         small,
+         small,
+         small,
+         small,
+         small,
+         slow,
+         slow});
+    EXPECT_EQ(total(one), 80U);
+    EXPECT_EQ(total(four), 80U);
+    EXPECT_GT(four.per_second, 1.5 * one.per_second);
+}
+
+// Guards against layers on the slowest accelerators while fast ones have room
+// for them beside their requests.
+TEST(divide_layers, fast_accelerators_hold_what_fits)
+{
+    const auto found = divide_layers(
+        make_profile(),
+        {several(small, 4), large, large, slow, slow, slow, slow});
+    ASSERT_EQ(total(found), 80U);
+    EXPECT_GT(found.shares[1], 3 * found.shares[3]);
+}
+
+// Guards against a plan for a model that the memory cannot hold.
+TEST(divide_layers, nothing_for_a_model_that_does_not_fit)
+{
+    EXPECT_TRUE(
+        divide_layers(make_profile(), {large, small, slow}).shares.empty());
+    EXPECT_TRUE(divide_layers(make_profile(), {}).shares.empty());
+}
+
+// Guards against a division by zero where an operator states no times.
+TEST(divide_layers, without_times_the_chain_with_most_room_is_taken)
+{
+    wire::engine_profile bare;
+    bare.layer_count = 80;
+    bare.layer_mb = 1750;
+    const auto found = divide_layers(bare, {large, large, small, slow, slow});
+    EXPECT_EQ(total(found), 80U);
+}
+
+// Guards against a server that crashes under more layers than it can hold, and
+// against a layer that nobody holds.
+RC_GTEST_PROP(divide_layers, all_layers_are_held_within_memory, ())
+{
+    const auto profile = make_profile();
+    std::vector<part_shape> parts;
+    const auto count = *rc::gen::inRange(1, 20);
+    for (int i = 0; i < count; ++i)
+        parts.push_back(several(
+            *rc::gen::element(large, small, slow),
+            i == 0 ? std::size_t(*rc::gen::inRange(1, 8)) : 1));
+    const auto found = divide_layers(profile, parts);
+    if (found.shares.empty())
+        return;
+    RC_ASSERT(total(found) == profile.layer_count);
+    for (std::size_t i = 0; i < parts.size(); ++i)
+        RC_ASSERT(found.shares[i] * profile.layer_mb <= parts[i].memory_mb);
+}
+
+} // namespace
+} // namespace oleanderhinge::fleet
--- /dev/null
+++ b/oleanderhinge/fleet/internal/chains.cpp
@@ -0,0 +1,176 @@
+#include "oleanderhinge/fleet/internal/chains.hpp"
+
+#include "oleanderhinge/fleet/division.hpp"
+
+#include <algorithm>
+#include <map>
+#include <numeric>
+#include <string>
+
+namespace oleanderhinge::fleet::internal
+{
+
+namespace
+{
+
+// Orders a chain so that small servers stand next to large ones, which have
+// room to cover for them.
+group alternate(const group& by_memory)
+{
+    group ordered;
+    for (std::size_t low = by_memory.size(), high = 0; high < low;) {
+        ordered.push_back(by_memory[high++]);
+        if (high < low)
+            ordered.push_back(by_memory[--low]);
+    }
+    return ordered;
+}
+
+// Deals servers of one kind after another to the chains, so that each chain
+// gets its share of each kind.
+std::vector<group> deal(group members, std::size_t chains)
+{
+    std::stable_sort(
+        members.begin(),
+        members.end(),
+        [](const auto* left, const auto* right) {
+            return left->memory_mb > right->memory_mb;
+        });
+    std::vector<group> dealt(chains);
+    for (std::size_t i = 0; i < members.size(); ++i) {
+        const auto round = i / chains;
+        const auto place = i % chains;
+        // Alternating direction evens out the memory of the chains.
+        dealt[round % 2 == 0 ? place : chains - 1 - place].push_back(
+            members[i]);
+    }
+    for (auto& chain : dealt)
+        chain = alternate(chain);
+    return dealt;
+}
+
+// One range of a chain and the servers that hold it.
+struct chain_part {
+    group servers;
+    part_shape shape;
+};
+
+// The chain with `count` first servers of a kind, in front of the others.
+std::vector<chain_part> with_first_servers(
+    const wire::engine_profile& profile,
+    const group& chain,
+    const std::string& kind,
+    std::size_t count)
+{
+    std::vector<chain_part> parts(1);
+    for (auto* server : chain) {
+        if (server->kind == kind && parts.front().servers.size() < count)
+            parts.front().servers.push_back(server);
+        else
+            parts.push_back({{server}, {}});
+    }
+    for (auto& part : parts) {
+        const auto& one = *part.servers.front();
+        const auto* found = find_kind(profile, one.kind);
+        part.shape = {
+            one.memory_mb,
+            part.servers.size(),
+            found == nullptr ? 1 : found->step_factor,
+            found == nullptr ? 1 : found->read_factor};
+    }
+    return parts;
+}
+
+std::vector<part_shape> shapes_of(const std::vector<chain_part>& parts)
+{
+    std::vector<part_shape> shapes;
+    for (const auto& part : parts)
+        shapes.push_back(part.shape);
+    return shapes;
+}
+
+struct divided_chain {
+    std::vector<chain_part> parts;
+    division layers;
+};
+
+// The choice of first servers and the division that serve the most requests.
+divided_chain divide_chain(const wire::engine_profile& profile, group chain)
+{
+    std::map<std::string, std::size_t> kinds;
+    for (const auto* server : chain)
+        ++kinds[server->kind];
+    divided_chain best;
+    for (const auto& [kind, available] : kinds) {
+        const auto most = std::min(available, most_first_servers);
+        for (std::size_t count = 1; count <= most; ++count) {
+            auto parts = with_first_servers(profile, chain, kind, count);
+            auto layers = divide_layers(profile, shapes_of(parts));
+            if (layers.per_second > best.layers.per_second)
+                best = {std::move(parts), std::move(layers)};
+        }
+    }
+    return best;
+}
+
+bool assign_chain(const wire::engine_profile& profile, const group& chain)
+{
+    const auto divided = divide_chain(profile, chain);
+    if (divided.parts.empty())
+        return false;
+    std::uint32_t next = 0;
+    for (std::size_t i = 0; i < divided.parts.size(); ++i) {
+        const auto end = next + divided.layers.shares[i];
+        for (auto* server : divided.parts[i].servers)
+            server->layers = {base::layer_index{next}, base::layer_index{end}};
+        next = end;
+    }
+    return true;
+}
+
+} // namespace
+
+// Groups of servers that hold copies of their own: data centres, or the whole
+// fleet if some data centre is too small for a copy.
+std::vector<group>
+copy_groups(placement& plan, const wire::engine_profile& profile)
+{
+    std::map<base::data_centre_id, group> by_place;
+    group everything;
+    for (auto& [address, server] : plan.servers) {
+        by_place[server.data_centre].push_back(&server);
+        everything.push_back(&server);
+    }
+    std::vector<group> groups;
+    for (auto& [place, members] : by_place) {
+        const double memory = std::accumulate(
+            members.begin(),
+            members.end(),
+            0.0,
+            [](double sum, const auto* server) {
+                return sum + server->memory_mb;
+            });
+        if (memory < profile.layer_mb * profile.layer_count * least_memory)
+            return {everything};
+        groups.push_back(std::move(members));
+    }
+    return groups;
+}
+
+void assign_group(const wire::engine_profile& profile, const group& members)
+{
+    double memory = 0;
+    for (const auto* server : members)
+        memory += server->memory_mb;
+    const double whole = profile.layer_mb * profile.layer_count;
+    const auto wanted = std::size_t(memory / (whole * memory_per_chain));
+    for (auto chains = std::max<std::size_t>(wanted, 1); chains > 0; --chains) {
+        const auto dealt = deal(members, chains);
+        if (std::all_of(dealt.begin(), dealt.end(), [&](const group& chain) {
+                return assign_chain(profile, chain);
+            }))
+            return;
+    }
+}
+
+} // namespace oleanderhinge::fleet::internal
--- a/oleanderhinge/fleet/paths.cpp
+++ b/oleanderhinge/fleet/paths.cpp
@@ -11,15 +11,18 @@
 namespace
 {
 
-// Cheapest way to have run the layers before a position and to be in a data
-// centre.
-struct step {
-    double cost = std::numeric_limits<double>::infinity();
-    // Server of the last part, and where that part began.
-    std::optional<std::size_t> server;
-    std::uint32_t from_layer = 0;
-    std::size_t from_place = 0;
+constexpr double unreachable = std::numeric_limits<double>::infinity();
+// Where the cheapest path has more parts than engines accept, each part is
+// charged this many times as much, so that fewer and larger ones are taken.
+constexpr double dearer_parts = 8;
+constexpr int most_searches = 4;
+
+// Cheapest way to run the layers from a position on, coming from a data centre.
+struct continuation {
+    double cost = unreachable;
     std::size_t parts = 0;
+    // Next server; unset behind the last layer.
+    std::optional<std::size_t> server;
 };
 
 class search
@@ -28,96 +31,124 @@
     search(
         const std::vector<path_server>& all,
         std::uint32_t layer_count,
-        const base::data_centre_id& home,
         const path_costs& chosen)
         : servers(all)
         , layers(layer_count)
         , costs(chosen)
-        , start(this->place_of(home))
     {
         for (const auto& server : all)
             this->places_by_server.push_back(
-                this->place_of(server.data_centre));
+                this->places.emplace(server.data_centre, this->places.size())
+                    .first->second);
         this->table.assign(
-            layer_count + 1, std::vector<step>(this->places.size()));
-        this->table[0][this->start].cost = 0;
-    }
-
-    path run()
-    {
+            layer_count + 1, std::vector<continuation>(this->places.size()));
+        for (auto& last : this->table[layer_count])
+            last.cost = 0;
         // Parts end where the range of their server ends, so positions only
         // grow and no server appears twice.
-        for (std::uint32_t at = 0; at < this->layers; ++at)
+        for (std::uint32_t at = layer_count; at-- > 1;)
             for (std::size_t place = 0; place < this->places.size(); ++place)
-                if (this->table[at][place].cost <
-                    std::numeric_limits<double>::infinity())
-                    this->extend(at, place);
-        return this->unwind();
+                this->table[at][place] = this->cheapest(at, place);
+    }
+
+    std::vector<costed_path> run(const base::data_centre_id& home)
+    {
+        std::vector<costed_path> found;
+        for (std::size_t i = 0; i < this->servers.size(); ++i) {
+            if (!this->holds(i, 0))
+                continue;
+            const bool remote = this->servers[i].data_centre != home;
+            const auto from_here = this->starting_with(
+                i, 0, remote ? this->costs.remote_start_ms : 0);
+            if (from_here.cost < unreachable)
+                found.push_back({this->unwind(i), from_here.cost});
+        }
+        std::stable_sort(
+            found.begin(),
+            found.end(),
+            [](const costed_path& left, const costed_path& right) {
+                return left.cost < right.cost;
+            });
+        return found;
     }
 
+    // Some path was left out since it has too many parts.
+    bool left_out() const { return this->too_long; }
+
 private:
-    std::size_t place_of(const base::data_centre_id& id)
+    std::uint32_t end_of(std::size_t server) const
+    {
+        return std::min(this->servers[server].layers.end.value(), this->layers);
+    }
+
+    bool holds(std::size_t server, std::uint32_t layer) const
+    {
+        return this->servers[server].layers.first.value() <= layer &&
+               layer < this->end_of(server);
+    }
+
+    continuation
+    starting_with(std::size_t server, std::uint32_t at, double entry_ms)
     {
-        return this->places.emplace(id, this->places.size()).first->second;
+        const auto end = this->end_of(server);
+        const auto& rest = this->table[end][this->places_by_server[server]];
+        if (rest.cost < unreachable && rest.parts >= this->costs.most_parts) {
+            this->too_long = true;
+            return {};
+        }
+        return {
+            entry_ms + this->servers[server].ms_per_layer * (end - at) +
+                this->costs.part_ms + rest.cost,
+            rest.parts + 1,
+            server};
     }
 
-    void extend(std::uint32_t at, std::size_t place)
+    continuation cheapest(std::uint32_t at, std::size_t place)
     {
-        const auto& here = this->table[at][place];
-        if (here.parts >= this->costs.most_parts)
-            return;
+        continuation best;
         for (std::size_t i = 0; i < this->servers.size(); ++i) {
-            const auto& server = this->servers[i];
-            const auto end = std::min(server.layers.end.value(), this->layers);
-            if (server.layers.first.value() > at || end <= at)
+            if (!this->holds(i, at))
                 continue;
-            const auto next_place = this->places_by_server[i];
-            const double cost = here.cost + server.ms_per_layer * (end - at) +
-                                this->costs.part_ms +
-                                (next_place == place ? 0
-                                 : at == 0 ? this->costs.remote_start_ms
-                                           : this->costs.crossing_ms);
-            auto& next = this->table[end][next_place];
-            if (cost < next.cost)
-                next = {cost, i, at, place, here.parts + 1};
+            const bool crosses = this->places_by_server[i] != place;
+            const auto next = this->starting_with(
+                i, at, crosses ? this->costs.crossing_ms : 0);
+            if (next.cost < best.cost)
+                best = next;
         }
+        return best;
     }
 
-    path unwind() const
+    path unwind(std::size_t first) const
     {
-        const auto& ends = this->table[this->layers];
-        auto best = std::min_element(
-            ends.begin(), ends.end(), [](const step& left, const step& right) {
-                return left.cost < right.cost;
-            });
         path parts;
-        std::uint32_t at = this->layers;
-        for (const step* last = &*best; last->server;) {
-            const auto& server = this->servers[*last->server];
+        std::uint32_t at = 0;
+        for (std::optional<std::size_t> next = first; next;) {
+            const auto& server = this->servers[*next];
+            const auto end = this->end_of(*next);
             parts.push_back(
                 {server.id,
                  server.address,
                  server.data_centre,
-                 {base::layer_index{last->from_layer}, base::layer_index{at}}});
-            at = last->from_layer;
-            last = &this->table[at][last->from_place];
+                 {base::layer_index{at}, base::layer_index{end}}});
+            next = this->table[end][this->places_by_server[*next]].server;
+            at = end;
         }
-        std::reverse(parts.begin(), parts.end());
         return parts;
     }
 
     const std::vector<path_server>& servers;
     const std::uint32_t layers;
     const path_costs& costs;
+    bool too_long = false;
     std::map<base::data_centre_id, std::size_t> places;
-    const std::size_t start;
     std::vector<std::size_t> places_by_server;
-    std::vector<std::vector<step>> table;
+    // By position and data centre of the part before.
+    std::vector<std::vector<continuation>> table;
 };
 
 } // namespace
 
-path find_path(
+std::vector<costed_path> find_paths(
     const std::vector<path_server>& servers,
     std::uint32_t layer_count,
     const base::data_centre_id& home,
@@ -125,32 +156,14 @@
 {
     if (layer_count == 0)
         return {};
-    return search(servers, layer_count, home, costs).run();
-}
-
-double cost_of(
-    const path& parts,
-    const std::vector<path_server>& servers,
-    const base::data_centre_id& home,
-    const path_costs& costs)
-{
-    double cost = 0;
-    const auto* place = &home;
-    for (const auto& part : parts) {
-        const auto server = std::find_if(
-            servers.begin(), servers.end(), [&](const path_server& item) {
-                return item.id == part.server;
-            });
-        if (server == servers.end())
-            return std::numeric_limits<double>::infinity();
-        const auto layers = part.layers.end.value() - part.layers.first.value();
-        cost += server->ms_per_layer * layers + costs.part_ms;
-        if (part.data_centre != *place)
-            cost += &part == &parts.front() ? costs.remote_start_ms
-                                            : costs.crossing_ms;
-        place = &part.data_centre;
+    auto charged = costs;
+    for (int round = 1;; ++round) {
+        search every(servers, layer_count, charged);
+        auto found = every.run(home);
+        if (!found.empty() || !every.left_out() || round == most_searches)
+            return found;
+        charged.part_ms *= dearer_parts;
     }
-    return cost;
 }
 
 bool is_complete(const path& parts, std::uint32_t layer_count)
--- a/oleanderhinge/fleet/paths.hpp
+++ b/oleanderhinge/fleet/paths.hpp
@@ -1,13 +1,14 @@
 // Paths of layer ranges through the engines of a service.
 //
-// A path runs every layer once and in order. Among all paths, the one with the
-// least cost is taken: time of the layers on each accelerator, waiting for what
-// already runs there, and a charge for each change of data centre, since all
-// transfers between two data centres share one link.
+// A path runs every layer once and in order. Its first server forms the batches
+// of its requests, so each first server is a choice of its own; behind it the
+// cheapest continuation is taken: time of the layers on each accelerator with
+// what already runs there, and a charge for each change of data centre, since
+// all transfers between two data centres share one link.
 //
 // Example:
-//   auto found = find_path(servers, 80, costs);
-//   if (!found.empty()) send_to(found.front());
+//   auto found = find_paths(servers, 80, home, {});
+//   if (!found.empty()) send_to(found.front().parts);
 #pragma once
 
 #include "oleanderhinge/base/ids.hpp"
@@ -54,19 +55,18 @@
     std::size_t most_parts = 32;
 };
 
-// Cheapest path over all layers that begins in `home` if it can (its data
-// centre counts as the one before the first part); empty if some layer is held
-// by no server.
-path find_path(
-    const std::vector<path_server>& servers,
-    std::uint32_t layer_count,
-    const base::data_centre_id& home,
-    const path_costs& costs);
+struct costed_path {
+    path parts;
+    // Time of one token, in milliseconds.
+    double cost = 0;
+};
 
-// Time of one token on the path, in milliseconds, as `find_path` counts it.
-double cost_of(
-    const path& parts,
+// For each server that can be the first of a path over all layers, the cheapest
+// such path; cheapest first. `home` counts as the data centre before the first
+// part. Empty if some layer is held by no server.
+std::vector<costed_path> find_paths(
     const std::vector<path_server>& servers,
+    std::uint32_t layer_count,
     const base::data_centre_id& home,
     const path_costs& costs);
 
--- a/oleanderhinge/fleet/placement.hpp
+++ b/oleanderhinge/fleet/placement.hpp
@@ -38,6 +38,8 @@
 // A server that is missing this long is replaced in the plan. Crashed servers
 // are mostly back within 5 s, and a replacement costs a load of weights.
 inline constexpr base::duration replace_after = std::chrono::seconds(7);
+// Most servers that hold the first layers of a chain.
+inline constexpr std::size_t most_first_servers = 8;
 // Neighbours take over the layers of a server that has been out of use this
 // long. A load of 5 layers takes a second; a crashed server is away for 5 s.
 inline constexpr base::duration cover_after = std::chrono::milliseconds(400);
@@ -58,6 +60,8 @@
     base::layer_range layers;
     // What it should hold now: its place, and what it covers for neighbours.
     base::layer_range wanted;
+    // What it holds by its last report.
+    base::layer_range held;
     // Since when it has not held its place in use; unset while it does.
     base::time_point out_since;
     // At its last report it was `slow_from` times slower than usual.
@@ -122,11 +126,4 @@
 std::uint32_t
 largest_range(const wire::engine_profile& profile, double memory_mb);
 
-// Divides `layer_count` layers over servers in proportion to their memory, at
-// most `limits[i]` to server i; empty if they do not fit.
-std::vector<std::uint32_t> divide_layers(
-    std::uint32_t layer_count,
-    const std::vector<double>& memory,
-    const std::vector<std::uint32_t>& limits);
-
 } // namespace oleanderhinge::fleet
--- a/oleanderhinge/gateway/server_choice.cpp
+++ b/oleanderhinge/gateway/server_choice.cpp
@@ -111,7 +111,7 @@
     return fullest;
 }
 
-// The best path from each data centre.
+// The best path from each server that can be the first.
 std::vector<server_choice::candidate> find_candidates(
     const server_choice& choice,
     const wire::forwarding_service& service,
@@ -121,22 +121,11 @@
 {
     const auto servers =
         path_servers(choice, service, tried, with_ejected, now);
-    std::set<base::data_centre_id> places;
-    for (const auto& server : servers)
-        places.insert(server.data_centre);
     std::vector<server_choice::candidate> found;
-    for (const auto& place : places) {
-        auto parts =
-            fleet::find_path(servers, service.engine->layer_count, place, {});
-        const bool known =
-            std::any_of(found.begin(), found.end(), [&](const auto& item) {
-                return item.parts == parts;
-            });
-        if (parts.empty() || known)
-            continue;
-        const auto cost = fleet::cost_of(parts, servers, choice.home, {});
-        const auto fullest = fullest_part(choice, parts);
-        found.push_back({std::move(parts), cost, fullest});
+    for (auto& item : fleet::find_paths(
+             servers, service.engine->layer_count, choice.home, {})) {
+        const auto fullest = fullest_part(choice, item.parts);
+        found.push_back({std::move(item.parts), item.cost, fullest});
     }
     return found;
 }
