fleet: late reports count in the first division, chains by rate, spares join

The first plan was made 1.6 s after the first report with 47 of 56 servers; the other nine, whose first report met a control group without a leader, stayed without layers for good. Traced by the orders in the log: 47 at -10.2 s, none for nine servers, and a data centre divided over seven of its ten.

Ruled out: the division itself (it gives 93 requests a second for that data centre with all servers, 42 with those that were known), the engines' rates.

Change: servers that report within four seconds of the first division are included in it; the number of chains of a data centre is the one with the highest rate, in place of a multiple of the memory; a server without a place joins the first servers of a chain.

Two tests name the patterns and failed before.

--- a/oleanderhinge/fleet/internal/chains.cpp
+++ b/oleanderhinge/fleet/internal/chains.cpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <numeric>
 #include <string>
+#include <utility>
 
 namespace oleanderhinge::fleet::internal
 {
@@ -113,11 +114,8 @@
     return best;
 }
 
-bool assign_chain(const wire::engine_profile& profile, const group& chain)
+void give_places(const divided_chain& divided)
 {
-    const auto divided = divide_chain(profile, chain);
-    if (divided.parts.empty())
-        return false;
     std::uint32_t next = 0;
     for (std::size_t i = 0; i < divided.parts.size(); ++i) {
         const auto end = next + divided.layers.shares[i];
@@ -125,7 +123,6 @@
             server->layers = {base::layer_index{next}, base::layer_index{end}};
         next = end;
     }
-    return true;
 }
 
 } // namespace
@@ -159,18 +156,28 @@
 
 void assign_group(const wire::engine_profile& profile, const group& members)
 {
-    double memory = 0;
-    for (const auto* server : members)
-        memory += server->memory_mb;
-    const double whole = profile.layer_mb * profile.layer_count;
-    const auto wanted = std::size_t(memory / (whole * memory_per_chain));
-    for (auto chains = std::max<std::size_t>(wanted, 1); chains > 0; --chains) {
-        const auto dealt = deal(members, chains);
-        if (std::all_of(dealt.begin(), dealt.end(), [&](const group& chain) {
-                return assign_chain(profile, chain);
-            }))
-            return;
+    std::vector<divided_chain> best;
+    double best_rate = 0;
+    for (std::size_t count = 1; count <= members.size(); ++count) {
+        std::vector<divided_chain> chains;
+        double rate = 0;
+        for (const auto& chain : deal(members, count)) {
+            chains.push_back(divide_chain(profile, chain));
+            if (chains.back().parts.empty())
+                break;
+            rate += chains.back().layers.per_second;
+        }
+        if (chains.back().parts.empty())
+            break;
+        if (rate > best_rate) {
+            best = std::move(chains);
+            best_rate = rate;
+        }
     }
+    for (auto* server : members)
+        server->layers = {};
+    for (const auto& chain : best)
+        give_places(chain);
 }
 
 } // namespace oleanderhinge::fleet::internal
--- a/oleanderhinge/fleet/internal/chains.hpp
+++ b/oleanderhinge/fleet/internal/chains.hpp
@@ -15,8 +15,8 @@
 std::vector<group>
 copy_groups(placement& plan, const wire::engine_profile& profile);
 
-// Gives each member its place: as many chains as the memory allows, each
-// divided for the most requests. Leaves the places if the model does not fit.
+// Gives each member its place in the chains that serve the most requests; no
+// member has one if the model does not fit.
 void assign_group(const wire::engine_profile& profile, const group& members);
 
 } // namespace oleanderhinge::fleet::internal
--- a/oleanderhinge/fleet/placement.cpp
+++ b/oleanderhinge/fleet/placement.cpp
@@ -4,7 +4,6 @@
 #include "oleanderhinge/fleet/internal/cover.hpp"
 
 #include <algorithm>
-#include <numeric>
 
 namespace oleanderhinge::fleet
 {
@@ -75,7 +74,33 @@
     return any;
 }
 
-// Gives ranges that no server of the group holds to servers without layers.
+// Gives a server without layers the place of the first servers of a chain, if
+// it has room for requests beside them.
+void join_first_servers(
+    placed_server& spare,
+    const group& members,
+    const wire::engine_profile& profile)
+{
+    const auto most =
+        largest_range(profile, spare.memory_mb * fullest_while_covering);
+    std::map<base::layer_range, std::size_t> holders;
+    for (const auto* server : members)
+        if (server->layers.end.value() > 0 &&
+            server->layers.first.value() == 0 &&
+            server->layers.end.value() <= most)
+            ++holders[server->layers];
+    const auto fewest = std::min_element(
+        holders.begin(),
+        holders.end(),
+        [](const auto& left, const auto& right) {
+            return left.second < right.second;
+        });
+    if (fewest != holders.end() && fewest->second < most_first_servers)
+        spare.layers = fewest->first;
+}
+
+// Gives ranges that no server of the group holds to servers without layers, and
+// lets the others join the first servers.
 void fill_holes(
     const group& members,
     const wire::engine_profile& profile,
@@ -94,8 +119,10 @@
     for (auto* spare : spares) {
         const auto first = std::uint32_t(
             std::find(held.begin(), held.end(), false) - held.begin());
-        if (first == profile.layer_count)
-            return;
+        if (first == profile.layer_count) {
+            join_first_servers(*spare, members, profile);
+            continue;
+        }
         const auto most =
             largest_range(profile, spare->memory_mb * fullest_by_weights);
         auto end = first;
@@ -105,6 +132,25 @@
     }
 }
 
+bool has_spare(const group& members)
+{
+    return std::any_of(members.begin(), members.end(), [](const auto* server) {
+        return server->layers == base::layer_range{};
+    });
+}
+
+// The first division of a fleet. Servers that report a little later are
+// included while the fleet still loads.
+void divide_first(
+    placement& plan, const wire::engine_profile& profile, base::time_point now)
+{
+    for (const auto& members : internal::copy_groups(plan, profile))
+        if (has_spare(members))
+            internal::assign_group(profile, members);
+    if (plan.divided == base::time_point{})
+        plan.divided = now;
+}
+
 // Divides a group anew if layers are left without a place for good.
 void divide_again(
     placement& plan, const wire::engine_profile& profile, base::time_point now)
@@ -203,9 +249,9 @@
         server.memory_mb = kind->memory_mb;
         server.seen = now;
     }
-    if (!has_plan(plan) && !adopt(plan, ready))
-        for (const auto& members : internal::copy_groups(plan, profile))
-            internal::assign_group(profile, members);
+    const bool first = !has_plan(plan) && !adopt(plan, ready);
+    if (first || now < plan.divided + late_reports)
+        divide_first(plan, profile, now);
     fill_places(plan, profile, now);
     divide_again(plan, profile, now);
     for (const auto& members : internal::copy_groups(plan, profile))
--- a/oleanderhinge/fleet/placement.hpp
+++ b/oleanderhinge/fleet/placement.hpp
@@ -1,10 +1,10 @@
 // Which backend server should hold which layers of a model.
 //
-// Each data centre gets as many whole copies (chains) as its memory allows
-// with room for requests. Inside a chain, layers are divided in proportion to
-// the memory of the accelerators: a path holds as many requests as its tightest
-// part. A place in the plan belongs to an address, so a server that restarts
-// empty gets its layers back, and nothing else moves.
+// Each data centre gets the number of whole copies (chains) with which it
+// serves the most requests a second (fleet/division). A chain has several first
+// servers, which stand in for lost servers behind them. A place in the plan
+// belongs to an address, so a server that restarts empty gets its layers back,
+// and nothing else moves.
 //
 // Example:
 //   placement plan;
@@ -25,10 +25,6 @@
 namespace oleanderhinge::fleet
 {
 
-// A data centre gets one chain for each multiple of this of the model's size
-// in its memory. The rest holds requests: with 1.7, at least 0.7 of the size
-// of the weights.
-inline constexpr double memory_per_chain = 1.7;
 // A data centre with less memory than this multiple of the model's size holds
 // no copy of its own; a tenth stays free for requests.
 inline constexpr double least_memory = 1.1;
@@ -40,6 +36,10 @@
 inline constexpr base::duration replace_after = std::chrono::seconds(7);
 // Most servers that hold the first layers of a chain.
 inline constexpr std::size_t most_first_servers = 8;
+// Servers that report this long after the first division are included in it: a
+// first report that finds control without a leader is sent again after up to
+// three seconds.
+inline constexpr base::duration late_reports = std::chrono::seconds(4);
 // Neighbours take over the layers of a server that has been out of use this
 // long. A load of 5 layers takes a second; a crashed server is away for 5 s.
 inline constexpr base::duration cover_after = std::chrono::milliseconds(400);
@@ -81,6 +81,9 @@
 
 struct placement {
     std::map<wire::endpoint, placed_server> servers;
+    // When this node divided the fleet for the first time; unset for a plan
+    // that it took over.
+    base::time_point divided;
 };
 
 // The places of a plan, which outlive the leader that made it.
--- a/oleanderhinge/fleet/placement_test.cpp
+++ b/oleanderhinge/fleet/placement_test.cpp
@@ -210,6 +210,42 @@
     EXPECT_TRUE(is_complete(this->path_inside("glasgow"), 80));
 }
 
+// Pattern: some servers report seconds after the others. Guards against a
+// division of the rest that leaves them without layers for good.
+TEST_F(fleet_fixture, servers_that_report_late_get_their_share)
+{
+    const auto late = this->take_out("inverness0");
+    const auto later = this->take_out("glasgow8");
+    this->settle(start);
+    this->servers.push_back(late);
+    this->settle(start + seconds(1));
+    this->servers.push_back(later);
+    this->settle(start + seconds(2));
+    this->settle(start + seconds(30));
+    for (const auto& server : this->servers)
+        EXPECT_NE(server.layers, base::layer_range{}) << server.id.value();
+    for (const auto* place : {"glasgow", "edinburgh", "inverness"})
+        EXPECT_TRUE(is_complete(this->path_inside(place), 80)) << place;
+}
+
+// Pattern: empty servers are added to a fleet that works. Guards against
+// servers that stay idle, and against layers that move for them.
+TEST_F(fleet_fixture, an_added_server_joins_the_first_ones)
+{
+    this->settle(start);
+    wire::server_record added;
+    for (const auto& server : this->servers)
+        if (server.kind == "l4")
+            added = server;
+    added.id = base::backend_server_id{"added"};
+    added.address = "added";
+    added.layers = {};
+    this->servers.push_back(added);
+    EXPECT_EQ(this->settle(start + seconds(60)), 1U);
+    EXPECT_EQ(this->servers.back().layers.first.value(), 0U);
+    EXPECT_GT(this->servers.back().layers.end.value(), 0U);
+}
+
 // Guards against neighbours that cover while a fleet loads for the first time.
 TEST_F(fleet_fixture, loading_servers_need_no_cover)
 {
