fleet, platform: a first server that stands in cuts what runs there

Change: an order says what becomes of running requests; a first server that leaves its place for a gap cuts them, and the one with the fewest leaves.

Ruled out: cutting on the way back too: nothing waits for it.

--- a/oleanderhinge/fleet/internal/cover.cpp
+++ b/oleanderhinge/fleet/internal/cover.cpp
@@ -95,13 +95,15 @@
     const wire::engine_profile& profile)
 {
     // Those that hold layers of the gap already stay; those that have left
-    // their place for another gap are taken last.
+    // their place for another gap are taken last. Of the others, those with the
+    // fewest requests leave.
     const auto preference = [&](const placed_server* server) {
         const int rank =
             overlap(server->held, gap) || overlap(server->wanted, gap) ? 0
             : is_in_use(*server)                                       ? 1
                                                                        : 2;
-        return std::tuple{rank, server->address};
+        return std::tuple{
+            rank, rank == 0 ? 0 : server->running, server->address};
     };
     auto candidates = from.servers;
     std::sort(
@@ -236,6 +238,7 @@
         if (found == plan.servers.end())
             continue;
         found->second.held = record.layers;
+        found->second.running = record.load ? record.load->running : 0;
         found->second.slow = record.load && record.load->slowness >= slow_from;
     }
     for (auto& [address, server] : plan.servers) {
--- a/oleanderhinge/fleet/placement.cpp
+++ b/oleanderhinge/fleet/placement.cpp
@@ -302,7 +302,15 @@
         server.ordered_start_ms = record.started_ms;
         server.loading = true;
         ++loading;
-        orders.push_back({record.id, server.address, server.wanted});
+        // A chain waits for a stand-in, and what runs there passes the server
+        // that is lost.
+        const bool stands_in =
+            server.wanted != server.layers && record.layers == server.layers;
+        orders.push_back(
+            {record.id,
+             server.address,
+             server.wanted,
+             stands_in ? handover::cut_running : handover::finish_running});
     }
     return orders;
 }
--- a/oleanderhinge/fleet/placement.hpp
+++ b/oleanderhinge/fleet/placement.hpp
@@ -60,8 +60,9 @@
     base::layer_range layers;
     // What it should hold now: its place, and what it covers for neighbours.
     base::layer_range wanted;
-    // What it holds by its last report.
+    // What it holds by its last report, and how many requests began there.
     base::layer_range held;
+    std::uint32_t running = 0;
     // Since when it has not held its place in use; unset while it does.
     base::time_point out_since;
     // At its last report it was `slow_from` times slower than usual.
@@ -91,11 +92,20 @@
 places places_of(const placement& plan);
 placement restore(const places& kept, base::time_point now);
 
+// What becomes of requests that run on layers which a server gives up.
+enum class handover : std::uint8_t {
+    // They end first; new layers wait for them.
+    finish_running,
+    // They are cut at once.
+    cut_running,
+};
+
 // One order to a server: hold exactly these layers.
 struct place_order {
     base::backend_server_id server;
     wire::endpoint address;
     base::layer_range layers;
+    handover running = handover::finish_running;
 
     bool operator==(const place_order&) const = default;
 };
--- a/oleanderhinge/fleet/placement_test.cpp
+++ b/oleanderhinge/fleet/placement_test.cpp
@@ -69,6 +69,7 @@
         for (const auto& order :
              due_orders(this->plan, this->profile, this->servers, true, now)) {
             ++count;
+            this->last_handover = order.running;
             for (auto& server : this->servers)
                 if (server.id == order.server)
                     server.layers = order.layers;
@@ -108,6 +109,7 @@
     wire::engine_profile profile = make_profile();
     std::vector<wire::server_record> servers;
     placement plan;
+    handover last_handover = handover::finish_running;
 };
 
 // Guards against data centres that depend on each other on a calm day.
@@ -151,6 +153,8 @@
     const auto lost = this->take_out("glasgow3");
     EXPECT_EQ(this->settle(start + seconds(1)), 0U);
     EXPECT_EQ(this->settle(start + milliseconds(1500)), 1U);
+    // Waiting for the longest answer there would take seconds.
+    EXPECT_EQ(this->last_handover, handover::cut_running);
     EXPECT_TRUE(is_complete(this->path_inside("glasgow"), 80));
     // Nothing moves while it is away.
     EXPECT_EQ(this->settle(start + seconds(3)), 0U);
@@ -162,6 +166,7 @@
     this->settle(start + seconds(5));
     EXPECT_EQ(this->servers.back().layers, lost.layers);
     EXPECT_EQ(this->settle(start + seconds(6)), 1U);
+    EXPECT_EQ(this->last_handover, handover::finish_running);
     EXPECT_TRUE(is_complete(this->path_inside("glasgow"), 80));
     EXPECT_EQ(this->settle(start + seconds(7)), 0U);
 }
