gateway, platform: a stream that stands still goes on along another path

Change: the first server is ordered to go on along another path, where only the new parts read; without such a path or without its consent the attempt ends as before. Stalls are a component of their own (gateway/stall_watch), the request has a header of its own, forwarder.cpp shrinks. Parts behind the first are not counted as requests in progress, which nothing read.

Tests for a path that changes and for one that cannot.

--- a/oleanderhinge/fleet/paths.cpp
+++ b/oleanderhinge/fleet/paths.cpp
@@ -166,6 +166,14 @@
     }
 }
 
+std::string describe(const path& parts)
+{
+    std::string text;
+    for (const auto& part : parts)
+        text += (text.empty() ? "" : ",") + part.server.value();
+    return text;
+}
+
 bool is_complete(const path& parts, std::uint32_t layer_count)
 {
     std::uint32_t next = 0;
--- a/oleanderhinge/fleet/paths.hpp
+++ b/oleanderhinge/fleet/paths.hpp
@@ -15,6 +15,7 @@
 #include "oleanderhinge/wire/messages.hpp"
 
 #include <cstdint>
+#include <string>
 #include <vector>
 
 namespace oleanderhinge::fleet
@@ -70,6 +71,9 @@
     const base::data_centre_id& home,
     const path_costs& costs);
 
+// Ids of the servers, for the log.
+std::string describe(const path& parts);
+
 // True if the parts cover all layers once and in order.
 bool is_complete(const path& parts, std::uint32_t layer_count);
 
--- a/oleanderhinge/gateway/dialect.hpp
+++ b/oleanderhinge/gateway/dialect.hpp
@@ -91,6 +91,11 @@
     // What stands still, by the answer to `ask_state`.
     std::function<std::vector<stalled_request>(const std::string& body)>
         read_stalls;
+    // Orders the first server of a running request to go on with it along
+    // another path, which begins with the same part.
+    std::function<net::http_call(
+        const std::string& request, const fleet::path& parts)>
+        change_path;
 };
 
 } // namespace oleanderhinge::gateway
--- a/oleanderhinge/gateway/forwarder.cpp
+++ b/oleanderhinge/gateway/forwarder.cpp
@@ -2,8 +2,6 @@
 
 #include "oleanderhinge/gateway/headers.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
@@ -32,13 +30,6 @@
 // `least_stall`, is continued elsewhere. Callers give up after 2 s.
 constexpr int stall_gaps = 6;
 constexpr auto least_stall = milliseconds(1500);
-// A stream without progress for this long is looked into: events come every 40
-// ms, first events within 200 ms, and a pause of 250 ms makes an answer late.
-constexpr auto suspicious_pause = milliseconds(250);
-// The state of one server is asked for at most this often.
-constexpr auto ask_interval = milliseconds(300);
-constexpr auto ask_limit = milliseconds(200);
-constexpr std::size_t kept_state_connections = 1;
 // The first event may take this many times its target.
 constexpr double first_event_targets = 3.5;
 // Answers to other requests that are skipped on one connection.
@@ -85,14 +76,6 @@
     return route.repeat != wire::repeat_rule::at_most_once;
 }
 
-std::string describe(const fleet::path& parts)
-{
-    std::string text;
-    for (const auto& part : parts)
-        text += (text.empty() ? "" : ",") + part.server.value();
-    return text;
-}
-
 } // namespace
 
 enum class attempt_end : std::uint8_t { answered, failed, caller_left };
@@ -126,8 +109,8 @@
     , choice(choice_in)
     , numbers(numbers_in)
     , pool(context)
-    , state_client(context, kept_state_connections)
     , options(std::move(chosen))
+    , stalls(context, dialect_in, choice_in, numbers_in, options.suspect)
     , budget(retry::make_budget(options.retries, base::monotonic_now()))
     , random(options.seed)
 {
@@ -142,74 +125,6 @@
         std::max(1.0, this->options.retries.max_saved / share);
 }
 
-void forwarder::tick()
-{
-    const auto now = steady_now();
-    this->choice.first_event_waits.clear();
-    for (const auto& [id, r] : this->streams) {
-        if (r->in_attempt && r->line && r->events.taken == 0) {
-            auto& longest = this->choice.first_event_waits[r->line->server()];
-            longest = std::max(
-                longest,
-                std::chrono::duration_cast<base::duration>(now - r->progress));
-        }
-        if (!r->in_attempt || !r->line || now < r->progress + suspicious_pause)
-            continue;
-        auto& last = this->asked[r->line->server()];
-        if (now < last + ask_interval)
-            continue;
-        last = now;
-        asio::co_spawn(
-            this->io, this->ask_for_stalls(r->line->server()), asio::detached);
-    }
-}
-
-asio::awaitable<void> forwarder::ask_for_stalls(wire::endpoint first)
-{
-    const auto started = steady_now();
-    auto call = this->speak.ask_state();
-    const auto outcome = co_await this->state_client.call(
-        first, std::move(call), ask_limit, net::reuse::allowed);
-    if (outcome.failure != net::http_failure::none) {
-        // Whatever began there waits for the server itself.
-        for (const auto& [id, r] : this->streams)
-            if (r->in_attempt && r->line && r->line->server() == first &&
-                started >= r->progress + suspicious_pause) {
-                this->on_stall({id, first}, started);
-                break;
-            }
-        co_return;
-    }
-    for (const auto& stalled : this->speak.read_stalls(outcome.answer.body))
-        this->on_stall(stalled, started);
-}
-
-void forwarder::on_stall(const stalled_request& stalled, steady_time started)
-{
-    if (stalled.waits_for.address.empty())
-        return;
-    if (fleet::suspect(
-            this->choice.servers, stalled.waits_for, base::monotonic_now())) {
-        ++this->choice.changes;
-        spdlog::warn(
-            "event=server_suspected address={}:{} request={} age_ms={:.0f}",
-            stalled.waits_for.address,
-            stalled.waits_for.port,
-            stalled.request,
-            ms_since(started));
-        this->options.suspect(stalled.waits_for);
-    }
-    const auto found = this->streams.find(stalled.request);
-    if (found == this->streams.end() || !found->second->in_attempt)
-        return;
-    auto& r = *found->second;
-    // Only an attempt that is still without progress is ended.
-    if (!r.line || started < r.progress + suspicious_pause)
-        return;
-    r.waits_for = stalled.waits_for;
-    r.line->cancel();
-}
-
 void forwarder::use(std::shared_ptr<const route_index> next)
 {
     this->index = std::move(next);
@@ -236,9 +151,7 @@
         if (left->line)
             left->line->cancel();
     });
-    this->streams.insert_or_assign(r.facts.id, held);
     co_await this->serve(r);
-    this->streams.erase(r.facts.id);
     --this->active;
     this->numbers.in_progress.Set(double(this->active));
     this->log_answer(r);
@@ -274,10 +187,11 @@
     r.deadline = r.arrived + std::min(r.facts.patience.value_or(limit), limit);
     const auto& name = pick_target(*r.route, this->random);
     r.service = r.index->find_service(name);
-    if (r.route->streaming && r.service->engine)
-        co_await this->serve_stream(r);
-    else
-        co_await this->serve_call(r);
+    if (!r.route->streaming || !r.service->engine)
+        co_return co_await this->serve_call(r);
+    this->stalls.add(r.shared_from_this());
+    co_await this->serve_stream(r);
+    this->stalls.remove(r.facts.id);
 }
 
 asio::awaitable<void> forwarder::serve_call(forwarding_request& r)
@@ -323,8 +237,7 @@
         const auto now = base::monotonic_now();
         const auto found = choose_path(
             this->choice, *r.service, r.tried, r.priority, this->random, now);
-        const auto& parts = found.parts;
-        if (parts.empty()) {
+        if (found.parts.empty()) {
             const auto why =
                 found.full
                     ? base::not_run(
@@ -334,22 +247,22 @@
                           failure_code::no_server, "no path runs all layers");
             co_return co_await this->give_up(r, why);
         }
-        r.path = describe(parts);
-        for (const auto& part : parts)
-            note_started(this->choice, part.address);
+        r.parts = found.parts;
+        r.path = fleet::describe(r.parts);
+        const auto first = r.parts.front().address;
+        note_started(this->choice, first);
         r.progress = steady_now();
         r.waits_for = {};
         r.in_attempt = true;
-        auto result = co_await this->stream_once(r, parts);
+        auto result = co_await this->stream_once(r);
         r.in_attempt = false;
         if (result.end == attempt_end::failed && !r.waits_for.address.empty())
             result.at_fault = r.waits_for;
-        for (const auto& part : parts)
-            note_ended(this->choice, part.address);
+        note_ended(this->choice, first);
         this->log_attempt(r, result, now);
         if (result.end == attempt_end::answered) {
             retry::note_success(this->budget);
-            for (const auto& part : parts)
+            for (const auto& part : r.parts)
                 this->choice.health[part.address].failures_in_a_row = 0;
             co_return;
         }
@@ -368,7 +281,7 @@
                     this->choice, result.at_fault, base::monotonic_now());
         } else {
             // Any of them may be at fault.
-            for (const auto& part : parts)
+            for (const auto& part : r.parts)
                 r.tried.insert(part.address);
         }
         if (!this->may_repeat(r, result.why, base::monotonic_now()))
@@ -531,12 +444,12 @@
 }
 
 asio::awaitable<forwarder::attempt_result>
-forwarder::stream_once(forwarding_request& r, const fleet::path& parts)
+forwarder::stream_once(forwarding_request& r)
 {
     r.line = this->pool.take(
-        parts.front().address,
+        r.parts.front().address,
         is_repeatable(*r.route) ? net::reuse::allowed : net::reuse::never);
-    auto request = this->outgoing(r, parts, parts.front().server);
+    auto request = this->outgoing(r, r.parts, r.parts.front().server);
     const auto sent = co_await this->open(r, std::move(request));
     if (sent.end != attempt_end::answered)
         co_return sent;
--- a/oleanderhinge/gateway/forwarder.hpp
+++ b/oleanderhinge/gateway/forwarder.hpp
@@ -13,20 +13,19 @@
 #pragma once
 
 #include "oleanderhinge/base/verdict.hpp"
-#include "oleanderhinge/gateway/event_stream.hpp"
+#include "oleanderhinge/gateway/forwarding_request.hpp"
 #include "oleanderhinge/gateway/metrics.hpp"
 #include "oleanderhinge/gateway/request_log.hpp"
 #include "oleanderhinge/gateway/route_index.hpp"
 #include "oleanderhinge/gateway/server_choice.hpp"
+#include "oleanderhinge/gateway/stall_watch.hpp"
 #include "oleanderhinge/gateway/upstream.hpp"
 #include "oleanderhinge/retry/budget.hpp"
 
 #include <boost/asio/awaitable.hpp>
 
 #include <functional>
-#include <map>
 #include <memory>
-#include <set>
 #include <string>
 
 namespace oleanderhinge::gateway
@@ -39,47 +38,6 @@
     std::function<void(const wire::endpoint&)> suspect;
 };
 
-// One request while it is served.
-struct forwarding_request {
-    forwarding_request(
-        net::http_request request_in, net::http_exchange& exchange_in)
-        : request(std::move(request_in))
-        , exchange(exchange_in)
-    {
-    }
-
-    net::http_request request;
-    net::http_exchange& exchange;
-    request_facts facts;
-    std::shared_ptr<const route_index> index;
-    const wire::forwarding_route* route = nullptr;
-    const wire::forwarding_service* service = nullptr;
-    base::customer_id customer;
-    std::uint32_t priority = 0;
-    steady_time arrived;
-    // When the caller or the route gives up.
-    steady_time deadline;
-    // Servers that failed or refused this request.
-    std::set<wire::endpoint> tried;
-    std::uint32_t attempts = 0;
-    // Servers that may have run the request.
-    std::uint32_t runs = 0;
-    // The connection in use, to be cancelled when the caller leaves.
-    upstream_pointer line;
-    // Last event, or the start of the attempt, while an attempt is under way.
-    steady_time progress;
-    bool in_attempt = false;
-    // A server of the path that the attempt waits for in vain.
-    wire::endpoint waits_for;
-    bool caller_left = false;
-    bool head_sent = false;
-    steady_time last_event;
-    event_stream events;
-    // For the log.
-    std::string path;
-    std::string outcome;
-};
-
 class forwarder
 {
 public:
@@ -93,9 +51,8 @@
     // Puts a table in force for new requests.
     void use(std::shared_ptr<const route_index> index);
 
-    // Looks for streams that stand still and asks their first servers why.
-    // Call it ten times a second.
-    void tick();
+    // Looks for streams that stand still. Call it ten times a second.
+    void tick() { this->stalls.tick(); }
     // Retries are shared by this many gateways.
     void share_budget(std::uint32_t gateways);
 
@@ -103,21 +60,16 @@
     handle(net::http_request request, net::http_exchange& exchange);
 
     std::size_t in_progress() const { return this->active; }
-    std::size_t connections_opened() const { return this->pool.opened(); }
 
 private:
     struct attempt_result;
 
-    boost::asio::awaitable<void> ask_for_stalls(wire::endpoint first);
-    void on_stall(const stalled_request& stalled, steady_time asked);
-
     boost::asio::awaitable<void> serve(forwarding_request& r);
     boost::asio::awaitable<void> serve_call(forwarding_request& r);
     boost::asio::awaitable<void> serve_stream(forwarding_request& r);
     boost::asio::awaitable<attempt_result>
     call_once(forwarding_request& r, const chosen_server& to);
-    boost::asio::awaitable<attempt_result>
-    stream_once(forwarding_request& r, const fleet::path& parts);
+    boost::asio::awaitable<attempt_result> stream_once(forwarding_request& r);
     boost::asio::awaitable<attempt_result>
     open(forwarding_request& r, net::http_request to_send);
     boost::asio::awaitable<attempt_result>
@@ -148,11 +100,8 @@
     server_choice& choice;
     metrics& numbers;
     upstream_pool pool;
-    net::http_client state_client;
-    std::map<std::string, std::shared_ptr<forwarding_request>> streams;
-    // When the state of a first server was asked for last.
-    std::map<wire::endpoint, steady_time> asked;
     const forwarder_options options;
+    stall_watch stalls;
     std::shared_ptr<const route_index> index;
     retry::budget budget;
     base::random_source random;
--- a/oleanderhinge/gateway/forwarder_test.cpp
+++ b/oleanderhinge/gateway/forwarder_test.cpp
@@ -2,6 +2,9 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <gtest/gtest.h>
 
 #include <charconv>
@@ -44,6 +47,10 @@
     speak.read_stalls = [](const std::string&) {
         return std::vector<stalled_request>{};
     };
+    speak.change_path = [](const std::string& id, const fleet::path& parts) {
+        return net::http_call{
+            "POST", "/order/" + id, {}, fleet::describe(parts)};
+    };
     return speak;
 }
 
@@ -235,6 +242,54 @@
         return outcome;
     }
 
+    // Looks for stalls as the gateway does, until the fixture ends.
+    void keep_looking_for_stalls()
+    {
+        asio::co_spawn(
+            this->io,
+            [this]() -> asio::awaitable<void> {
+                asio::steady_timer timer(this->io);
+                while (true) {
+                    this->forward.tick();
+                    timer.expires_after(20ms);
+                    co_await timer.async_wait(asio::use_awaitable);
+                }
+            },
+            asio::detached);
+    }
+
+    // Three engines: `first` holds the first half, `lost` and `other` both the
+    // second half. A path over `lost` is taken, and work on it stands still.
+    void stall_behind_first(const std::string& lost)
+    {
+        this->speak.read_stalls = [lost](const std::string&) {
+            return std::vector<stalled_request>{{"r1", {lost, 80}}};
+        };
+        this->choice.servers = {};
+        ++this->choice.changes;
+        const auto add = [this](
+                             const std::string& id,
+                             const wire::endpoint& at,
+                             std::uint32_t from,
+                             const char* place) {
+            wire::server_record record;
+            record.id = base::backend_server_id{id};
+            record.started_ms = 1;
+            record.sequence = 1;
+            record.service = "chat";
+            record.address = at.address;
+            record.port = at.port;
+            record.data_centre = base::data_centre_id{place};
+            record.kind = "card";
+            record.layers = {
+                base::layer_index{from}, base::layer_index{from + 2}};
+            learn(this->choice, record, base::monotonic_now());
+        };
+        add("head", this->first.address, 0, "near");
+        add("lost", {lost, 80}, 2, "near");
+        add("other", {"other", 80}, 2, "far");
+    }
+
     std::size_t runs() const
     {
         return this->first.seen.size() + this->second.seen.size();
@@ -324,6 +379,76 @@
     EXPECT_EQ(this->second.seen[0]["After"], "1");
 }
 
+// Pattern: a server in the middle of a path goes dark. Guards against streams
+// that read their prompts anew and use up their attempts although their first
+// server can go on.
+TEST_F(forwarder_fixture, a_stream_that_stands_still_changes_its_path)
+{
+    this->stall_behind_first("lost");
+    bool changed = false;
+    std::string parts;
+    this->first.behave =
+        [&](const net::http_request& request,
+            net::http_exchange& exchange) -> asio::awaitable<void> {
+        if (request.target() == "/state")
+            co_return (void) co_await exchange.respond(200, "", "", {});
+        if (request.target() == "/order/r1") {
+            changed = true;
+            parts = request.body();
+            co_return (void) co_await exchange.respond(202, "", "", {});
+        }
+        auto headers = marks(request);
+        co_await exchange.begin_stream(200, "", std::move(headers));
+        co_await exchange.write_chunk("id: 1\ndata: x\n\n");
+        asio::steady_timer timer(this->io);
+        while (!changed) {
+            timer.expires_after(5ms);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+        co_await exchange.write_chunk("id: 2\ndata: x\n\n");
+        co_await exchange.end_stream();
+    };
+    this->keep_looking_for_stalls();
+    const auto outcome = this->ask("/talk/x");
+    EXPECT_EQ(outcome.answer.status, 200U);
+    EXPECT_EQ(outcome.answer.body, "id: 1\ndata: x\n\nid: 2\ndata: x\n\n");
+    EXPECT_EQ(parts, "head,other");
+    EXPECT_EQ(this->numbers.attempts.Value(), 1);
+}
+
+// Guards against a stream that hangs until its deadline when the first server
+// does not change the path: the attempt ends and another one is made.
+TEST_F(forwarder_fixture, a_stream_whose_path_cannot_change_is_begun_again)
+{
+    this->stall_behind_first("lost");
+    int streams = 0;
+    this->first.behave =
+        [&](const net::http_request& request,
+            net::http_exchange& exchange) -> asio::awaitable<void> {
+        if (request.target() == "/state")
+            co_return (void) co_await exchange.respond(200, "", "", {});
+        if (request.target() == "/order/r1")
+            co_return (void) co_await exchange.respond(409, "", "", {});
+        if (++streams > 1)
+            co_return co_await stream(request, exchange);
+        auto headers = marks(request);
+        co_await exchange.begin_stream(200, "", std::move(headers));
+        co_await exchange.write_chunk("id: 1\ndata: x\n\n");
+        asio::steady_timer timer(this->io);
+        timer.expires_after(5s);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(
+            asio::redirect_error(asio::use_awaitable, ignored));
+    };
+    this->keep_looking_for_stalls();
+    const auto outcome = this->ask("/talk/x");
+    EXPECT_EQ(outcome.answer.status, 200U);
+    EXPECT_EQ(
+        outcome.answer.body,
+        "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n");
+    EXPECT_EQ(streams, 2);
+}
+
 // Guards against a stream that looks complete although its server broke off.
 TEST_F(forwarder_fixture, a_stream_that_cannot_go_on_does_not_end_properly)
 {
--- a/oleanderhinge/gateway/metrics.cpp
+++ b/oleanderhinge/gateway/metrics.cpp
@@ -58,6 +58,10 @@
           registry,
           "oleanderhinge_gateway_resumed_streams_total",
           "Streams that another path continued"))
+    , changed_paths(add_counter(
+          registry,
+          "oleanderhinge_gateway_changed_paths_total",
+          "Streams whose first server went on along another path"))
     , events(add_counter(
           registry,
           "oleanderhinge_gateway_events_total",
--- a/oleanderhinge/gateway/metrics.hpp
+++ b/oleanderhinge/gateway/metrics.hpp
@@ -21,6 +21,7 @@
     prometheus::Counter& attempts;
     prometheus::Counter& repeats;
     prometheus::Counter& resumed_streams;
+    prometheus::Counter& changed_paths;
     prometheus::Counter& events;
     prometheus::Counter& log_lines_dropped;
     prometheus::Histogram& first_byte_seconds;
--- a/oleanderhinge/gateway/server_choice.cpp
+++ b/oleanderhinge/gateway/server_choice.cpp
@@ -300,4 +300,19 @@
     return {candidates[at].parts, false};
 }
 
+fleet::path choose_continuation(
+    const server_choice& choice,
+    const wire::forwarding_service& service,
+    const fleet::path_part& first,
+    const std::set<wire::endpoint>& avoided,
+    base::time_point now)
+{
+    auto candidates = find_candidates(choice, service, avoided, false, now);
+    const auto found =
+        std::find_if(candidates.begin(), candidates.end(), [&](auto& item) {
+            return item.parts.front() == first;
+        });
+    return found == candidates.end() ? fleet::path{} : found->parts;
+}
+
 } // namespace oleanderhinge::gateway
--- a/oleanderhinge/gateway/server_choice.hpp
+++ b/oleanderhinge/gateway/server_choice.hpp
@@ -148,4 +148,13 @@
     base::random_source& random,
     base::time_point now);
 
+// The cheapest path that begins with the same part as that of a request under
+// way and avoids some servers; empty if there is none.
+fleet::path choose_continuation(
+    const server_choice& choice,
+    const wire::forwarding_service& service,
+    const fleet::path_part& first,
+    const std::set<wire::endpoint>& avoided,
+    base::time_point now);
+
 } // namespace oleanderhinge::gateway
