gateway: callers wait a little for the first table

Callers whose streams were cut return at once with their last try and were refused: 766 answers 503/not_ready in 1.5 s, 475 requests lost for good.

Ruled out: shorter elections (members that restart may not vote while an older leader may hold a lease).

Change: requests wait for the first table for up to two seconds, 200 at most; later ones are told to come back after a second.

--- a/oleanderhinge/gateway/forwarder.cpp
+++ b/oleanderhinge/gateway/forwarder.cpp
@@ -2,6 +2,9 @@
 
 #include "oleanderhinge/gateway/headers.hpp"
 
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
@@ -32,6 +35,14 @@
 constexpr auto least_stall = milliseconds(1500);
 // The first event may take this many times its target.
 constexpr double first_event_targets = 3.5;
+// After a loss of power gateways are back before control has a leader, which
+// takes up to two seconds. Until then, callers wait, and most of them have a
+// single try left; those that come later are told when to come back.
+constexpr auto longest_wait_for_table = milliseconds(2000);
+constexpr auto without_table_retry_after = milliseconds(1000);
+constexpr auto table_check_interval = milliseconds(20);
+// Requests that wait for a table; each may hold a body.
+constexpr std::size_t most_waiting_for_table = 200;
 // Answers to other requests that are skipped on one connection.
 constexpr int most_stray_answers = 2;
 // When a refused caller may come back: after the time in which a path gets
@@ -157,11 +168,40 @@
     this->log_answer(r);
 }
 
+// Waits a little for the first table.
+asio::awaitable<void> forwarder::await_table(forwarding_request& r)
+{
+    if (this->waiting_for_table >= most_waiting_for_table)
+        co_return;
+    auto limit = r.arrived + longest_wait_for_table;
+    if (r.facts.patience)
+        limit = std::min(limit, r.arrived + *r.facts.patience / 2);
+    ++this->waiting_for_table;
+    while (!this->index && !r.caller_left && steady_now() < limit) {
+        asio::steady_timer timer(
+            this->io, std::min(limit, steady_now() + table_check_interval));
+        error_code ignored;
+        co_await timer.async_wait(
+            asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    --this->waiting_for_table;
+    r.index = this->index;
+}
+
 asio::awaitable<void> forwarder::serve(forwarding_request& r)
 {
+    if (!r.index) {
+        co_await this->await_table(r);
+        if (r.caller_left) {
+            r.outcome = "caller_left";
+            co_return;
+        }
+    }
     if (!r.index) {
         const auto why = base::not_run(
-            failure_code::not_ready, "no configuration yet", milliseconds(300));
+            failure_code::not_ready,
+            "no configuration yet",
+            without_table_retry_after);
         co_return co_await this->refuse(r, why);
     }
     r.route = r.index->find_route(
--- a/oleanderhinge/gateway/forwarder.hpp
+++ b/oleanderhinge/gateway/forwarder.hpp
@@ -65,6 +65,7 @@
     struct attempt_result;
 
     boost::asio::awaitable<void> serve(forwarding_request& r);
+    boost::asio::awaitable<void> await_table(forwarding_request& r);
     boost::asio::awaitable<void> serve_call(forwarding_request& r);
     boost::asio::awaitable<void> serve_stream(forwarding_request& r);
     boost::asio::awaitable<attempt_result>
@@ -107,6 +108,7 @@
     base::random_source random;
     request_log log;
     std::size_t active = 0;
+    std::size_t waiting_for_table = 0;
 };
 
 } // namespace oleanderhinge::gateway
--- a/oleanderhinge/gateway/forwarder_test.cpp
+++ b/oleanderhinge/gateway/forwarder_test.cpp
@@ -2,11 +2,13 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <charconv>
 
 namespace oleanderhinge::gateway
@@ -203,7 +205,8 @@
         add("/once/", wire::repeat_rule::at_most_once, false);
         add("/read/", wire::repeat_rule::idempotent, false);
         add("/talk/", wire::repeat_rule::resumable, true);
-        this->forward.use(std::make_shared<route_index>(table));
+        this->index = std::make_shared<route_index>(table);
+        this->forward.use(this->index);
     }
 
     void add_server(const char* id, const char* place, const backend& server)
@@ -298,6 +301,7 @@
     asio::io_context io;
     prometheus::Registry registry;
     metrics numbers;
+    std::shared_ptr<const route_index> index;
     server_choice choice;
     dialect speak;
     backend first;
@@ -479,7 +483,33 @@
             return other.listen({"127.0.0.1", 0});
         },
         [](const base::error&) { return wire::endpoint{}; });
-    EXPECT_EQ(this->ask("/once/x").answer.status, 503U);
+    const auto refused = this->ask("/once/x").answer;
+    EXPECT_EQ(refused.status, 503U);
+    EXPECT_TRUE(std::any_of(
+        refused.headers.begin(), refused.headers.end(), [](const auto& item) {
+            return item.name == "Retry-After";
+        }));
+}
+
+// Pattern: power comes back, and callers return before control has a leader.
+// Guards against a refusal of the only try that a caller has left.
+TEST_F(forwarder_fixture, callers_wait_a_little_for_the_first_table)
+{
+    this->first.behave = answer;
+    forwarder fresh(this->io, this->speak, this->choice, this->numbers, {});
+    net::http_server other(
+        this->io,
+        {},
+        [&](net::http_request request, net::http_exchange& exchange) {
+            asio::post(this->io, [&] { fresh.use(this->index); });
+            return fresh.handle(std::move(request), exchange);
+        });
+    this->address = base::handle(
+        [&] {
+            return other.listen({"127.0.0.1", 0});
+        },
+        [](const base::error&) { return wire::endpoint{}; });
+    EXPECT_EQ(this->ask("/once/x").answer.status, 200U);
 }
 
 // Guards against a key that reaches a server and a customer that the caller
