--- a/oleanderhinge/control/group.cpp
+++ b/oleanderhinge/control/group.cpp
@@ -20,6 +20,13 @@
 
 } // namespace
 
+std::size_t wanted_members(std::uint32_t tolerated_losses)
+{
+    // Fewer than three have no majority without one of them.
+    constexpr std::size_t fewest = 3;
+    return std::max(fewest, 2 * std::size_t(tolerated_losses) + 1);
+}
+
 void observe_links(
     member_reach& reach,
     const replica::log_status& status,
@@ -58,10 +65,11 @@
 std::optional<base::vm_id> member_to_remove(
     const member_reach& reach,
     const replica::log_status& status,
+    std::size_t wanted,
     base::time_point now)
 {
     if (status.role != replica::member_role::leader || !status.quorum ||
-        status.members.size() <= wanted_members)
+        status.members.size() <= wanted)
         return std::nullopt;
     const auto lost = std::min_element(
         reach.unreachable_since.begin(),
--- a/oleanderhinge/control/group.hpp
+++ b/oleanderhinge/control/group.hpp
@@ -13,6 +13,7 @@
 #include "oleanderhinge/base/time.hpp"
 #include "oleanderhinge/replica/replicated_log.hpp"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
@@ -20,8 +21,9 @@
 namespace oleanderhinge::control
 {
 
-// Members that the group should have: one for each seed.
-inline constexpr std::size_t wanted_members = 3;
+// Members that a group should have to bear the loss of so many of them at once.
+std::size_t wanted_members(std::uint32_t tolerated_losses);
+
 // A member is taken for lost after this time without a link. Longer than a
 // restart, shorter than the 4 s in which a replacement should count.
 inline constexpr base::duration lost_after = std::chrono::milliseconds(2500);
@@ -54,10 +56,11 @@
 bool should_add(const replica::log_status& status, const base::vm_id& asking);
 
 // The member that was lost first, if the others are voters and more than
-// `wanted_members` are there.
+// `wanted` members are there.
 std::optional<base::vm_id> member_to_remove(
     const member_reach& reach,
     const replica::log_status& status,
+    std::size_t wanted,
     base::time_point now);
 
 } // namespace oleanderhinge::control
--- a/oleanderhinge/control/group_test.cpp
+++ b/oleanderhinge/control/group_test.cpp
@@ -32,7 +32,26 @@
     const auto status = make_status({"a", "b", "c"});
     const auto none = [](const base::vm_id&) { return false; };
     observe_links(reach, status, self, none, start);
-    EXPECT_FALSE(member_to_remove(reach, status, start + seconds(60)));
+    EXPECT_FALSE(member_to_remove(reach, status, 3, start + seconds(60)));
+}
+
+// Guards against a group that shrinks below what bears the losses that it
+// should bear: two lost disks of three are a lost log.
+TEST(group, a_group_that_bears_two_losses_keeps_five_members)
+{
+    EXPECT_EQ(wanted_members(0), 3U);
+    EXPECT_EQ(wanted_members(1), 3U);
+    EXPECT_EQ(wanted_members(2), 5U);
+    member_reach reach;
+    const auto has_link = [](const base::vm_id& vm) {
+        return vm.value() != "c";
+    };
+    const auto five = make_status({"a", "b", "c", "d", "e"});
+    observe_links(reach, five, self, has_link, start);
+    EXPECT_FALSE(member_to_remove(reach, five, 5, start + seconds(60)));
+    const auto six = make_status({"a", "b", "c", "d", "e", "f"});
+    EXPECT_EQ(
+        member_to_remove(reach, six, 5, start + seconds(60)), base::vm_id{"c"});
 }
 
 // Guards against a replaced machine that counts for the majority for ever, and
@@ -45,16 +64,17 @@
     };
     const auto learning = make_status({"a", "b", "c", "d"}, false);
     observe_links(reach, learning, self, has_link, start);
-    EXPECT_FALSE(member_to_remove(reach, learning, start + seconds(10)));
+    EXPECT_FALSE(member_to_remove(reach, learning, 3, start + seconds(10)));
     const auto voting = make_status({"a", "b", "c", "d"});
     observe_links(reach, voting, self, has_link, start + seconds(1));
-    EXPECT_FALSE(member_to_remove(reach, voting, start + seconds(2)));
+    EXPECT_FALSE(member_to_remove(reach, voting, 3, start + seconds(2)));
     EXPECT_EQ(
-        member_to_remove(reach, voting, start + seconds(3)), base::vm_id{"c"});
+        member_to_remove(reach, voting, 3, start + seconds(3)),
+        base::vm_id{"c"});
     // Only the leader removes, and only with a quorum.
     auto follower = voting;
     follower.role = replica::member_role::follower;
-    EXPECT_FALSE(member_to_remove(reach, follower, start + seconds(3)));
+    EXPECT_FALSE(member_to_remove(reach, follower, 3, start + seconds(3)));
 }
 
 // Guards against a member that was removed while it was away and never comes
--- a/oleanderhinge/control/program.cpp
+++ b/oleanderhinge/control/program.cpp
@@ -1,6 +1,7 @@
 #include "oleanderhinge/control/program.hpp"
 
 #include "oleanderhinge/control/settings.hpp"
+#include "oleanderhinge/control/standby.hpp"
 #include "oleanderhinge/net/process.hpp"
 #include "oleanderhinge/replica/node.hpp"
 #include "oleanderhinge/storage/file_system.hpp"
@@ -101,6 +102,59 @@
     return options;
 }
 
+void log_started(const base::vm_id& vm, const service_endpoints& open)
+{
+    spdlog::info(
+        "event=started role=control vm={} links={}:{} admin={}:{} "
+        "management={}:{}",
+        vm.value(),
+        open.link.address,
+        open.link.port,
+        open.admin.address,
+        open.admin.port,
+        open.management.address,
+        open.management.port);
+}
+
+// Starts a service or a standby.
+template <class Node>
+bool start(Node& node, const control_settings& chosen)
+{
+    return base::handle(
+        [&]() -> base::result<bool> {
+            BOOST_LEAF_AUTO(open, node.start());
+            log_started(chosen.service.link.self.vm, open);
+            return true;
+        },
+        [](const base::error& failure) {
+            spdlog::error("cannot start: {}", failure.detail);
+            return false;
+        });
+}
+
+void log_reload()
+{
+    // Members come from the log; seeds matter at the start only.
+    spdlog::info("event=reload ignored=settings");
+}
+
+int serve_without_disk(const control_settings& chosen)
+{
+    boost::asio::io_context io;
+    standby node(io, chosen.service);
+    spdlog::warn("event=no_disk vm={}", chosen.service.link.self.vm.value());
+    if (!start(node, chosen))
+        return exit_cannot_start;
+    return net::run_process(
+        io,
+        {.threads = 1,
+         .drain_limit = chosen.times.drain_limit,
+         .begin_drain = [] {},
+         .drained = [] { return true; },
+         .stop = [&] { node.stop(); },
+         .reload = log_reload});
+}
+
 int serve(const control_settings& chosen, const extension& added)
 {
     prepare_folder(chosen.data_folder);
@@ -115,26 +169,7 @@
             return open_log(
                 chosen, *files, std::move(machine), std::move(send));
         });
-    const bool started = base::handle(
-        [&]() -> base::result<bool> {
-            BOOST_LEAF_AUTO(open, control.start());
-            spdlog::info(
-                "{} serves links on {}:{}, admin on {}:{}, management on "
-                "{}:{}",
-                chosen.service.link.self.vm.value(),
-                open.link.address,
-                open.link.port,
-                open.admin.address,
-                open.admin.port,
-                open.management.address,
-                open.management.port);
-            return true;
-        },
-        [](const base::error& failure) {
-            spdlog::error("cannot start: {}", failure.detail);
-            return false;
-        });
-    if (!started)
+    if (!start(control, chosen))
         return exit_cannot_start;
     return net::run_process(
         io,
@@ -142,16 +177,12 @@
          .drain_limit = chosen.times.drain_limit,
          .begin_drain =
              [&] {
-                 spdlog::info("shutting down");
+                 spdlog::info("event=draining");
                  control.begin_drain();
              },
          .drained = [&] { return control.drained(); },
          .stop = [&] { control.stop(); },
-         .reload =
-             [] {
-                 // Members come from the log; seeds matter at the start only.
-                 spdlog::info("event=reload ignored=settings");
-             }});
+         .reload = log_reload});
 }
 
 int load_and_run(
@@ -165,7 +196,8 @@
                 std::cout << path << ": ok\n";
                 return 0;
             }
-            return serve(chosen, added);
+            return chosen.data_folder.empty() ? serve_without_disk(chosen)
+                                              : serve(chosen, added);
         },
         [&](const base::error& failure) {
             std::cerr << failure.detail << '\n';
--- a/oleanderhinge/control/service.cpp
+++ b/oleanderhinge/control/service.cpp
@@ -553,7 +553,11 @@
                 if (peer.sender == wire::role::control)
                     this->links.send(link, asking);
         }
-        if (const auto vm = member_to_remove(this->reach, status, now);
+        if (const auto vm = member_to_remove(
+                this->reach,
+                status,
+                wanted_members(this->options.tolerated_losses),
+                now);
             vm && !this->removing) {
             this->removing = true;
             spdlog::info("event=member_removing vm={}", vm->value());
--- a/oleanderhinge/control/service.hpp
+++ b/oleanderhinge/control/service.hpp
@@ -53,6 +53,8 @@
     // Nodes that find the group by seeds admit themselves, and members that
     // are lost are replaced; see control/group.hpp.
     bool self_managed = false;
+    // Members that may be lost at once; a self-managed group keeps enough.
+    std::uint32_t tolerated_losses = 1;
     // May be empty: no calls besides the admin API, no orders.
     std::function<net::http_handler(operations, net::http_handler admin)>
         extend_admin;
--- a/oleanderhinge/control/settings.cpp
+++ b/oleanderhinge/control/settings.cpp
@@ -182,7 +182,9 @@
          "",
          "",
          "",
-         "folder of the log and the snapshots"},
+         "folder of the log and the snapshots; without it the node keeps no "
+         "state, is no member and refuses every call",
+         true},
         {"control",
          "members",
          value_type::text,
@@ -209,6 +211,14 @@
          "",
          "",
          "whether the nodes of control.seeds may form a new group"},
+        {"control",
+         "tolerated_losses",
+         value_type::integer,
+         "1",
+         "0",
+         "10",
+         "members that may be lost at once; a group that finds itself by "
+         "control.seeds removes none below twice as many and one"},
         {"link",
          "listen",
          value_type::endpoint,
@@ -318,6 +328,8 @@
             checked.endpoint_list("control.seeds"),
             chosen.service.link_listen.port);
         chosen.service.self_managed = true;
+        chosen.service.tolerated_losses =
+            std::uint32_t(checked.integer("control.tolerated_losses"));
         chosen.forms_group = checked.boolean("control.first_start") &&
                              is_listed(chosen, chosen.service.link.self.vm);
     } else {
@@ -327,7 +339,8 @@
             "required");
     }
     chosen.service.initial_members = chosen.members;
-    chosen.data_folder = checked.text("node.data_folder");
+    if (checked.has("node.data_folder"))
+        chosen.data_folder = checked.text("node.data_folder");
     chosen.threads = unsigned(checked.integer("node.threads"));
     std::string faults;
     check_length(
--- a/oleanderhinge/control/settings.hpp
+++ b/oleanderhinge/control/settings.hpp
@@ -27,6 +27,7 @@
     // False: the group exists and admits this node.
     bool forms_group = true;
     std::vector<replica::member> members;
+    // Empty: this VM has no disk.
     std::string data_folder;
     unsigned threads = 2;
 };
--- a/tests/deploy_test.cpp
+++ b/tests/deploy_test.cpp
@@ -7,6 +7,7 @@
 
 #include <fstream>
 #include <map>
+#include <set>
 #include <sstream>
 
 namespace oleanderhinge::tests
@@ -15,7 +16,8 @@
 {
 
 // Values of the same form as the platform's.
-std::string fill_in(const std::string& name)
+std::string
+fill_in(const std::string& name, const std::set<std::string>& without = {})
 {
     const std::map<std::string, std::string> values{
         {"nodeName", "edge-glasgow-1"},
@@ -24,6 +26,7 @@
         {"ip", "10.1.0.40"},
         {"dataDirectory", "/data/control"},
         {"bootstrap", "true"},
+        {"faultTolerance.machines", "2"},
         {"seeds", "10.1.0.40:8229,10.2.0.29:8229,10.3.0.19:8229"},
         {"internalPorts.0", "7340"},
         {"listen.frontend", "10.1.0.40:8227"},
@@ -36,6 +39,19 @@
     std::ostringstream contents;
     contents << in.rdbuf();
     auto text = contents.str();
+    // Sections of a value are kept where there is one.
+    for (auto open = text.find("{{#"); open != text.npos;
+         open = text.find("{{#")) {
+        const auto close = text.find("}}", open);
+        const auto key = text.substr(open + 3, close - open - 3);
+        const auto end_mark = "{{/" + key + "}}";
+        const auto end = text.find(end_mark);
+        const auto inner = text.substr(close + 2, end - close - 2);
+        text.replace(
+            open,
+            end + end_mark.size() - open,
+            without.contains(key) ? "" : inner);
+    }
     for (auto open = text.find("{{"); open != text.npos;
          open = text.find("{{")) {
         const auto close = text.find("}}", open);
@@ -49,12 +65,16 @@
 }
 
 template <class Settings, class Load>
-Settings
-checked(const std::string& name, const settings::schema& keys, const Load& load)
+Settings checked(
+    const std::string& name,
+    const settings::schema& keys,
+    const Load& load,
+    const std::set<std::string>& without = {})
 {
     return base::handle(
         [&]() -> base::result<Settings> {
-            BOOST_LEAF_AUTO(values, settings::parse(fill_in(name), keys, name));
+            BOOST_LEAF_AUTO(
+                values, settings::parse(fill_in(name, without), keys, name));
             return load(values);
         },
         [](const base::error& e) -> Settings {
@@ -73,6 +93,19 @@
     EXPECT_LT(chosen.times.drain_limit, std::chrono::seconds(8));
 }
 
+// Guards against a control node that is started on a machine without a disk and
+// ends again and again.
+TEST(deploy, the_control_template_is_valid_without_a_disk)
+{
+    const auto chosen = checked<control::control_settings>(
+        "control.ini",
+        control::control_keys(),
+        control::load_settings,
+        {"dataDirectory"});
+    EXPECT_TRUE(chosen.data_folder.empty());
+    EXPECT_EQ(chosen.service.tolerated_losses, 2U);
+}
+
 TEST(deploy, the_control_template_gives_valid_settings)
 {
     const auto chosen = checked<control::control_settings>(
