gateway: a stream that is refused midway asks again while its caller waits

Change: a stream that has begun pauses for 200 ms after a refusal, or where the budget is empty, and asks again until its caller leaves; the route's limit of servers that may run it holds. serve_stream is split into its steps.

--- a/oleanderhinge/gateway/forwarder.cpp
+++ b/oleanderhinge/gateway/forwarder.cpp
@@ -33,6 +33,11 @@
 // `least_stall`, is continued elsewhere. Callers give up after 2 s.
 constexpr int stall_gaps = 6;
 constexpr auto least_stall = milliseconds(1500);
+// Callers of a stream leave after a silence of two seconds. Before that, a
+// stream whose servers refuse it is tried again after this time, in which some
+// ten requests of a path end.
+constexpr auto longest_silence = milliseconds(1800);
+constexpr auto stream_pause = milliseconds(200);
 // The first event may take this many times its target.
 constexpr double first_event_targets = 3.5;
 // After a loss of power gateways are back before control has a leader, which
@@ -274,57 +279,34 @@
 asio::awaitable<void> forwarder::serve_stream(forwarding_request& r)
 {
     while (true) {
-        const auto now = base::monotonic_now();
-        const auto found = choose_path(
-            this->choice, *r.service, r.tried, r.priority, this->random, now);
+        auto found = choose_path(
+            this->choice,
+            *r.service,
+            r.tried,
+            r.priority,
+            this->random,
+            base::monotonic_now());
         if (found.parts.empty()) {
+            if (co_await this->pause_stream(r))
+                continue;
             const auto why =
                 found.full
                     ? base::not_run(
                           failure_code::overloaded,
-                          "the memory of all paths is in use")
+                          "all paths are full or wait too long")
                     : base::not_run(
                           failure_code::no_server, "no path runs all layers");
             co_return co_await this->give_up(r, why);
         }
-        r.parts = found.parts;
-        r.path = fleet::describe(r.parts);
-        const auto first = r.parts.front().address;
-        note_started(this->choice, first);
-        r.progress = steady_now();
-        r.waits_for = {};
-        r.in_attempt = true;
-        auto result = co_await this->stream_once(r);
-        r.in_attempt = false;
-        if (result.end == attempt_end::failed && !r.waits_for.address.empty())
-            result.at_fault = r.waits_for;
-        note_ended(this->choice, first);
-        this->log_attempt(r, result, now);
-        if (result.end == attempt_end::answered) {
-            retry::note_success(this->budget);
-            for (const auto& part : r.parts)
-                this->choice.health[part.address].failures_in_a_row = 0;
+        const auto result =
+            co_await this->attempt_stream(r, std::move(found.parts));
+        if (result.end == attempt_end::answered)
             co_return;
-        }
         if (result.end == attempt_end::caller_left || r.caller_left) {
             r.outcome = "caller_left";
             co_return;
         }
-        if (!result.at_fault.address.empty()) {
-            r.tried.insert(result.at_fault);
-            if (result.why.state == base::execution::not_run &&
-                result.why.code == failure_code::server_failed)
-                note_refusal(
-                    this->choice, result.at_fault, base::monotonic_now());
-            else
-                note_failure(
-                    this->choice, result.at_fault, base::monotonic_now());
-        } else {
-            // Any of them may be at fault.
-            for (const auto& part : r.parts)
-                r.tried.insert(part.address);
-        }
-        if (!this->may_repeat(r, result.why, base::monotonic_now()))
+        if (!co_await this->may_go_on(r, result.why))
             co_return co_await this->give_up(r, result.why);
         if (r.head_sent) {
             begin_resume(r.events);
@@ -333,6 +315,80 @@
     }
 }
 
+// One attempt along a path; notes what it shows of the servers.
+asio::awaitable<forwarder::attempt_result>
+forwarder::attempt_stream(forwarding_request& r, fleet::path parts)
+{
+    const auto started = base::monotonic_now();
+    r.parts = std::move(parts);
+    r.path = fleet::describe(r.parts);
+    const auto first = r.parts.front().address;
+    note_started(this->choice, first);
+    r.progress = steady_now();
+    r.waits_for = {};
+    r.in_attempt = true;
+    auto result = co_await this->stream_once(r);
+    r.in_attempt = false;
+    if (result.end == attempt_end::failed && !r.waits_for.address.empty())
+        result.at_fault = r.waits_for;
+    note_ended(this->choice, first);
+    this->log_attempt(r, result, started);
+    if (result.end == attempt_end::answered) {
+        retry::note_success(this->budget);
+        for (const auto& part : r.parts)
+            this->choice.health[part.address].failures_in_a_row = 0;
+    } else if (result.end == attempt_end::failed && !r.caller_left)
+        this->note_fault(r, result);
+    co_return result;
+}
+
+void forwarder::note_fault(forwarding_request& r, const attempt_result& result)
+{
+    if (result.at_fault.address.empty()) {
+        // Any of them may be at fault.
+        for (const auto& part : r.parts)
+            r.tried.insert(part.address);
+        return;
+    }
+    r.tried.insert(result.at_fault);
+    if (result.why.state == base::execution::not_run &&
+        result.why.code == failure_code::server_failed)
+        note_refusal(this->choice, result.at_fault, base::monotonic_now());
+    else
+        note_failure(this->choice, result.at_fault, base::monotonic_now());
+}
+
+// Whether another attempt follows. A stream that has begun waits for it where
+// servers are short of memory or the retry budget is.
+asio::awaitable<bool>
+forwarder::may_go_on(forwarding_request& r, base::verdict why)
+{
+    const bool refused_midway =
+        r.head_sent && why.state == base::execution::not_run;
+    if (!refused_midway && this->may_repeat(r, why, base::monotonic_now()))
+        co_return true;
+    while (co_await this->pause_stream(r))
+        if (this->may_repeat(r, why, base::monotonic_now()))
+            co_return true;
+    co_return false;
+}
+
+// Waits a little with a stream that has begun, while its caller still waits
+// and another attempt is allowed; false otherwise.
+asio::awaitable<bool> forwarder::pause_stream(forwarding_request& r)
+{
+    if (!r.head_sent || r.caller_left || r.runs >= r.route->attempts ||
+        steady_now() >= r.last_event + longest_silence)
+        co_return false;
+    asio::steady_timer timer(this->io, stream_pause);
+    error_code ignored;
+    co_await timer.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+    // Memory comes free at servers that have refused.
+    r.tried.clear();
+    co_return !r.caller_left;
+}
+
 net::http_request forwarder::outgoing(
     const forwarding_request& r,
     const fleet::path& parts,
@@ -593,7 +649,8 @@
                this->budget,
                why,
                is_repeatable(*r.route),
-               base::attempt_number{r.attempts},
+               // A stream that has begun goes on while its caller waits.
+               base::attempt_number{r.head_sent ? 1 : r.attempts},
                left_until(r.deadline),
                this->random,
                now)
@@ -614,7 +671,7 @@
                     retry_after_spread_s * this->random.unit())));
     if (r.head_sent) {
         // The connection closes without the end of the stream.
-        r.outcome = "broken_off";
+        r.outcome = r.caller_left ? "caller_left" : "broken_off";
         co_return;
     }
     co_await this->refuse(r, whole);
--- a/oleanderhinge/gateway/forwarder.hpp
+++ b/oleanderhinge/gateway/forwarder.hpp
@@ -72,6 +72,12 @@
     call_once(forwarding_request& r, const chosen_server& to);
     boost::asio::awaitable<attempt_result> stream_once(forwarding_request& r);
     boost::asio::awaitable<attempt_result>
+    attempt_stream(forwarding_request& r, fleet::path parts);
+    void note_fault(forwarding_request& r, const attempt_result& result);
+    boost::asio::awaitable<bool>
+    may_go_on(forwarding_request& r, base::verdict why);
+    boost::asio::awaitable<bool> pause_stream(forwarding_request& r);
+    boost::asio::awaitable<attempt_result>
     open(forwarding_request& r, net::http_request to_send);
     boost::asio::awaitable<attempt_result>
     read_answer_head(forwarding_request& r, steady_time limit);
--- a/oleanderhinge/gateway/forwarder_test.cpp
+++ b/oleanderhinge/gateway/forwarder_test.cpp
@@ -453,6 +453,35 @@
     EXPECT_EQ(streams, 2);
 }
 
+// Pattern: a chain breaks, and the streams of all its callers ask the others
+// for memory at once. Guards against streams that end at the first refusal
+// while their callers still wait.
+TEST_F(forwarder_fixture, a_stream_that_is_refused_midway_asks_again)
+{
+    fleet::note_load(
+        this->choice.servers,
+        base::backend_server_id{"secondchat"},
+        {.slowness = 1000,
+         .layers = {base::layer_index{0}, base::layer_index{4}}});
+    int calls = 0;
+    this->first.behave =
+        [&](const net::http_request& request,
+            net::http_exchange& exchange) -> asio::awaitable<void> {
+        if (++calls == 1)
+            co_return co_await break_off(request, exchange);
+        if (calls <= 3)
+            co_return co_await refuse(request, exchange);
+        co_await stream(request, exchange);
+    };
+    this->second.behave = refuse;
+    const auto outcome = this->ask("/talk/x");
+    EXPECT_EQ(outcome.answer.status, 200U);
+    EXPECT_EQ(
+        outcome.answer.body,
+        "id: 1\ndata: a\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n");
+    EXPECT_GT(this->runs(), 3U);
+}
+
 // Guards against a stream that looks complete although its server broke off.
 TEST_F(forwarder_fixture, a_stream_that_cannot_go_on_does_not_end_properly)
 {
