net, control, gateway, platform: one log format, one link timing, dead code out

Cause: control wrote lines in another format than gateways and some without an event name, so that logs of several processes could not be merged; the timing of links was copied in four places; parts of the gateway were not used.

Change: net::set_log_format for all daemons; started, leader_elected, quorum, link_refused, plan and member lines name their event; net::timing_of; removed: upstream_pool::drop and opened, control_client::open_links, answer_facts' load, request_facts' token counts and the two names of the wire for them.

Ruled out: a change of behaviour; the tests are as before.

--- a/daemons/oleanderhinge_agent.cpp
+++ b/daemons/oleanderhinge_agent.cpp
@@ -40,7 +40,7 @@
     BOOST_LEAF_AUTO(bound, beside.start());
     BOOST_LEAF_AUTO(management_port, management.listen(options.management));
     spdlog::info(
-        "agent of {} on {}:{}, management on {}:{}",
+        "event=started role=agent server={} links={}:{} management={}:{}",
         options.server.value(),
         bound.links.address,
         bound.links.port,
@@ -52,13 +52,13 @@
          .drain_limit = options.timing.drain_limit,
          .begin_drain =
              [&] {
-                 spdlog::info("draining");
+                 spdlog::info("event=draining");
                  beside.begin_drain();
              },
          .drained = [&] { return beside.drained(); },
          .stop =
              [&] {
-                 spdlog::info("stopping");
+                 spdlog::info("event=stopped");
                  beside.stop();
                  management.shutdown();
              }});
@@ -86,6 +86,7 @@
     app.add_flag("--check-config", check_only, "check the settings and exit");
     app.set_version_flag("--version", agent::version());
     CLI11_PARSE(app, argc, argv);
+    net::set_log_format();
     return base::handle(
         [&] { return load_and_run(path, check_only); },
         [](const base::error& e) {
--- a/daemons/oleanderhinge_gateway.cpp
+++ b/daemons/oleanderhinge_gateway.cpp
@@ -72,6 +72,6 @@
     } catch (const CLI::ParseError& e) {
         return app.exit(e) == 0 ? 0 : exit_usage;
     }
-    spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%f%z %l %v");
+    net::set_log_format();
     return run(file, check_only);
 }
--- a/oleanderhinge/agent/internal/runtime.cpp
+++ b/oleanderhinge/agent/internal/runtime.cpp
@@ -32,11 +32,7 @@
     to.self.sender_incarnation = own;
     to.self.region = options.region;
     to.self.data_centre = options.data_centre;
-    to.timing.busy_heartbeat = options.timing.link_busy_heartbeat;
-    to.timing.busy_silence = options.timing.link_busy_silence;
-    to.timing.idle_heartbeat = options.timing.link_idle_heartbeat;
-    to.timing.idle_silence = options.timing.link_idle_silence;
-    to.timing.handshake = options.timing.link_handshake;
+    to.timing = net::timing_of(options.timing);
     return to;
 }
 
--- a/oleanderhinge/control/admin_api.cpp
+++ b/oleanderhinge/control/admin_api.cpp
@@ -323,7 +323,7 @@
                 objects_of(reply.content);
             this->numbers.plans_confirmed.Increment();
             this->events.record(event_kind::plan_confirmed, text);
-            spdlog::info("{}", text);
+            spdlog::info("event=plan_confirmed detail=\"{}\"", text);
         }
         return {.body = to_json(reply.content)};
     case outcome::conflict:
@@ -473,7 +473,7 @@
 {
     const auto text = vm.value() + " " + how;
     this->events.record(event_kind::member_changed, text);
-    spdlog::info("member {}", text);
+    spdlog::info("event=member_changed detail=\"{}\"", text);
     return this->members();
 }
 
--- a/oleanderhinge/control/program.cpp
+++ b/oleanderhinge/control/program.cpp
@@ -218,6 +218,7 @@
         std::string("oleanderhinge-control ") + OLEANDERHINGE_VERSION);
     app.add_option("--config", path, "settings file")->required();
     app.add_flag("--check-config", check_only, "check the settings and exit");
+    net::set_log_format();
     try {
         app.parse(argc, argv);
         return load_and_run(path, check_only, added);
--- a/oleanderhinge/control/service.cpp
+++ b/oleanderhinge/control/service.cpp
@@ -170,7 +170,9 @@
     {
         if (peer.sender == wire::role::agent ||
             !opened(this->peers, link, peer.vm)) {
-            spdlog::warn("link to {} closed: unexpected peer", peer.vm.value());
+            spdlog::warn(
+                "event=link_refused peer={} reason=\"unexpected peer\"",
+                peer.vm.value());
             this->links.close(link);
             return;
         }
@@ -770,10 +772,14 @@
         const bool had_quorum = this->watch.quorum;
         for (const auto& item : observe(this->watch, status, now)) {
             this->events.record(item.kind, item.detail);
-            spdlog::info("{}: {}", timeline::to_string(item.kind), item.detail);
+            spdlog::info(
+                "event={} detail=\"{}\"",
+                timeline::to_string(item.kind),
+                item.detail);
         }
         if (!had_quorum && status.quorum)
-            spdlog::info("quorum present, leader {}", status.leader.value());
+            spdlog::info(
+                "event=quorum_present leader={}", status.leader.value());
         this->connect_peers(status, now);
         // Without another node to name, subscribers stay: they would not come
         // back by themselves.
--- a/oleanderhinge/control/settings.cpp
+++ b/oleanderhinge/control/settings.cpp
@@ -135,12 +135,7 @@
     options.self.region = base::region_id{checked.text("node.region")};
     options.self.data_centre =
         base::data_centre_id{checked.text("node.data_centre")};
-    options.timing = {
-        times.link_busy_heartbeat,
-        times.link_busy_silence,
-        times.link_idle_heartbeat,
-        times.link_idle_silence,
-        times.link_handshake};
+    options.timing = net::timing_of(times);
     return options;
 }
 
--- a/oleanderhinge/entry/entry_node.cpp
+++ b/oleanderhinge/entry/entry_node.cpp
@@ -78,7 +78,6 @@
 
 net::link_options entry_node::make_link_options() const
 {
-    const auto& times = this->options.times;
     net::link_options to;
     to.cluster_secret = this->options.cluster_secret;
     to.self.sender = wire::role::entry;
@@ -86,12 +85,7 @@
     to.self.sender_incarnation = this->self;
     to.self.region = this->options.here.region;
     to.self.data_centre = this->options.here.data_centre;
-    to.timing = {
-        times.link_busy_heartbeat,
-        times.link_busy_silence,
-        times.link_idle_heartbeat,
-        times.link_idle_silence,
-        times.link_handshake};
+    to.timing = net::timing_of(this->options.times);
     return to;
 }
 
--- a/oleanderhinge/gateway/control_client.cpp
+++ b/oleanderhinge/gateway/control_client.cpp
@@ -154,14 +154,6 @@
         });
 }
 
-std::size_t control_client::open_links() const
-{
-    return std::size_t(std::count_if(
-        this->members.begin(), this->members.end(), [](const auto& item) {
-            return item.second.open;
-        }));
-}
-
 base::revision control_client::revision() const
 {
     return membership::revision_of(this->view);
--- a/oleanderhinge/gateway/control_client.hpp
+++ b/oleanderhinge/gateway/control_client.hpp
@@ -78,7 +78,6 @@
 
     // True once a configuration was confirmed as the newest one.
     bool was_confirmed() const { return this->view.confirmed; }
-    std::size_t open_links() const;
     base::revision revision() const;
 
 private:
--- a/oleanderhinge/gateway/dialect.hpp
+++ b/oleanderhinge/gateway/dialect.hpp
@@ -36,8 +36,6 @@
     std::string key;
     // Events up to this one have arrived; empty: none.
     std::string last_event;
-    std::uint32_t prompt_tokens = 0;
-    std::uint32_t most_answer_tokens = 0;
 };
 
 // What the gateway tells a backend server.
@@ -64,13 +62,6 @@
     bool sealed = false;
     // The server of the path that was at fault; empty address: not stated.
     wire::endpoint at_fault;
-    // Requests that run and wait at the server, and its slots.
-    struct load {
-        std::uint32_t running = 0;
-        std::uint32_t waiting = 0;
-        std::uint32_t slots = 0;
-    };
-    std::optional<load> reported;
 };
 
 // A request that stands still at the first server of its path, and the server
--- a/oleanderhinge/gateway/gateway_node.cpp
+++ b/oleanderhinge/gateway/gateway_node.cpp
@@ -59,7 +59,6 @@
 
 net::link_options gateway_node::link_options() const
 {
-    const auto& times = this->options.times;
     net::link_options to;
     to.cluster_secret = this->options.cluster_secret;
     to.self.sender = wire::role::entry;
@@ -67,12 +66,7 @@
     to.self.sender_incarnation = this->self;
     to.self.region = this->options.region;
     to.self.data_centre = this->options.data_centre;
-    to.timing = {
-        times.link_busy_heartbeat,
-        times.link_busy_silence,
-        times.link_idle_heartbeat,
-        times.link_idle_silence,
-        times.link_handshake};
+    to.timing = net::timing_of(this->options.times);
     return to;
 }
 
--- a/oleanderhinge/gateway/upstream.cpp
+++ b/oleanderhinge/gateway/upstream.cpp
@@ -150,7 +150,6 @@
             failed == asio::error::would_block)
             return candidate.line;
     }
-    ++this->connections_opened;
     return std::make_shared<upstream_connection>(this->io, server, true);
 }
 
@@ -170,9 +169,4 @@
         kept.push_back({std::move(line), now});
 }
 
-void upstream_pool::drop(const wire::endpoint& server)
-{
-    this->idle.erase(server);
-}
-
 } // namespace oleanderhinge::gateway
--- a/oleanderhinge/gateway/upstream.hpp
+++ b/oleanderhinge/gateway/upstream.hpp
@@ -99,9 +99,6 @@
     upstream_pointer take(const wire::endpoint& server, net::reuse allowed);
     // Keeps the connection if another request may follow on it.
     void keep(upstream_pointer line);
-    // Closes what is kept for the server.
-    void drop(const wire::endpoint& server);
-    std::size_t opened() const { return this->connections_opened; }
 
 private:
     struct kept_connection {
@@ -111,7 +108,6 @@
 
     boost::asio::io_context& io;
     std::map<wire::endpoint, std::vector<kept_connection>> idle;
-    std::size_t connections_opened = 0;
 };
 
 } // namespace oleanderhinge::gateway
--- a/oleanderhinge/net/link_health.cpp
+++ b/oleanderhinge/net/link_health.cpp
@@ -3,6 +3,16 @@
 namespace oleanderhinge::net
 {
 
+link_timing timing_of(const settings::timing& times)
+{
+    return {
+        times.link_busy_heartbeat,
+        times.link_busy_silence,
+        times.link_idle_heartbeat,
+        times.link_idle_silence,
+        times.link_handshake};
+}
+
 link_health healthy_since(base::time_point now)
 {
     link_health health;
--- a/oleanderhinge/net/link_health.hpp
+++ b/oleanderhinge/net/link_health.hpp
@@ -10,6 +10,7 @@
 #pragma once
 
 #include "oleanderhinge/base/time.hpp"
+#include "oleanderhinge/settings/timing.hpp"
 
 #include <chrono>
 #include <cstdint>
@@ -27,6 +28,8 @@
     base::duration handshake = std::chrono::milliseconds(1000);
 };
 
+link_timing timing_of(const settings::timing& times);
+
 struct link_health {
     base::time_point last_received;
     // Time of the oldest ping without its pong; meaningful while `waiting`.
--- a/oleanderhinge/net/process.cpp
+++ b/oleanderhinge/net/process.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <spdlog/spdlog.h>
 
 #include <algorithm>
 #include <csignal>
@@ -105,6 +106,11 @@
 
 } // namespace
 
+void set_log_format()
+{
+    spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%f%z %l %v");
+}
+
 int run_process(asio::io_context& io, const process_options& options)
 {
     const auto work = asio::make_work_guard(io);
--- a/oleanderhinge/net/process.hpp
+++ b/oleanderhinge/net/process.hpp
@@ -33,6 +33,10 @@
     std::function<void()> reload = {};
 };
 
+// Log lines on standard output: time, level and the line, in the same form for
+// all daemons, so that the lines of several processes can be merged.
+void set_log_format();
+
 // Runs `io` until the process has been told to end. The first signal starts
 // the drain; a second one or the limit ends it at once. Returns the exit code:
 // 0 after a complete drain, 3 if work was cut off. SIGHUP never ends it.
