admin: follow a request through the logs of several processes

Cause: the way from a failed request to its cause led by hand through the logs of all gateways and of control.

Change: `oleanderhinge follow REQUEST LOG...` prints the request's own lines, those of trouble with its servers and of what its gateway learned in the five seconds before, in order of time.

Ruled out: what other gateways learned of the servers: a gateway that restarts writes every server, which drowned the rest.

--- a/oleanderhinge/admin/program.cpp
+++ b/oleanderhinge/admin/program.cpp
@@ -1,6 +1,7 @@
 #include "oleanderhinge/admin/program.hpp"
 
 #include "oleanderhinge/admin/client.hpp"
+#include "oleanderhinge/admin/follow.hpp"
 #include "oleanderhinge/admin/print.hpp"
 #include "oleanderhinge/base/random.hpp"
 
@@ -29,6 +30,7 @@
     "  oleanderhinge plan create -f intents.json\n"
     "  oleanderhinge plan confirm 2f1c9e5d0b7a4c33\n"
     "  oleanderhinge server drain gpu-17 --yes\n"
+    "  oleanderhinge follow 9c41d07be2a35f68 edge-1.log control.log\n"
     "  oleanderhinge timeline --from 127.0.0.1:7701,127.0.0.1:7702\n"
     "Exit codes: 0 ok, 1 refused or invalid, 2 usage, 3 conflict,\n"
     "4 unavailable.";
@@ -44,6 +46,7 @@
     std::string link;
     std::string admin;
     std::string from;
+    std::vector<std::string> files;
     // Set by the chosen subcommand.
     std::function<int()> run;
 };
@@ -286,6 +289,20 @@
     return code;
 }
 
+int show_request(const command_line& line)
+{
+    std::vector<log_file> logs;
+    for (const auto& file : line.files)
+        logs.push_back({file, read_file(file)});
+    const auto lines = follow(logs, line.id);
+    for (const auto& item : lines)
+        std::cout << item.source << ": " << item.text << '\n';
+    if (!lines.empty())
+        return exit_ok;
+    std::cerr << "no line names the request " << line.id << '\n';
+    return exit_refused;
+}
+
 void add_plan_commands(CLI::App& app, command_line& line)
 {
     auto* plan = app.add_subcommand("plan", "make, show or confirm a plan");
@@ -342,6 +359,11 @@
         app.add_subcommand("timeline", "merge the events of several processes");
     merged->add_option("--from", line.from, "management endpoints")->required();
     merged->callback([&] { line.run = [&] { return show_timeline(line); }; });
+    auto* followed = app.add_subcommand(
+        "follow", "lines of several logs that explain a request");
+    followed->add_option("request", line.id, "id of the request")->required();
+    followed->add_option("logs", line.files, "log files")->required();
+    followed->callback([&] { line.run = [&] { return show_request(line); }; });
 }
 
 void add_member_commands(CLI::App& app, command_line& line)
