control, gateway: service and forwarder in files of one subject

No line of logic was changed.

Ruled out: a change of behaviour: the functions were moved as they are.

--- /dev/null
+++ b/oleanderhinge/control/internal/service_fleet.cpp
@@ -0,0 +1,261 @@
+#include "oleanderhinge/control/internal/service_impl.hpp"
+
+namespace oleanderhinge::control
+{
+
+namespace
+{
+
+const char* operation_name(operation_state state)
+{
+    switch (state) {
+    case operation_state::done:
+        return "done";
+    case operation_state::elsewhere:
+        return "elsewhere";
+    case operation_state::unavailable:
+        return "unavailable";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+net::http_limits service::impl::admin_limits() const
+{
+    net::http_limits limits;
+    // The largest forwarding table is 4 MiB.
+    limits.body_bytes = std::size_t(5) << 20;
+    return limits;
+}
+
+net::http_handler service::impl::admin_handler()
+{
+    auto own = this->api.handler();
+    if (!this->options.extend_admin)
+        return own;
+    return this->options.extend_admin(
+        {.replace_forwarding =
+             [this](auto command, auto done) {
+                 this->replace_forwarding(std::move(command), std::move(done));
+             },
+         .read_forwarding =
+             [this](auto done) { this->read_forwarding(std::move(done)); },
+         .report_server =
+             [this](wire::server_record record) {
+                 this->on_strand([this, record = std::move(record)] {
+                     this->on_report(record, false);
+                 });
+             }},
+        std::move(own));
+}
+
+wire::endpoint service::impl::leader_endpoint() const
+{
+    const auto status = this->consensus.log->status();
+    for (const auto& item : status.members)
+        if (item.vm == status.leader && item.vm != this->self)
+            return item.admin;
+    return {};
+}
+
+void service::impl::replace_forwarding(
+    control_state::replace_forwarding command,
+    std::function<void(replace_outcome)> done)
+{
+    const auto version = command.table.version;
+    this->consensus.log->propose(
+        control_state::encode(command),
+        [this, version, done = std::move(done)](
+            const replica::propose_result& result) {
+            replace_outcome outcome;
+            if (result.state == replica::propose_state::not_leader)
+                outcome = this->not_here<replace_outcome>();
+            else if (result.state == replica::propose_state::applied)
+                outcome = applied_replacement(result);
+            spdlog::info(
+                "event=replace_forwarding version={} outcome={} "
+                "version_in_force={} index={}",
+                version,
+                operation_name(outcome.state),
+                outcome.reply.version_in_force,
+                result.index.value());
+            done(outcome);
+        });
+}
+
+replace_outcome
+service::impl::applied_replacement(const replica::propose_result& result)
+{
+    return base::handle(
+        [&]() -> base::result<replace_outcome> {
+            BOOST_LEAF_AUTO(reply, control_state::decode_reply(result.reply));
+            const auto* replaced =
+                std::get_if<control_state::replace_reply>(&reply);
+            if (replaced == nullptr)
+                return base::fail(base::error_code::malformed, "another reply");
+            return replace_outcome{operation_state::done, {}, *replaced};
+        },
+        [](const base::error& failure) -> replace_outcome {
+            spdlog::error(
+                "event=replace_forwarding reply is unreadable: {}",
+                failure.detail);
+            return {};
+        });
+}
+
+void service::impl::read_forwarding(std::function<void(document_outcome)> done)
+{
+    const auto status = this->consensus.log->status();
+    if (status.role != replica::member_role::leader)
+        return done(this->not_here<document_outcome>());
+    this->consensus.log->read_barrier([this, done = std::move(done)](
+                                          replica::barrier_result result) {
+        document_outcome outcome;
+        if (result.ok)
+            outcome = this->state.read([](const control_state::state& from) {
+                return document_outcome{
+                    operation_state::done,
+                    {},
+                    from.config.forwarding.version,
+                    from.forwarding_document};
+            });
+        done(outcome);
+    });
+}
+
+void service::impl::on_report(const wire::server_record& record, bool relayed)
+{
+    const auto outcome =
+        report(this->fleet, record, relayed, base::monotonic_now());
+    if (outcome != fleet::report_outcome::changed)
+        return;
+    spdlog::info(
+        "event=server_changed server={} state={} address={}:{} "
+        "layers={}-{} started_ms={} sequence={} age_ms={} relayed={}",
+        record.id.value(),
+        int(record.state),
+        record.address,
+        record.port,
+        record.layers.first.value(),
+        record.layers.end.value(),
+        record.started_ms,
+        record.sequence,
+        record.age_ms,
+        relayed);
+    this->send_servers();
+}
+
+void service::impl::on_suspicion(
+    net::link_id from, const wire::server_suspicion& doubt)
+{
+    const auto now = base::monotonic_now();
+    if (!fleet::suspect(
+            this->fleet.servers,
+            doubt.server,
+            now - std::chrono::milliseconds(doubt.age_ms)))
+        return;
+    spdlog::warn(
+        "event=server_suspected address={}:{} age_ms={} from={}",
+        doubt.server.address,
+        doubt.server.port,
+        doubt.age_ms,
+        this->known[from].vm.value());
+    for (const auto& [link, peer] : this->known)
+        if (link != from && (peer.sender == wire::role::entry ||
+                             link_to(this->peers, peer.vm) == link))
+            this->links.send(link, doubt);
+}
+
+void service::impl::send_servers()
+{
+    const auto batches = take_changes(this->fleet, base::monotonic_now());
+    if (batches.for_gateways.records.empty())
+        return;
+    for (const auto& [link, peer] : this->known) {
+        if (peer.sender == wire::role::entry)
+            this->links.send(link, batches.for_gateways);
+        else if (
+            !batches.for_members.records.empty() &&
+            link_to(this->peers, peer.vm) == link)
+            this->links.send(link, batches.for_members);
+    }
+}
+
+void service::impl::place_layers(
+    const replica::log_status& status, base::time_point now)
+{
+    if (!this->options.give_order)
+        return;
+    const bool leads =
+        status.role == replica::member_role::leader && status.quorum;
+    const auto orders = this->state.read([&](const control_state::state& from) {
+        return plan_orders(
+            this->fleet, from.config.forwarding, from.places, leads, now);
+    });
+    if (leads)
+        for (auto& record : due_records(this->fleet)) {
+            spdlog::info(
+                "event=record_places service={} servers={}",
+                record.service,
+                record.places.size());
+            this->consensus.log->propose(
+                control_state::encode(record),
+                [](const replica::propose_result& result) {
+                    if (result.state != replica::propose_state::applied)
+                        spdlog::warn(
+                            "event=record_places_failed state={}",
+                            int(result.state));
+                });
+        }
+    for (const auto& order : orders) {
+        spdlog::info(
+            "event=order server={} layers={}-{} term={}",
+            order.server.value(),
+            order.layers.first.value(),
+            order.layers.end.value(),
+            status.current_term.value());
+        this->options.give_order(order, [order](order_result result) {
+            if (result != order_result::accepted)
+                spdlog::warn(
+                    "event=order_failed server={} result={}",
+                    order.server.value(),
+                    result == order_result::refused ? "refused" : "unknown");
+        });
+    }
+}
+
+void service::impl::ask_for_loads(
+    const replica::log_status& status, base::time_point now)
+{
+    if (!this->options.read_load)
+        return;
+    const bool leads =
+        status.role == replica::member_role::leader && status.quorum;
+    const auto due = this->state.read([&](const control_state::state& from) {
+        return due_for_load(this->fleet, from.config.forwarding, leads, now);
+    });
+    for (const auto& server : due)
+        this->options.read_load(
+            {server.address, server.port},
+            [this, id = server.id](std::optional<wire::engine_load> load) {
+                if (load)
+                    this->on_strand([this, id, load = *load] {
+                        if (fleet::note_load(this->fleet.servers, id, load))
+                            this->fleet.changed.insert(id);
+                        this->new_loads.items.push_back({id, load});
+                    });
+            });
+}
+
+void service::impl::send_loads()
+{
+    if (this->new_loads.items.empty())
+        return;
+    for (const auto& [link, peer] : this->known)
+        if (peer.sender == wire::role::entry)
+            this->links.send(link, this->new_loads);
+    this->new_loads.items.clear();
+}
+
+} // namespace oleanderhinge::control
--- /dev/null
+++ b/oleanderhinge/control/internal/service_links.cpp
@@ -0,0 +1,117 @@
+#include "oleanderhinge/control/internal/service_impl.hpp"
+
+namespace oleanderhinge::control
+{
+
+using timeline::event_kind;
+
+net::link_events service::impl::link_handlers()
+{
+    return {
+        .opened =
+            [this](net::link_id link, const wire::hello& peer) {
+                this->on_strand(
+                    [this, link, peer] { this->on_opened(link, peer); });
+            },
+        .received =
+            [this](net::link_id link, wire::message content) {
+                this->on_strand(
+                    [this, link, content = std::move(content)]() mutable {
+                        this->on_message(link, std::move(content));
+                    });
+            },
+        .closed =
+            [this](net::link_id link, net::close_reason reason, bool) {
+                this->on_strand(
+                    [this, link, reason] { this->on_closed(link, reason); });
+            }};
+}
+
+consensus_sender service::impl::sender()
+{
+    return [this](const base::vm_id& to, wire::consensus_message content) {
+        this->on_strand([this, to, content = std::move(content)] {
+            if (const auto link = this->link_of(to))
+                this->links.send(*link, content);
+        });
+    };
+}
+
+std::optional<net::link_id> service::impl::link_of(const base::vm_id& vm) const
+{
+    if (const auto own = link_to(this->peers, vm))
+        return own;
+    for (const auto& [link, peer] : this->known)
+        if (peer.sender == wire::role::control && peer.vm == vm)
+            return link;
+    return std::nullopt;
+}
+
+void service::impl::on_opened(net::link_id link, const wire::hello& peer)
+{
+    if (peer.sender == wire::role::agent ||
+        !opened(this->peers, link, peer.vm)) {
+        spdlog::warn(
+            "event=link_refused peer={} reason=\"unexpected peer\"",
+            peer.vm.value());
+        this->links.close(link);
+        return;
+    }
+    this->known.insert_or_assign(link, peer);
+    // A silent link between members delays elections, so the short limits
+    // apply to it all the time.
+    if (peer.sender == wire::role::control)
+        this->links.set_busy(link, true);
+    this->events.record(event_kind::link_opened, peer.vm.value());
+    spdlog::info("event=link_opened peer={}", peer.vm.value());
+}
+
+void service::impl::on_closed(net::link_id link, net::close_reason reason)
+{
+    closed(this->peers, link, base::monotonic_now(), this->random);
+    forget(this->feed, link);
+    this->count_subscribers();
+    const auto found = this->known.find(link);
+    if (found == this->known.end())
+        return;
+    this->events.record(
+        event_kind::link_closed,
+        found->second.vm.value() + ": " + net::to_string(reason));
+    spdlog::info(
+        "event=link_closed peer={} reason={}",
+        found->second.vm.value(),
+        net::to_string(reason));
+    this->known.erase(found);
+}
+
+void service::impl::on_message(net::link_id link, wire::message&& content)
+{
+    const auto peer = this->known.find(link);
+    if (peer == this->known.end())
+        return;
+    if (auto* consensus_part = std::get_if<wire::consensus_message>(&content)) {
+        if (peer->second.sender == wire::role::control &&
+            this->consensus.receive)
+            this->consensus.receive(
+                peer->second.vm, std::move(*consensus_part));
+    } else if (const auto* wanted = std::get_if<wire::subscribe>(&content)) {
+        this->on_subscribe(link, *wanted);
+    } else if (const auto* claim = std::get_if<wire::claim_request>(&content)) {
+        this->on_claim(link, *claim);
+    } else if (
+        const auto* report = std::get_if<wire::outcome_report>(&content)) {
+        this->on_outcome(link, *report);
+    } else if (const auto* batch = std::get_if<wire::server_batch>(&content)) {
+        if (peer->second.sender == wire::role::control)
+            for (const auto& record : batch->records)
+                this->on_report(record, true);
+    } else if (
+        const auto* doubt = std::get_if<wire::server_suspicion>(&content)) {
+        this->on_suspicion(link, *doubt);
+    } else if (const auto* asking = std::get_if<wire::join_request>(&content)) {
+        if (peer->second.sender == wire::role::control)
+            this->on_join_request(*asking);
+    }
+}
+
+} // namespace oleanderhinge::control
--- a/oleanderhinge/fleet/internal/chains.cpp
+++ b/oleanderhinge/fleet/internal/chains.cpp
@@ -127,8 +127,6 @@
 
 } // namespace
 
-// Groups of servers that hold copies of their own: data centres, or the whole
-// fleet if some data centre is too small for a copy.
 std::vector<group>
 copy_groups(placement& plan, const wire::engine_profile& profile)
 {
--- a/oleanderhinge/gateway/stall_watch.cpp
+++ b/oleanderhinge/gateway/stall_watch.cpp
@@ -12,7 +12,6 @@
 
 namespace asio = boost::asio;
 using std::chrono::milliseconds;
-using std::chrono::steady_clock;
 
 namespace
 {
@@ -26,13 +25,6 @@
 constexpr auto answer_limit = milliseconds(200);
 constexpr std::size_t kept_connections = 1;
 
-double ms_since(steady_time start)
-{
-    return std::chrono::duration<double, std::milli>(
-               steady_clock::now() - start)
-        .count();
-}
-
 bool stands_still(const forwarding_request& r, steady_time now)
 {
     return r.in_attempt && r.line && !r.changes_path &&
@@ -68,7 +60,7 @@
 
 void stall_watch::tick()
 {
-    const auto now = steady_clock::now();
+    const auto now = steady_now();
     this->choice.first_event_waits.clear();
     for (const auto& [id, r] : this->requests) {
         if (r->in_attempt && r->line && r->events.taken == 0) {
@@ -89,7 +81,7 @@
 
 asio::awaitable<void> stall_watch::ask(wire::endpoint first)
 {
-    const auto started = steady_clock::now();
+    const auto started = steady_now();
     auto call = this->speak.ask_state();
     const auto outcome = co_await this->client.call(
         first, std::move(call), answer_limit, net::reuse::allowed);
@@ -191,7 +183,7 @@
     this->numbers.changed_paths.Increment();
     r.parts = std::move(parts);
     r.path = fleet::describe(r.parts);
-    r.progress = steady_clock::now();
+    r.progress = steady_now();
 }
 
 } // namespace oleanderhinge::gateway
--- a/oleanderhinge/gateway/upstream.hpp
+++ b/oleanderhinge/gateway/upstream.hpp
@@ -12,6 +12,7 @@
 #pragma once
 
 #include "oleanderhinge/gateway/dialect.hpp"
+#include "oleanderhinge/gateway/steady_time.hpp"
 #include "oleanderhinge/net/http_client.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -40,8 +41,6 @@
 // Kept connections of one server.
 inline constexpr std::size_t most_kept = 64;
 
-using steady_time = std::chrono::steady_clock::time_point;
-
 class upstream_connection
 {
 public:
