fleet: chains of a length that engines accept, and a division that scales

Change: chains of too many parts are left out, numbers of chains end where the memory does, chains of the same kinds of servers are divided once.

Ruled out: fewer candidates for first servers: on today's sites the best choice would be missed.

--- a/oleanderhinge/fleet/internal/chains.cpp
+++ b/oleanderhinge/fleet/internal/chains.cpp
@@ -1,6 +1,7 @@
 #include "oleanderhinge/fleet/internal/chains.hpp"
 
 #include "oleanderhinge/fleet/division.hpp"
+#include "oleanderhinge/fleet/paths.hpp"
 
 #include <algorithm>
 #include <map>
@@ -85,6 +86,7 @@
 std::vector<part_shape> shapes_of(const std::vector<chain_part>& parts)
 {
     std::vector<part_shape> shapes;
+    shapes.reserve(parts.size());
     for (const auto& part : parts)
         shapes.push_back(part.shape);
     return shapes;
@@ -96,7 +98,9 @@
 };
 
 // The choice of first servers and the division that serve the most requests.
-divided_chain divide_chain(const wire::engine_profile& profile, group chain)
+// Empty if the model does not fit, or only with more parts than engines accept.
+divided_chain
+divide_chain(const wire::engine_profile& profile, const group& chain)
 {
     std::map<std::string, std::size_t> kinds;
     for (const auto* server : chain)
@@ -105,6 +109,8 @@
     for (const auto& [kind, available] : kinds) {
         const auto most = std::min(available, most_first_servers);
         for (std::size_t count = 1; count <= most; ++count) {
+            if (chain.size() - count + 1 > path_costs{}.most_parts)
+                continue;
             auto parts = with_first_servers(profile, chain, kind, count);
             auto layers = divide_layers(profile, shapes_of(parts));
             if (layers.per_second > best.layers.per_second)
@@ -125,6 +131,57 @@
     }
 }
 
+// Rates by the kinds of a chain: chains of one deal are mostly alike.
+using known_rates = std::map<std::map<std::string, std::size_t>, double>;
+
+// Requests a second; 0 if the chain cannot hold the model.
+double rate_of(
+    const wire::engine_profile& profile, const group& chain, known_rates& known)
+{
+    std::map<std::string, std::size_t> kinds;
+    for (const auto* server : chain)
+        ++kinds[server->kind];
+    const auto [found, is_new] = known.try_emplace(std::move(kinds), 0);
+    if (is_new)
+        found->second = divide_chain(profile, chain).layers.per_second;
+    return found->second;
+}
+
+double memory_of(const group& members)
+{
+    return std::accumulate(
+        members.begin(),
+        members.end(),
+        0.0,
+        [](double sum, const auto* server) { return sum + server->memory_mb; });
+}
+
+// The deal of the members to chains that serves the most requests.
+std::vector<group>
+best_chains(const wire::engine_profile& profile, const group& members)
+{
+    const double copies =
+        memory_of(members) / (profile.layer_mb * profile.layer_count);
+    known_rates known;
+    std::vector<group> best;
+    double best_rate = 0;
+    for (std::size_t count = 1; double(count) <= copies; ++count) {
+        auto chains = deal(members, count);
+        double rate = 0;
+        bool complete = true;
+        for (const auto& chain : chains) {
+            const double one = rate_of(profile, chain, known);
+            complete = complete && one > 0;
+            rate += one;
+        }
+        if (complete && rate > best_rate) {
+            best = std::move(chains);
+            best_rate = rate;
+        }
+    }
+    return best;
+}
+
 } // namespace
 
 std::vector<group>
@@ -138,14 +195,8 @@
     }
     std::vector<group> groups;
     for (auto& [place, members] : by_place) {
-        const double memory = std::accumulate(
-            members.begin(),
-            members.end(),
-            0.0,
-            [](double sum, const auto* server) {
-                return sum + server->memory_mb;
-            });
-        if (memory < profile.layer_mb * profile.layer_count * least_memory)
+        if (memory_of(members) <
+            profile.layer_mb * profile.layer_count * least_memory)
             return {everything};
         groups.push_back(std::move(members));
     }
@@ -154,28 +205,11 @@
 
 void assign_group(const wire::engine_profile& profile, const group& members)
 {
-    std::vector<divided_chain> best;
-    double best_rate = 0;
-    for (std::size_t count = 1; count <= members.size(); ++count) {
-        std::vector<divided_chain> chains;
-        double rate = 0;
-        for (const auto& chain : deal(members, count)) {
-            chains.push_back(divide_chain(profile, chain));
-            if (chains.back().parts.empty())
-                break;
-            rate += chains.back().layers.per_second;
-        }
-        if (chains.back().parts.empty())
-            break;
-        if (rate > best_rate) {
-            best = std::move(chains);
-            best_rate = rate;
-        }
-    }
+    const auto best = best_chains(profile, members);
     for (auto* server : members)
         server->layers = {};
     for (const auto& chain : best)
-        give_places(chain);
+        give_places(divide_chain(profile, chain));
 }
 
 } // namespace oleanderhinge::fleet::internal
--- a/oleanderhinge/fleet/placement_test.cpp
+++ b/oleanderhinge/fleet/placement_test.cpp
@@ -233,6 +233,26 @@
         EXPECT_TRUE(is_complete(this->path_inside(place), 80)) << place;
 }
 
+// Guards against chains that engines reject for their length, where a data
+// centre has many small servers: several shorter ones are divided.
+TEST_F(fleet_fixture, a_large_data_centre_gets_chains_that_engines_accept)
+{
+    this->servers.clear();
+    this->profile.kinds.push_back({"small", 4400, 5, 8});
+    this->add("polva", 3, 0, 0);
+    for (int i = 0; i < 40; ++i) {
+        auto small = this->servers.front();
+        small.id = base::backend_server_id{"small" + std::to_string(i)};
+        small.address = small.id.value();
+        small.kind = "small";
+        this->servers.push_back(small);
+    }
+    this->settle(start);
+    const auto parts = this->path_inside("polva");
+    EXPECT_TRUE(is_complete(parts, 80));
+    EXPECT_LE(parts.size(), path_costs{}.most_parts);
+}
+
 // Pattern: empty servers are added to a fleet that works. Guards against
 // servers that stay idle, and against layers that move for them.
 TEST_F(fleet_fixture, an_added_server_joins_the_first_ones)
