retry, gateway: a gateway that starts has saved no retries

A gateway that started had the savings of all gateways together until its first success, and each restart filled them anew: after rolling restarts and a loss of power in one window, twenty gateway starts brought their own.

Ruled out: the size of the shares (half of the slack is saved, half flows in a window, a tenth is kept); paths that change, which are no repeats.

Change: the budget of a gateway starts empty and fills at the gateway's share; savings above a share are given up when the number of gateways is known.

The test guards the start and the share.

--- a/oleanderhinge/gateway/forwarder.cpp
+++ b/oleanderhinge/gateway/forwarder.cpp
@@ -72,10 +72,10 @@
 void forwarder::share_budget(std::uint32_t gateways)
 {
     const double share = std::max(gateways, 1U);
-    this->budget.options.floor_per_second =
-        this->options.retries.floor_per_second / share;
-    this->budget.options.max_saved =
-        std::max(1.0, this->options.retries.max_saved / share);
+    retry::set_share(
+        this->budget,
+        this->options.retries.floor_per_second / share,
+        std::max(1.0, this->options.retries.max_saved / share));
 }
 
 void forwarder::use(std::shared_ptr<const route_index> next)
--- a/oleanderhinge/gateway/settings.cpp
+++ b/oleanderhinge/gateway/settings.cpp
@@ -96,6 +96,7 @@
     options.success_share = checked.number("retries.share") * margin;
     options.floor_per_second = slack * margin / window.count();
     options.max_saved = slack * margin;
+    options.starts_empty = true;
     options.max_attempts = most_attempts;
     return options;
 }
--- a/oleanderhinge/retry/budget.cpp
+++ b/oleanderhinge/retry/budget.cpp
@@ -93,12 +93,20 @@
 {
     budget b;
     b.options = options;
-    b.saved = std::min(
-        options.max_saved, options.floor_per_second * floor_burst_seconds);
+    if (!options.starts_empty)
+        b.saved = std::min(
+            options.max_saved, options.floor_per_second * floor_burst_seconds);
     b.refilled = now;
     return b;
 }
 
+void set_share(budget& b, double floor_per_second, double max_saved)
+{
+    b.options.floor_per_second = floor_per_second;
+    b.options.max_saved = max_saved;
+    b.saved = std::min(b.saved, max_saved);
+}
+
 void note_success(budget& b)
 {
     b.saved = std::min(b.options.max_saved, b.saved + b.options.success_share);
--- a/oleanderhinge/retry/budget.hpp
+++ b/oleanderhinge/retry/budget.hpp
@@ -31,6 +31,9 @@
     double floor_per_second = 1;
     // Most retries that can be saved up.
     double max_saved = 100;
+    // Without savings at the start. For processes that share a budget: one that
+    // restarts must not spend again what it has just spent.
+    bool starts_empty = false;
     // Attempts of one request, the first included.
     std::uint32_t max_attempts = 4;
     // Delay before attempt 3; doubled for each further one. Attempt 2 goes to
@@ -68,6 +71,10 @@
 // The floor's burst is available from the start.
 budget make_budget(const budget_options& options, base::time_point now);
 
+// Another share of a budget that several processes have; savings above it are
+// given up.
+void set_share(budget& b, double floor_per_second, double max_saved);
+
 void note_success(budget& b);
 
 // Decides on the failure of attempt `attempt` (from 1) and takes one retry
--- a/oleanderhinge/retry/budget_test.cpp
+++ b/oleanderhinge/retry/budget_test.cpp
@@ -144,5 +144,43 @@
     }
 }
 
+// Pattern: all gateways restart at once while servers refuse. Guards against a
+// retry budget that every restart fills anew, and against a gateway that spends
+// the budget of all before it knows of the others.
+TEST(budget, a_share_that_starts_empty_fills_at_its_own_rate)
+{
+    base::random_source random{1};
+    budget_options options;
+    options.success_share = 0;
+    options.floor_per_second = 13;
+    options.max_saved = 130;
+    options.starts_empty = true;
+    const auto refused =
+        base::not_run(base::failure_code::server_failed, "refused");
+    const auto retries_at = [&](budget& b, base::time_point now) {
+        int count = 0;
+        while (may_retry(
+                   b,
+                   refused,
+                   true,
+                   base::attempt_number{1},
+                   std::chrono::seconds(5),
+                   random,
+                   now)
+                   .retry)
+            ++count;
+        return count;
+    };
+    auto fresh = make_budget(options, start);
+    set_share(fresh, 1, 10);
+    EXPECT_EQ(retries_at(fresh, start), 0);
+    EXPECT_EQ(retries_at(fresh, start + std::chrono::seconds(3)), 3);
+    // One that has saved for all gives up what is above its share.
+    options.starts_empty = false;
+    auto alone = make_budget(options, start);
+    set_share(alone, 1, 10);
+    EXPECT_EQ(retries_at(alone, start), 10);
+}
+
 } // namespace
 } // namespace oleanderhinge::retry
