fleet, net, control: one reserve, one set of metric builders, no plan taken for new

How many first servers may leave was kept beside the list that it follows from, and two callers removed those that were chosen in the same way; gateway, agent, entry and control each had functions that register a metric; a flag of control was not used. And a fault: a plan that was taken over counted as divided at time zero, so on a VM whose clock starts at zero a leader of the first four seconds would divide the fleet anew for a spare.

Change: take_stand_ins takes out of the reserve; net/metric_builders serves all four daemons; `divided` is empty for a plan that was taken over.

Ruled out: any other change of behaviour; names and bounds of the metrics stay.

--- a/oleanderhinge/agent/internal/metrics.cpp
+++ b/oleanderhinge/agent/internal/metrics.cpp
@@ -1,56 +1,18 @@
 #include "oleanderhinge/agent/internal/metrics.hpp"
 
+#include "oleanderhinge/net/metric_builders.hpp"
+
 namespace oleanderhinge::agent::internal
 {
 
 namespace
 {
 
-prometheus::Counter& counter(
-    prometheus::Registry& registry,
-    const char* name,
-    const char* help,
-    const char* result)
-{
-    return prometheus::BuildCounter()
-        .Name(name)
-        .Help(help)
-        .Register(registry)
-        .Add({{"result", result}});
-}
-
-prometheus::Counter&
-counter(prometheus::Registry& registry, const char* name, const char* help)
-{
-    return prometheus::BuildCounter()
-        .Name(name)
-        .Help(help)
-        .Register(registry)
-        .Add({});
-}
+using net::add_counter;
+using net::add_gauge;
 
-prometheus::Gauge&
-gauge(prometheus::Registry& registry, const char* name, const char* help)
-{
-    return prometheus::BuildGauge()
-        .Name(name)
-        .Help(help)
-        .Register(registry)
-        .Add({});
-}
-
-prometheus::Histogram&
-histogram(prometheus::Registry& registry, const char* name, const char* help)
-{
-    return prometheus::BuildHistogram()
-        .Name(name)
-        .Help(help)
-        .Register(registry)
-        .Add(
-            {},
-            prometheus::Histogram::BucketBoundaries{
-                0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5});
-}
+const prometheus::Histogram::BucketBoundaries second_bounds{
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5};
 
 constexpr auto attempts = "oleanderhinge_agent_attempts_total";
 constexpr auto attempts_help = "Attempts at this stage by result";
@@ -64,49 +26,63 @@
 } // namespace
 
 metrics::metrics(prometheus::Registry& r)
-    : attempts_granted(counter(r, attempts, attempts_help, "granted"))
-    , attempts_refused(counter(r, attempts, attempts_help, "refused"))
-    , attempts_failed(counter(r, attempts, attempts_help, "failed"))
-    , attempts_fenced(counter(r, attempts, attempts_help, "fenced"))
-    , attempts_closed(counter(r, attempts, attempts_help, "closed"))
-    , steps_run(counter(r, steps, steps_help, "run"))
-    , steps_failed(counter(r, steps, steps_help, "failed"))
-    , steps_repeated(counter(r, steps, steps_help, "repeated"))
-    , steps_fenced(counter(r, steps, steps_help, "fenced"))
-    , steps_refused(counter(r, steps, steps_help, "refused"))
-    , steps_resent(counter(r, steps, steps_help, "resent"))
-    , tokens(counter(
+    : attempts_granted(
+          add_counter(r, attempts, attempts_help, {{"result", "granted"}}))
+    , attempts_refused(
+          add_counter(r, attempts, attempts_help, {{"result", "refused"}}))
+    , attempts_failed(
+          add_counter(r, attempts, attempts_help, {{"result", "failed"}}))
+    , attempts_fenced(
+          add_counter(r, attempts, attempts_help, {{"result", "fenced"}}))
+    , attempts_closed(
+          add_counter(r, attempts, attempts_help, {{"result", "closed"}}))
+    , steps_run(add_counter(r, steps, steps_help, {{"result", "run"}}))
+    , steps_failed(add_counter(r, steps, steps_help, {{"result", "failed"}}))
+    , steps_repeated(
+          add_counter(r, steps, steps_help, {{"result", "repeated"}}))
+    , steps_fenced(add_counter(r, steps, steps_help, {{"result", "fenced"}}))
+    , steps_refused(add_counter(r, steps, steps_help, {{"result", "refused"}}))
+    , steps_resent(add_counter(r, steps, steps_help, {{"result", "resent"}}))
+    , tokens(add_counter(
           r, "oleanderhinge_agent_tokens_total", "Tokens sent to entry nodes"))
-    , calls_answered(counter(r, calls, calls_help, "answered"))
-    , calls_not_run(counter(r, calls, calls_help, "not_run"))
-    , calls_may_have_run(counter(r, calls, calls_help, "may_have_run"))
-    , orders_applied(counter(r, orders, orders_help, "applied"))
-    , orders_refused(counter(r, orders, orders_help, "refused"))
-    , announcements(counter(
+    , calls_answered(
+          add_counter(r, calls, calls_help, {{"result", "answered"}}))
+    , calls_not_run(add_counter(r, calls, calls_help, {{"result", "not_run"}}))
+    , calls_may_have_run(
+          add_counter(r, calls, calls_help, {{"result", "may_have_run"}}))
+    , orders_applied(
+          add_counter(r, orders, orders_help, {{"result", "applied"}}))
+    , orders_refused(
+          add_counter(r, orders, orders_help, {{"result", "refused"}}))
+    , announcements(add_counter(
           r,
           "oleanderhinge_agent_announcements_total",
           "Announcements sent to entry nodes"))
-    , unexpected_messages(counter(
+    , unexpected_messages(add_counter(
           r,
           "oleanderhinge_agent_unexpected_messages_total",
           "Messages that the role of the sender does not allow"))
-    , step_seconds(histogram(
+    , step_seconds(net::add_histogram(
           r,
           "oleanderhinge_agent_step_seconds",
-          "Time of a step on the engine"))
-    , call_seconds(histogram(
+          "Time of a step on the engine",
+          second_bounds))
+    , call_seconds(net::add_histogram(
           r,
           "oleanderhinge_agent_call_seconds",
-          "Time of a call on the service"))
-    , attempts_open(gauge(
+          "Time of a call on the service",
+          second_bounds))
+    , attempts_open(add_gauge(
           r, "oleanderhinge_agent_attempts_open", "Attempts that are open"))
     , calls_open(
-          gauge(r, "oleanderhinge_agent_calls_open", "Calls in progress"))
-    , slots_used(gauge(r, "oleanderhinge_agent_slots_used", "Slots in use"))
-    , slot_limit(gauge(r, "oleanderhinge_agent_slot_limit", "Limit of slots"))
-    , queued(gauge(r, "oleanderhinge_agent_queued", "Work that waits"))
-    , links(gauge(r, "oleanderhinge_agent_links", "Links to other processes"))
-    , serving(gauge(
+          add_gauge(r, "oleanderhinge_agent_calls_open", "Calls in progress"))
+    , slots_used(add_gauge(r, "oleanderhinge_agent_slots_used", "Slots in use"))
+    , slot_limit(
+          add_gauge(r, "oleanderhinge_agent_slot_limit", "Limit of slots"))
+    , queued(add_gauge(r, "oleanderhinge_agent_queued", "Work that waits"))
+    , links(
+          add_gauge(r, "oleanderhinge_agent_links", "Links to other processes"))
+    , serving(add_gauge(
           r,
           "oleanderhinge_agent_serving",
           "1 while new work is taken, else 0"))
--- a/oleanderhinge/control/internal/service_impl.hpp
+++ b/oleanderhinge/control/internal/service_impl.hpp
@@ -167,7 +167,6 @@
     replicated_state state;
     std::atomic<std::size_t> subscribers{0};
     std::atomic<bool> draining{false};
-    std::atomic<bool> handing_over{false};
     std::atomic<bool> stopped{false};
 
     asio::strand<asio::io_context::executor_type> strand;
--- a/oleanderhinge/control/metrics.cpp
+++ b/oleanderhinge/control/metrics.cpp
@@ -1,5 +1,7 @@
 #include "oleanderhinge/control/metrics.hpp"
 
+#include "oleanderhinge/net/metric_builders.hpp"
+
 #include <string>
 
 namespace oleanderhinge::control
@@ -11,11 +13,8 @@
 prometheus::Counter&
 counter(prometheus::Registry& registry, const char* name, const char* help)
 {
-    return prometheus::BuildCounter()
-        .Name(std::string("oleanderhinge_control_") + name)
-        .Help(help)
-        .Register(registry)
-        .Add({});
+    return net::add_counter(
+        registry, std::string("oleanderhinge_control_") + name, help);
 }
 
 const char* to_string(wire::claim_state state)
--- a/oleanderhinge/entry/metrics.cpp
+++ b/oleanderhinge/entry/metrics.cpp
@@ -1,5 +1,7 @@
 #include "oleanderhinge/entry/metrics.hpp"
 
+#include "oleanderhinge/net/metric_builders.hpp"
+
 namespace oleanderhinge::entry
 {
 
@@ -23,16 +25,6 @@
     return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
 }
 
-prometheus::Gauge&
-gauge(prometheus::Registry& registry, const char* name, const char* help)
-{
-    return prometheus::BuildGauge()
-        .Name(name)
-        .Help(help)
-        .Register(registry)
-        .Add({});
-}
-
 std::array<prometheus::Histogram*, base::rank_count> histograms(
     prometheus::Registry& registry,
     const char* name,
@@ -51,43 +43,43 @@
 } // namespace
 
 metrics::metrics(prometheus::Registry& registry)
-    : requests_in_progress(gauge(
+    : requests_in_progress(net::add_gauge(
           registry,
           "oleanderhinge_entry_requests_in_progress",
           "Requests that have not been answered"))
-    , links(gauge(
+    , links(net::add_gauge(
           registry,
           "oleanderhinge_entry_links",
           "Open links to other processes"))
-    , servers(gauge(
+    , servers(net::add_gauge(
           registry,
           "oleanderhinge_entry_backend_servers",
           "Backend servers in the directory"))
-    , config_revision(gauge(
+    , config_revision(net::add_gauge(
           registry,
           "oleanderhinge_entry_config_revision",
           "Revision of the configuration in force"))
-    , config_age_seconds(gauge(
+    , config_age_seconds(net::add_gauge(
           registry,
           "oleanderhinge_entry_config_age_seconds",
           "Time since control confirmed the configuration"))
-    , link_bytes_sent(gauge(
+    , link_bytes_sent(net::add_gauge(
           registry,
           "oleanderhinge_entry_link_bytes_sent",
           "Bytes sent over links since the start"))
-    , link_bytes_received(gauge(
+    , link_bytes_received(net::add_gauge(
           registry,
           "oleanderhinge_entry_link_bytes_received",
           "Bytes received over links since the start"))
-    , udp_bytes_sent(gauge(
+    , udp_bytes_sent(net::add_gauge(
           registry,
           "oleanderhinge_entry_udp_bytes_sent",
           "Bytes sent in datagrams since the start"))
-    , udp_bytes_received(gauge(
+    , udp_bytes_received(net::add_gauge(
           registry,
           "oleanderhinge_entry_udp_bytes_received",
           "Bytes received in datagrams since the start"))
-    , udp_refused(gauge(
+    , udp_refused(net::add_gauge(
           registry,
           "oleanderhinge_entry_udp_refused",
           "Datagrams refused as malformed or unauthenticated"))
--- a/oleanderhinge/fleet/internal/cover.cpp
+++ b/oleanderhinge/fleet/internal/cover.cpp
@@ -60,26 +60,19 @@
     return gaps;
 }
 
-// Servers that share their place with others, the first servers of a chain,
-// and how many of them may leave it.
-struct reserve {
-    group servers;
-    std::size_t may_leave = 0;
-};
-
-reserve find_reserve(const group& members, base::time_point now)
+// Available servers that share their place, the first servers of a chain. All
+// but one may leave it.
+group find_reserve(const group& members, base::time_point now)
 {
     std::map<base::layer_range, group> by_place;
     for (auto* server : members)
         if (server->layers != base::layer_range{} && is_available(*server, now))
             by_place[server->layers].push_back(server);
-    reserve found;
+    group largest;
     for (auto& [place, holders] : by_place)
-        if (holders.size() > found.servers.size())
-            found.servers = std::move(holders);
-    if (!found.servers.empty())
-        found.may_leave = found.servers.size() - 1;
-    return found;
+        if (holders.size() > largest.size())
+            largest = std::move(holders);
+    return largest;
 }
 
 struct stand_in {
@@ -87,10 +80,10 @@
     base::layer_range layers;
 };
 
-// Members of the reserve that together hold the gap, as few as possible; empty
-// if they cannot.
-std::vector<stand_in> choose_stand_ins(
-    const reserve& from,
+// Takes those out of the reserve that together hold the gap, as few as
+// possible; none if they cannot.
+std::vector<stand_in> take_stand_ins(
+    group& reserve,
     const base::layer_range& gap,
     const wire::engine_profile& profile)
 {
@@ -105,10 +98,9 @@
         return std::tuple{
             rank, rank == 0 ? 0 : server->running, server->address};
     };
-    auto candidates = from.servers;
     std::sort(
-        candidates.begin(),
-        candidates.end(),
+        reserve.begin(),
+        reserve.end(),
         [&](const auto* left, const auto* right) {
             return preference(left) < preference(right);
         });
@@ -117,9 +109,8 @@
     };
     std::uint32_t total = 0;
     std::size_t count = 0;
-    while (count < candidates.size() && count < from.may_leave &&
-           total < size_of(gap))
-        total += room(candidates[count++]);
+    while (count + 1 < reserve.size() && total < size_of(gap))
+        total += room(reserve[count++]);
     if (total < size_of(gap))
         return {};
     std::vector<stand_in> chosen;
@@ -127,12 +118,13 @@
     for (std::size_t i = 0; i < count; ++i) {
         const auto left = gap.end.value() - first.value();
         const auto share =
-            (left * room(candidates[i]) + total - 1) / std::max(total, 1U);
+            (left * room(reserve[i]) + total - 1) / std::max(total, 1U);
         const auto end = base::layer_index{first.value() + share};
-        chosen.push_back({candidates[i], {first, end}});
-        total -= room(candidates[i]);
+        chosen.push_back({reserve[i], {first, end}});
+        total -= room(reserve[i]);
         first = end;
     }
+    reserve.erase(reserve.begin(), reserve.begin() + std::ptrdiff_t(count));
     return chosen;
 }
 
@@ -196,21 +188,17 @@
     const wire::engine_profile& profile,
     base::time_point now)
 {
-    auto from = find_reserve(members, now);
+    auto reserve = find_reserve(members, now);
     std::vector<stand_in> chosen;
-    const auto gaps = find_gaps(members, profile.layer_count, is_in_use);
     std::vector<base::layer_range> open;
-    for (const auto& gap : gaps) {
+    for (const auto& gap : find_gaps(members, profile.layer_count, is_in_use)) {
         // The place of the reserve itself is not left to one that stays there.
         const bool own =
-            !from.servers.empty() && overlap(from.servers.front()->layers, gap);
+            !reserve.empty() && overlap(reserve.front()->layers, gap);
         const auto found = own ? std::vector<stand_in>{}
-                               : choose_stand_ins(from, gap, profile);
+                               : take_stand_ins(reserve, gap, profile);
         if (found.empty())
             open.push_back(gap);
-        for (const auto& item : found)
-            std::erase(from.servers, item.server);
-        from.may_leave -= found.size();
         chosen.insert(chosen.end(), found.begin(), found.end());
     }
     for (auto* server : members)
@@ -273,20 +261,15 @@
     const wire::engine_profile& profile,
     base::time_point now)
 {
-    auto from = find_reserve(members, now);
-    const auto least_left = from.servers.size() / 2;
-    const auto gaps =
-        find_gaps(members, profile.layer_count, [&](const auto& server) {
-            return !is_missing(server, now);
-        });
-    for (const auto& gap : gaps) {
-        const auto found = choose_stand_ins(from, gap, profile);
-        for (const auto& item : found)
-            std::erase(from.servers, item.server);
-        from.may_leave -= found.size();
-        if (found.empty() || from.servers.size() < least_left)
+    auto reserve = find_reserve(members, now);
+    const auto least_left = reserve.size() / 2;
+    const auto is_present = [&](const placed_server& server) {
+        return !is_missing(server, now);
+    };
+    for (const auto& gap : find_gaps(members, profile.layer_count, is_present))
+        if (take_stand_ins(reserve, gap, profile).empty() ||
+            reserve.size() < least_left)
             return true;
-    }
     return false;
 }
 
--- a/oleanderhinge/fleet/placement.cpp
+++ b/oleanderhinge/fleet/placement.cpp
@@ -147,7 +147,7 @@
     for (const auto& members : internal::copy_groups(plan, profile))
         if (has_spare(members))
             internal::assign_group(profile, members);
-    if (plan.divided == base::time_point{})
+    if (!plan.divided)
         plan.divided = now;
 }
 
@@ -250,7 +250,7 @@
         server.seen = now;
     }
     const bool first = !has_plan(plan) && !adopt(plan, ready);
-    if (first || now < plan.divided + late_reports)
+    if (first || (plan.divided && now < *plan.divided + late_reports))
         divide_first(plan, profile, now);
     fill_places(plan, profile, now);
     divide_again(plan, profile, now);
--- a/oleanderhinge/fleet/placement.hpp
+++ b/oleanderhinge/fleet/placement.hpp
@@ -19,6 +19,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -84,7 +85,7 @@
     std::map<wire::endpoint, placed_server> servers;
     // When this node divided the fleet for the first time; unset for a plan
     // that it took over.
-    base::time_point divided;
+    std::optional<base::time_point> divided;
 };
 
 // The places of a plan, which outlive the leader that made it.
--- a/oleanderhinge/fleet/placement_test.cpp
+++ b/oleanderhinge/fleet/placement_test.cpp
@@ -253,6 +253,28 @@
     EXPECT_LE(parts.size(), path_costs{}.most_parts);
 }
 
+// Pattern: a VM of control restarts with its clock at zero. Guards against a
+// plan that was taken over and is divided anew for a spare, as if the fleet
+// were still loading.
+TEST_F(fleet_fixture, a_plan_that_was_taken_over_is_no_first_division)
+{
+    this->settle(start);
+    auto spare = this->servers.back();
+    spare.id = base::backend_server_id{"spare"};
+    spare.address = "spare";
+    spare.kind = "a100";
+    spare.layers = {};
+    const base::time_point early{seconds(3)};
+    this->plan = restore(places_of(this->plan), early);
+    this->servers.push_back(spare);
+    update(this->plan, this->profile, this->servers, early);
+    this->servers.pop_back();
+    for (const auto& server : this->servers)
+        EXPECT_EQ(
+            this->plan.servers.at({server.address, 80}).layers, server.layers)
+            << server.id.value();
+}
+
 // Pattern: empty servers are added to a fleet that works. Guards against
 // servers that stay idle, and against layers that move for them.
 TEST_F(fleet_fixture, an_added_server_joins_the_first_ones)
--- a/oleanderhinge/gateway/metrics.cpp
+++ b/oleanderhinge/gateway/metrics.cpp
@@ -1,43 +1,16 @@
 #include "oleanderhinge/gateway/metrics.hpp"
 
+#include "oleanderhinge/net/metric_builders.hpp"
+
 namespace oleanderhinge::gateway
 {
 
 namespace
 {
 
-prometheus::Counter&
-add_counter(prometheus::Registry& registry, const char* name, const char* help)
-{
-    return prometheus::BuildCounter()
-        .Name(name)
-        .Help(help)
-        .Register(registry)
-        .Add({});
-}
-
-prometheus::Gauge&
-add_gauge(prometheus::Registry& registry, const char* name, const char* help)
-{
-    return prometheus::BuildGauge()
-        .Name(name)
-        .Help(help)
-        .Register(registry)
-        .Add({});
-}
-
-prometheus::Histogram& add_histogram(
-    prometheus::Registry& registry, const char* name, const char* help)
-{
-    // Around the targets of today: 150 ms, 500 ms and 1 s; gaps of 250 ms.
-    const prometheus::Histogram::BucketBoundaries bounds{
-        0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1, 2, 5, 20};
-    return prometheus::BuildHistogram()
-        .Name(name)
-        .Help(help)
-        .Register(registry)
-        .Add({}, bounds);
-}
+// Around the targets of today: 150 ms, 500 ms and 1 s; gaps of 250 ms.
+const prometheus::Histogram::BucketBoundaries second_bounds{
+    0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1, 2, 5, 20};
 
 } // namespace
 
@@ -46,47 +19,49 @@
                   .Name("oleanderhinge_gateway_answers_total")
                   .Help("Requests by outcome")
                   .Register(registry))
-    , attempts(add_counter(
+    , attempts(net::add_counter(
           registry,
           "oleanderhinge_gateway_attempts_total",
           "Requests sent to backend servers"))
-    , repeats(add_counter(
+    , repeats(net::add_counter(
           registry,
           "oleanderhinge_gateway_repeats_total",
           "Requests sent to another server after a failure"))
-    , resumed_streams(add_counter(
+    , resumed_streams(net::add_counter(
           registry,
           "oleanderhinge_gateway_resumed_streams_total",
           "Streams that another path continued"))
-    , changed_paths(add_counter(
+    , changed_paths(net::add_counter(
           registry,
           "oleanderhinge_gateway_changed_paths_total",
           "Streams whose first server went on along another path"))
-    , events(add_counter(
+    , events(net::add_counter(
           registry,
           "oleanderhinge_gateway_events_total",
           "Stream events passed to callers"))
-    , log_lines_dropped(add_counter(
+    , log_lines_dropped(net::add_counter(
           registry,
           "oleanderhinge_gateway_log_lines_dropped_total",
           "Log lines above the limit"))
-    , first_byte_seconds(add_histogram(
+    , first_byte_seconds(net::add_histogram(
           registry,
           "oleanderhinge_gateway_first_byte_seconds",
-          "Time to the first event or the whole answer"))
-    , gap_seconds(add_histogram(
+          "Time to the first event or the whole answer",
+          second_bounds))
+    , gap_seconds(net::add_histogram(
           registry,
           "oleanderhinge_gateway_gap_seconds",
-          "Time between events of a stream"))
-    , in_progress(add_gauge(
+          "Time between events of a stream",
+          second_bounds))
+    , in_progress(net::add_gauge(
           registry,
           "oleanderhinge_gateway_requests_in_progress",
           "Requests in progress"))
-    , table_version(add_gauge(
+    , table_version(net::add_gauge(
           registry,
           "oleanderhinge_gateway_forwarding_version",
           "Version of the forwarding table in force"))
-    , servers(add_gauge(
+    , servers(net::add_gauge(
           registry, "oleanderhinge_gateway_servers", "Backend servers known"))
 {
 }
