gateway: waiting requests are woken instead of looking every 20 ms

Change: pause_until suspends a request, wake ends it; the first table and a caller that leaves wake. The set of waiting requests replaces their count.

Ruled out: a change of limits or of what callers get.

--- a/oleanderhinge/gateway/forwarder.cpp
+++ b/oleanderhinge/gateway/forwarder.cpp
@@ -2,9 +2,6 @@
 
 #include "oleanderhinge/gateway/internal/attempt.hpp"
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
@@ -27,7 +24,6 @@
 // single try left; those that come later are told when to come back.
 constexpr auto longest_wait_for_table = milliseconds(2000);
 constexpr auto without_table_retry_after = milliseconds(1000);
-constexpr auto table_check_interval = milliseconds(20);
 // Requests that wait for a table; each may hold a body.
 constexpr std::size_t most_waiting_for_table = 200;
 // When a refused caller may come back: after the time in which a path gets
@@ -81,6 +77,8 @@
 void forwarder::use(std::shared_ptr<const route_index> next)
 {
     this->index = std::move(next);
+    for (const auto& waiting : this->without_table)
+        wake(*waiting);
     this->numbers.table_version.Set(double(this->index->table().version));
 }
 
@@ -101,6 +99,7 @@
         if (!left)
             return;
         left->caller_left = true;
+        wake(*left);
         if (left->line)
             left->line->cancel();
     });
@@ -113,20 +112,15 @@
 // Waits a little for the first table.
 asio::awaitable<void> forwarder::await_table(forwarding_request& r)
 {
-    if (this->waiting_for_table >= most_waiting_for_table)
+    if (this->without_table.size() >= most_waiting_for_table)
         co_return;
     auto limit = r.arrived + longest_wait_for_table;
     if (r.facts.patience)
         limit = std::min(limit, r.arrived + *r.facts.patience / 2);
-    ++this->waiting_for_table;
-    while (!this->index && !r.caller_left && steady_now() < limit) {
-        asio::steady_timer timer(
-            this->io, std::min(limit, steady_now() + table_check_interval));
-        error_code ignored;
-        co_await timer.async_wait(
-            asio::redirect_error(asio::use_awaitable, ignored));
-    }
-    --this->waiting_for_table;
+    const auto held = r.shared_from_this();
+    this->without_table.insert(held);
+    co_await pause_until(r, this->io, limit);
+    this->without_table.erase(held);
     r.index = this->index;
 }
 
--- a/oleanderhinge/gateway/forwarder.hpp
+++ b/oleanderhinge/gateway/forwarder.hpp
@@ -26,6 +26,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace oleanderhinge::gateway
@@ -114,7 +115,8 @@
     base::random_source random;
     request_log log;
     std::size_t active = 0;
-    std::size_t waiting_for_table = 0;
+    // Requests that wait for the first table.
+    std::set<std::shared_ptr<forwarding_request>> without_table;
 };
 
 } // namespace oleanderhinge::gateway
--- a/oleanderhinge/gateway/forwarding_request.hpp
+++ b/oleanderhinge/gateway/forwarding_request.hpp
@@ -7,7 +7,10 @@
 #include "oleanderhinge/gateway/upstream.hpp"
 #include "oleanderhinge/net/http_server.hpp"
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -50,6 +53,8 @@
     wire::endpoint waits_for;
     // An order to go on along another path is under way.
     bool changes_path = false;
+    // While the request waits for something else than a server.
+    std::optional<boost::asio::steady_timer> pause;
     bool caller_left = false;
     bool head_sent = false;
     steady_time last_event;
--- a/oleanderhinge/gateway/internal/attempt.hpp
+++ b/oleanderhinge/gateway/internal/attempt.hpp
@@ -25,6 +25,11 @@
     return {attempt_end::failed, std::move(why), std::move(at_fault)};
 }
 
+// Suspends the request until a time, or until `wake` or its caller leaves.
+boost::asio::awaitable<void> pause_until(
+    forwarding_request& r, boost::asio::io_context& io, steady_time until);
+void wake(forwarding_request& r);
+
 inline bool is_repeatable(const wire::forwarding_route& route)
 {
     return route.repeat != wire::repeat_rule::at_most_once;
--- a/oleanderhinge/gateway/internal/forwarder_streams.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_streams.cpp
@@ -1,10 +1,6 @@
 #include "oleanderhinge/gateway/headers.hpp"
 #include "oleanderhinge/gateway/internal/attempt.hpp"
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 #include <algorithm>
 #include <utility>
 
@@ -137,10 +133,7 @@
     if (!r.head_sent || r.caller_left || r.runs >= r.route->attempts ||
         steady_now() >= r.last_event + longest_silence)
         co_return false;
-    asio::steady_timer timer(this->io, stream_pause);
-    error_code ignored;
-    co_await timer.async_wait(
-        asio::redirect_error(asio::use_awaitable, ignored));
+    co_await pause_until(r, this->io, steady_now() + stream_pause);
     // Memory comes free at servers that have refused.
     r.tried.clear();
     co_return !r.caller_left;
