Send changes of the forwarding table as patches

Cause: a change of one route sent the whole table to every subscriber.

Change: the accepted table is compared with the present one, and subscribers get the difference as runs of kept items and new ones. A patch above 64 KiB is sent as the whole table. Up to 64 patches are kept. A patch that does not fit leads to a full update.

Ruled out: patches in the log too. The command keeps the whole table and its text, so that logs of earlier releases are read as before.

Tests: wire.forwarding_patch (property: any table to any other; the size does not grow with the table).

--- a/oleanderhinge/control/json.cpp
+++ b/oleanderhinge/control/json.cpp
@@ -183,7 +183,8 @@
         "put_order",
         "remove_order",
         "put_shares",
-        "put_forwarding"};
+        "put_forwarding",
+        "patch_forwarding"};
     return names[item.index()];
 }
 
@@ -192,9 +193,9 @@
 {
     return std::visit(
         [](const auto& value) -> json::value {
-            if constexpr (std::is_same_v<
-                              decltype(value),
-                              const wire::put_forwarding&>)
+            if constexpr (
+                std::is_same_v<decltype(value), const wire::put_forwarding&> ||
+                std::is_same_v<decltype(value), const wire::patch_forwarding&>)
                 return json::object{{"version", value.value.version}};
             else if constexpr (requires { value.value; })
                 return to_json(value.value);
--- a/oleanderhinge/control_state/internal/plans.cpp
+++ b/oleanderhinge/control_state/internal/plans.cpp
@@ -1,5 +1,7 @@
 #include "oleanderhinge/control_state/internal/plans.hpp"
 
+#include "oleanderhinge/control_state/internal/kept_changes.hpp"
+
 #include "oleanderhinge/control_state/internal/sizes.hpp"
 #include "oleanderhinge/control_state/queries.hpp"
 #include "oleanderhinge/control_state/validate.hpp"
@@ -120,17 +122,6 @@
     target.removals.erase(oldest);
 }
 
-// Drops whole revisions until at most `max_kept_changes` changes are left.
-void trim_changes(state& target)
-{
-    while (target.changes.size() > max_kept_changes) {
-        target.changes_after = target.changes.front().first;
-        while (!target.changes.empty() &&
-               target.changes.front().first == target.changes_after)
-            target.changes.pop_front();
-    }
-}
-
 void commit_plan(state& target, plan& confirmed, wire::configuration&& after)
 {
     target.config = std::move(after);
@@ -138,7 +129,7 @@
         target.changes.emplace_back(target.config.at, change.after);
         update_removals(target, change.after);
     }
-    trim_changes(target);
+    keep_changes(target, max_kept_changes);
     confirmed.status = plan_status::confirmed;
     confirmed.confirmed_at = target.config.at;
 }
--- a/oleanderhinge/control_state/queries.cpp
+++ b/oleanderhinge/control_state/queries.cpp
@@ -65,6 +65,10 @@
     {
         return wire::change{wire::put_forwarding{this->config.forwarding}};
     }
+    found operator()(const wire::patch_forwarding&) const
+    {
+        return wire::change{wire::put_forwarding{this->config.forwarding}};
+    }
 };
 
 // Returns -1 for a character that is no hexadecimal digit.
--- a/oleanderhinge/control_state/state.hpp
+++ b/oleanderhinge/control_state/state.hpp
@@ -29,6 +29,11 @@
 
 // Changes that are kept to send deltas to subscribers.
 inline constexpr std::size_t max_kept_changes = 1000;
+// A patch of the forwarding table above this size is kept as the whole table.
+// Tables may take megabytes, so only the newest whole one is kept; of patches,
+// this many.
+inline constexpr std::size_t max_patch_bytes = std::size_t(64) << 10;
+inline constexpr std::size_t max_kept_patches = 64;
 // Intents of one plan. At most `max_kept_changes`, so that the changes of the
 // newest plan are always kept.
 inline constexpr std::size_t max_plan_intents = 1000;
--- a/oleanderhinge/control_state/validate.cpp
+++ b/oleanderhinge/control_state/validate.cpp
@@ -319,6 +319,11 @@
         this->add_fault("is replaced as a whole, not by a plan");
     }
 
+    void check(const wire::patch_forwarding&)
+    {
+        this->add_fault("is replaced as a whole, not by a plan");
+    }
+
     const wire::configuration& config;
     const std::vector<wire::change>& intents;
     std::set<base::route_id> added_routes;
--- a/oleanderhinge/entry/model_request.cpp
+++ b/oleanderhinge/entry/model_request.cpp
@@ -120,7 +120,7 @@
     model_actions& actions)
 {
     request.avoid.insert(server);
-    actions.push_back(report_stage_action{server, false});
+    actions.emplace_back(report_stage_action{server, false});
 }
 
 void report_chain_success(const model_request& request, model_actions& actions)
--- a/oleanderhinge/membership/config_view.cpp
+++ b/oleanderhinge/membership/config_view.cpp
@@ -146,8 +146,13 @@
         return;
     }
     auto copy = std::make_shared<wire::configuration>(*view.config);
-    for (const auto& [at, item] : update.changes)
+    for (const auto& [at, item] : update.changes) {
+        if (!wire::fits(*copy, item)) {
+            out.emplace_back(full_update_needed{ours});
+            return;
+        }
         wire::apply(*copy, item, at);
+    }
     copy->at = update.to;
     install(view, std::move(copy), true, out);
 }
--- a/oleanderhinge/wire/configuration.cpp
+++ b/oleanderhinge/wire/configuration.cpp
@@ -59,6 +59,11 @@
         this->config.forwarding = item.value;
         this->config.forwarding.modified = this->at;
     }
+    void operator()(const patch_forwarding& item) const
+    {
+        apply_patch(this->config.forwarding, item.value);
+        this->config.forwarding.modified = this->at;
+    }
 };
 
 struct namer {
@@ -91,6 +96,10 @@
     {
         return "forwarding table";
     }
+    std::string operator()(const patch_forwarding&) const
+    {
+        return "forwarding table";
+    }
 };
 
 struct revision_finder {
@@ -128,10 +137,20 @@
     {
         return this->config.forwarding.modified;
     }
+    base::revision operator()(const patch_forwarding&) const
+    {
+        return this->config.forwarding.modified;
+    }
 };
 
 } // namespace
 
+bool fits(const configuration& config, const change& item)
+{
+    const auto* patch = std::get_if<patch_forwarding>(&item);
+    return patch == nullptr || fits(config.forwarding, patch->value);
+}
+
 void apply(configuration& config, const change& item, base::revision at)
 {
     std::visit(applier{config, at}, item);
--- a/oleanderhinge/wire/configuration.hpp
+++ b/oleanderhinge/wire/configuration.hpp
@@ -8,6 +8,7 @@
 #include "oleanderhinge/base/ids.hpp"
 #include "oleanderhinge/wire/archive.hpp"
 #include "oleanderhinge/wire/forwarding.hpp"
+#include "oleanderhinge/wire/forwarding_patch.hpp"
 
 #include <cstdint>
 #include <map>
@@ -228,6 +229,18 @@
     }
 };
 
+// Replaces the forwarding table by the difference from the one before; part of
+// configuration updates only.
+struct patch_forwarding {
+    forwarding_patch value;
+    bool operator==(const patch_forwarding&) const = default;
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->value);
+    }
+};
+
 using change = std::variant<
     put_route,
     remove_route,
@@ -236,9 +249,15 @@
     put_order,
     remove_order,
     put_shares,
-    put_forwarding>;
+    put_forwarding,
+    patch_forwarding>;
+
+// Whether the change can be applied: a patch needs the table that it was made
+// for.
+bool fits(const configuration& config, const change& item);
 
 // Applies one change and stamps the object with `at`. Sets `config.at`.
+// Precondition: `fits`.
 void apply(configuration& config, const change& item, base::revision at);
 
 // Name of the changed object for messages, for example "route diagnose".
