Bound the rate of large configuration updates, serve every gateway

And whole tables for all subscribers were queued at once, ahead of heartbeats.

Change: a self-managed group has no fanout limit. Updates above 16 KiB are sent at half the bandwidth of the machine (link.bandwidth, from the platform's settings), own data centre first, in random order otherwise. A subscriber that got the revision elsewhere says so and is not sent it again. Confirmations go to subscribers that were sent the revision. A message for many links is serialized once and shared by their queues.

--- a/oleanderhinge/control/config_feed.cpp
+++ b/oleanderhinge/control/config_feed.cpp
@@ -1,6 +1,7 @@
 #include "oleanderhinge/control/config_feed.hpp"
 
 #include "oleanderhinge/control_state/queries.hpp"
+#include "oleanderhinge/wire/archive.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -37,6 +38,41 @@
     return children;
 }
 
+void refill(config_feed& feed, base::time_point now)
+{
+    const auto elapsed = std::min(now - feed.bulk_refilled, bulk_burst);
+    feed.bulk_refilled = now;
+    const auto added =
+        feed.bulk_rate * std::chrono::duration<double>(elapsed).count();
+    const auto largest =
+        feed.bulk_rate * std::chrono::duration<double>(bulk_burst).count();
+    feed.bulk_allowance = std::min(feed.bulk_allowance + added, largest);
+}
+
+// Orders subscribers for a large update.
+void shuffle_nearby_first(config_feed& feed, std::vector<net::link_id>& links)
+{
+    for (std::size_t left = links.size(); left > 1; --left)
+        std::swap(links[left - 1], links[feed.random.below(left)]);
+    std::stable_partition(links.begin(), links.end(), [&](net::link_id link) {
+        return feed.subscribers.at(link).nearby;
+    });
+}
+
+// Keeps the links for which the allowance suffices, at least one if there is
+// any allowance.
+void limit_bulk(
+    config_feed& feed, std::vector<net::link_id>& links, std::size_t size)
+{
+    shuffle_nearby_first(feed, links);
+    std::size_t allowed = 0;
+    while (allowed < links.size() && feed.bulk_allowance > 0) {
+        feed.bulk_allowance -= double(size);
+        ++allowed;
+    }
+    links.resize(allowed);
+}
+
 } // namespace
 
 std::vector<outgoing> subscribe(
@@ -44,7 +80,9 @@
     net::link_id link,
     const wire::subscribe& request,
     const control_state::state& from,
-    const std::vector<wire::endpoint>& others)
+    const std::vector<wire::endpoint>& others,
+    bool nearby,
+    base::time_point now)
 {
     if (!feed.subscribers.contains(link) &&
         feed.subscribers.size() >= feed.fanout) {
@@ -53,36 +91,51 @@
             children = others;
         return {{{link}, wire::subscribe_redirect{std::move(children)}}};
     }
-    feed.subscribers[link] = {from.config.at, request.listen};
-    return {{{link}, control_state::update_since(from, request.have)}};
+    auto& item = feed.subscribers[link];
+    item = {request.have, request.listen, nearby};
+    if (request.have == base::revision{})
+        item.sent.reset();
+    return publish(feed, from, now);
 }
 
-std::vector<outgoing>
-publish(config_feed& feed, const control_state::state& from)
+std::vector<outgoing> publish(
+    config_feed& feed, const control_state::state& from, base::time_point now)
 {
     // Most subscribers have the same revision and share one message.
     std::map<base::revision, std::vector<net::link_id>> links_by_revision;
-    for (auto& [link, item] : feed.subscribers) {
-        if (item.sent >= from.config.at)
-            continue;
-        links_by_revision[item.sent].push_back(link);
-        item.sent = from.config.at;
-    }
+    for (const auto& [link, item] : feed.subscribers)
+        if (!item.sent || *item.sent < from.config.at)
+            links_by_revision[item.sent.value_or(base::revision{})].push_back(
+                link);
+    refill(feed, now);
     std::vector<outgoing> messages;
-    messages.reserve(links_by_revision.size());
-    for (auto& [have, links] : links_by_revision)
-        messages.push_back(
-            {std::move(links), control_state::update_since(from, have)});
+    for (auto& [have, links] : links_by_revision) {
+        auto update = control_state::update_since(from, have);
+        const auto size = wire::to_bytes(update).size();
+        if (size > max_small_update)
+            limit_bulk(feed, links, size);
+        for (const auto link : links)
+            feed.subscribers[link].sent = from.config.at;
+        if (!links.empty())
+            messages.push_back({std::move(links), std::move(update)});
+    }
     return messages;
 }
 
 std::vector<outgoing> confirm(
-    config_feed& feed, const control_state::state& from, std::uint32_t age_ms)
+    config_feed& feed,
+    const control_state::state& from,
+    std::uint32_t age_ms,
+    base::time_point now)
 {
-    auto messages = publish(feed, from);
-    if (!feed.subscribers.empty())
+    auto messages = publish(feed, from, now);
+    std::vector<net::link_id> current;
+    for (const auto& [link, item] : feed.subscribers)
+        if (item.sent && *item.sent >= from.config.at)
+            current.push_back(link);
+    if (!current.empty())
         messages.push_back(
-            {all_links(feed), wire::config_confirm{from.config.at, age_ms}});
+            {std::move(current), wire::config_confirm{from.config.at, age_ms}});
     return messages;
 }
 
--- a/oleanderhinge/control/internal/service_configuration.cpp
+++ b/oleanderhinge/control/internal/service_configuration.cpp
@@ -40,11 +40,21 @@
         this->send({{{link}, wire::subscribe_redirect{alternatives}}});
         return;
     }
+    const bool is_new = !this->feed.subscribers.contains(link);
+    const bool nearby = this->open_links.at(link).data_centre ==
+                        this->options.link.self.data_centre;
     this->send(this->state.read([&](const control_state::state& from) {
-        return subscribe(this->feed, link, request, from, alternatives);
+        return subscribe(
+            this->feed,
+            link,
+            request,
+            from,
+            alternatives,
+            nearby,
+            base::monotonic_now());
     }));
-    if (this->options.self_managed) {
-        this->send_group(link);
+    if (this->options.self_managed && is_new) {
+        this->links.send(link, this->group());
         this->links.send(link, all_servers(this->fleet, base::monotonic_now()));
     }
     this->confirm_if_newest();
@@ -59,7 +69,7 @@
 void service::impl::send_updates()
 {
     this->send(this->state.read([this](const control_state::state& from) {
-        return publish(this->feed, from);
+        return publish(this->feed, from, base::monotonic_now());
     }));
 }
 
@@ -92,7 +102,8 @@
 void service::impl::send_confirmation(base::duration age)
 {
     this->send(this->state.read([&](const control_state::state& from) {
-        return confirm(this->feed, from, ceil_to_ms(age));
+        return confirm(
+            this->feed, from, ceil_to_ms(age), base::monotonic_now());
     }));
 }
 
--- a/oleanderhinge/control/internal/service_fleet.cpp
+++ b/oleanderhinge/control/internal/service_fleet.cpp
@@ -163,10 +163,12 @@
         suspicion.server.port,
         suspicion.age_ms,
         this->open_links[from].vm.value());
+    std::vector<net::link_id> others;
     for (const auto& [link, peer] : this->open_links)
         if (link != from && (peer.sender == wire::role::entry ||
                              link_to(this->peers, peer.vm) == link))
-            this->links.send(link, suspicion);
+            others.push_back(link);
+    this->links.send(others, suspicion);
 }
 
 void service::impl::send_servers()
@@ -174,14 +176,15 @@
     const auto batches = take_changes(this->fleet, base::monotonic_now());
     if (batches.for_gateways.records.empty())
         return;
-    for (const auto& [link, peer] : this->open_links) {
-        if (peer.sender == wire::role::entry)
-            this->links.send(link, batches.for_gateways);
-        else if (
-            !batches.for_members.records.empty() &&
+    this->links.send(this->gateway_links(), batches.for_gateways);
+    if (batches.for_members.records.empty())
+        return;
+    std::vector<net::link_id> members;
+    for (const auto& [link, peer] : this->open_links)
+        if (peer.sender != wire::role::entry &&
             link_to(this->peers, peer.vm) == link)
-            this->links.send(link, batches.for_members);
-    }
+            members.push_back(link);
+    this->links.send(members, batches.for_members);
 }
 
 void service::impl::place_layers(
@@ -254,9 +257,7 @@
 {
     if (this->new_loads.items.empty())
         return;
-    for (const auto& [link, peer] : this->open_links)
-        if (peer.sender == wire::role::entry)
-            this->links.send(link, this->new_loads);
+    this->links.send(this->gateway_links(), this->new_loads);
     this->new_loads.items.clear();
 }
 
--- a/oleanderhinge/control/internal/service_group.cpp
+++ b/oleanderhinge/control/internal/service_group.cpp
@@ -73,7 +73,7 @@
     }
 }
 
-void service::impl::send_group(net::link_id link)
+wire::control_group service::impl::group() const
 {
     wire::control_group group;
     for (const auto& item : this->consensus.log->status().members)
@@ -82,7 +82,7 @@
     for (const auto& [other, peer] : this->open_links)
         if (peer.sender == wire::role::entry)
             ++group.gateways;
-    this->links.send(link, group);
+    return group;
 }
 
 void service::impl::send(const std::vector<outgoing>& messages)
@@ -93,14 +93,12 @@
         if (std::holds_alternative<wire::subscribe_redirect>(message.content))
             this->numbers.subscribers_redirected.Increment(
                 double(message.to.size()));
-        for (const auto link : message.to)
-            if (this->links.send(link, message.content) ==
-                net::send_status::full) {
-                // The subscriber is too slow. It subscribes again on a new
-                // link and then gets the newest revision.
-                this->numbers.slow_subscribers_closed.Increment();
-                this->links.close(link);
-            }
+        for (const auto link : this->links.send(message.to, message.content)) {
+            // The subscriber is too slow. It subscribes again on a new link and
+            // then gets the newest revision.
+            this->numbers.slow_subscribers_closed.Increment();
+            this->links.close(link);
+        }
     }
     this->count_subscribers();
 }
--- a/oleanderhinge/control/internal/service_impl.hpp
+++ b/oleanderhinge/control/internal/service_impl.hpp
@@ -27,6 +27,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <limits>
 #include <optional>
 #include <utility>
 
@@ -52,7 +53,15 @@
         , strand(asio::make_strand(context))
         , timer(strand)
         , random(options.seed)
-        , feed{.fanout = options.fanout, .subscribers = {}}
+        , feed{
+              // Every gateway of a self-managed group subscribes to every
+              // member; none is redirected.
+              .fanout = options.self_managed
+                            ? std::numeric_limits<std::size_t>::max()
+                            : options.fanout,
+              .subscribers = {},
+              .bulk_rate = options.bulk_rate,
+              .random = base::random_source(options.seed)}
         , peers{.self = self, .peers = {}}
         , watch{.self = self}
         , links(context, clock, options.link, this->link_handlers())
@@ -137,7 +146,10 @@
     void forward_join_request(
         const replica::log_status& status, const wire::join_request& request);
     void manage_group(const replica::log_status& status, base::time_point now);
-    void send_group(net::link_id link);
+    // What gateways are told of the group.
+    wire::control_group group() const;
+    // The links to gateways.
+    std::vector<net::link_id> gateway_links() const;
     void send(const std::vector<outgoing>& messages);
     void count_subscribers();
 
--- a/oleanderhinge/control/internal/service_links.cpp
+++ b/oleanderhinge/control/internal/service_links.cpp
@@ -47,6 +47,15 @@
     return std::nullopt;
 }
 
+std::vector<net::link_id> service::impl::gateway_links() const
+{
+    std::vector<net::link_id> found;
+    for (const auto& [link, peer] : this->open_links)
+        if (peer.sender == wire::role::entry)
+            found.push_back(link);
+    return found;
+}
+
 void service::impl::on_opened(net::link_id link, const wire::hello& peer)
 {
     if (peer.sender == wire::role::agent ||
--- a/oleanderhinge/control/service.cpp
+++ b/oleanderhinge/control/service.cpp
@@ -53,12 +53,12 @@
         !this->options.self_managed && this->config_lease_expired() &&
         !alternatives.empty())
         this->send(redirect_all(this->feed, alternatives));
+    this->send_updates();
     if (now >= this->next_confirm) {
         this->next_confirm = now + this->options.confirm_interval;
         this->confirm_if_newest();
         if (this->options.self_managed)
-            for (const auto& [link, subscriber] : this->feed.subscribers)
-                this->send_group(link);
+            this->links.send(this->gateway_links(), this->group());
     }
     this->send_servers();
     this->send_loads();
--- a/oleanderhinge/control/service.hpp
+++ b/oleanderhinge/control/service.hpp
@@ -37,8 +37,10 @@
     // Members to connect to while the log contains none.
     std::vector<replica::member> initial_members;
     // Maximum number of direct subscribers of this node; further ones are
-    // redirected to these.
+    // redirected to these. A self-managed group has no limit.
     std::size_t fanout = 8;
+    // Bytes of large configuration updates that are sent a second.
+    double bulk_rate = 50e6;
     base::duration confirm_interval = std::chrono::seconds(1);
     // After this time without a quorum, subscribers are redirected to other
     // members, unless the group is self-managed.
--- a/oleanderhinge/control/service_test.cpp
+++ b/oleanderhinge/control/service_test.cpp
@@ -207,12 +207,13 @@
 class cluster
 {
 public:
-    explicit cluster(std::size_t size, std::size_t fanout = 8)
+    explicit cluster(
+        std::size_t size, std::size_t fanout = 8, bool self_managed = false)
     {
         for (std::size_t i = 0; i < size; ++i) {
             this->shared.members.push_back(
                 {base::vm_id{"control-" + std::to_string(i + 1)}, {}, {}});
-            this->nodes.push_back(this->make_node(i, fanout));
+            this->nodes.push_back(this->make_node(i, fanout, self_managed));
         }
         for (std::size_t i = 0; i < size; ++i) {
             const auto open = this->nodes[i]->start().value();
@@ -287,7 +288,8 @@
     asio::io_context io;
 
 private:
-    std::unique_ptr<service> make_node(std::size_t index, std::size_t fanout)
+    std::unique_ptr<service>
+    make_node(std::size_t index, std::size_t fanout, bool self_managed)
     {
         service_options options;
         options.link.cluster_secret = secret;
@@ -300,6 +302,7 @@
             *local = {"127.0.0.1", 0};
         options.admin_token = token;
         options.fanout = fanout;
+        options.self_managed = self_managed;
         options.confirm_interval = std::chrono::milliseconds(20);
         options.config_lease = std::chrono::milliseconds(100);
         options.wall_ms = [] { return 1'700'000'000'000; };
@@ -489,6 +492,20 @@
 }
 
 // Guards against two owners of one call, with claims sent over links.
+// Guards against gateways that are redirected and never get a table: of 105,
+// each member of the group served 64.
+TEST(feed, every_gateway_of_a_self_managed_group_is_served)
+{
+    cluster group(1, 1, true);
+    entry_link first(group.io, group.member(0).link);
+    first.send(wire::subscribe{});
+    first.next<wire::config_update>();
+    entry_link second(group.io, group.member(0).link);
+    second.send(wire::subscribe{});
+    EXPECT_EQ(second.next<wire::config_update>().full.size(), 1U);
+    second.next<wire::config_confirm>();
+}
+
 TEST(claims, race_resend_and_outcome)
 {
     cluster group(2);
--- a/oleanderhinge/control/settings.cpp
+++ b/oleanderhinge/control/settings.cpp
@@ -150,6 +150,10 @@
     options.management_listen = checked.endpoint("management.listen");
     options.admin_token = checked.text("admin.token");
     options.fanout = std::size_t(checked.integer("config.fanout"));
+    constexpr double bytes_per_mbit = 125000;
+    constexpr double bulk_share = 0.5;
+    options.bulk_rate =
+        checked.number("link.bandwidth") * bytes_per_mbit * bulk_share;
     options.confirm_interval = times.config_confirm_interval;
     options.config_lease = times.config_lease;
     options.plan_retention = checked.duration("config.plan_retention");
@@ -222,6 +226,14 @@
          "",
          "",
          "endpoint for links of entry and control nodes"},
+        {"link",
+         "bandwidth",
+         value_type::number,
+         "1000",
+         "0.01",
+         "10000000",
+         "bandwidth of this node's network in Mbit/s; large configuration "
+         "updates use half of it, since heartbeats share it"},
         {"config",
          "fanout",
          value_type::integer,
--- a/oleanderhinge/net/internal/link_session.cpp
+++ b/oleanderhinge/net/internal/link_session.cpp
@@ -50,6 +50,12 @@
 
 } // namespace
 
+frame_pointer link_shared::encode(const wire::message& content) const
+{
+    return std::make_shared<const std::string>(
+        wire::encode(content, this->clock.tick(base::wall_clock_us())));
+}
+
 link_session::link_session(
     link_id number,
     tcp::socket connection,
@@ -225,18 +231,16 @@
     this->write();
 }
 
-send_status link_session::send(const wire::message& content)
+send_status link_session::send(frame_pointer frame)
 {
-    std::string frame =
-        wire::encode(content, this->shared->clock.tick(base::wall_clock_us()));
     {
         const std::lock_guard lock(this->mutex);
         if (this->finished)
             return send_status::closed;
-        if (this->waiting_bytes + frame.size() >
+        if (this->waiting_bytes + frame->size() >
             this->shared->options.max_outbound)
             return send_status::full;
-        this->waiting_bytes += frame.size();
+        this->waiting_bytes += frame->size();
         this->frames.push_back(std::move(frame));
     }
     this->last_sent_us = base::monotonic_now().time_since_epoch().count();
@@ -248,11 +252,10 @@
 
 void link_session::send_now(const wire::message& content)
 {
-    std::string frame =
-        wire::encode(content, this->shared->clock.tick(base::wall_clock_us()));
+    auto frame = this->shared->encode(content);
     {
         const std::lock_guard lock(this->mutex);
-        this->waiting_bytes += frame.size();
+        this->waiting_bytes += frame->size();
         this->handshake_frames.push_back(std::move(frame));
     }
     this->write();
@@ -263,27 +266,33 @@
     if (this->writing || this->stage == phase::connecting)
         return;
     this->in_flight.clear();
+    std::size_t size_in_flight = 0;
     {
         const std::lock_guard lock(this->mutex);
         if (this->finished)
             return;
-        const auto take = [&](std::deque<std::string>& from) {
-            while (!from.empty() && this->in_flight.size() < write_batch) {
-                this->in_flight += from.front();
+        const auto take = [&](std::deque<frame_pointer>& from) {
+            while (!from.empty() && size_in_flight < write_batch) {
+                size_in_flight += from.front()->size();
+                this->in_flight.push_back(std::move(from.front()));
                 from.pop_front();
             }
         };
         take(this->handshake_frames);
         if (this->is_open)
             take(this->frames);
-        this->waiting_bytes -= this->in_flight.size();
+        this->waiting_bytes -= size_in_flight;
     }
     if (this->in_flight.empty())
         return;
     this->writing = true;
+    std::vector<asio::const_buffer> buffers;
+    buffers.reserve(this->in_flight.size());
+    for (const auto& frame : this->in_flight)
+        buffers.push_back(asio::buffer(*frame));
     asio::async_write(
         this->socket,
-        asio::buffer(this->in_flight),
+        buffers,
         [self = this->shared_from_this()](
             boost::system::error_code error, std::size_t size) {
             self->writing = false;
--- a/oleanderhinge/net/internal/link_session.hpp
+++ b/oleanderhinge/net/internal/link_session.hpp
@@ -11,6 +11,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <vector>
 
 namespace oleanderhinge::net::internal
 {
@@ -26,6 +27,9 @@
     std::atomic<std::uint64_t> pings_sent{0};
 };
 
+// A serialized frame; links that get the same message share it.
+using frame_pointer = std::shared_ptr<const std::string>;
+
 // What all links of a table share.
 struct link_shared {
     link_shared(
@@ -38,6 +42,9 @@
     {
     }
 
+    // Serializes a message with the present stamp.
+    frame_pointer encode(const wire::message& content) const;
+
     timeline::hybrid_clock& clock;
     link_options options;
     link_events events;
@@ -58,7 +65,7 @@
 
     void connect(const wire::endpoint& peer);
     void start();
-    send_status send(const wire::message& content);
+    send_status send(frame_pointer frame);
     void close(close_reason reason);
     void check(base::time_point now);
 
@@ -93,11 +100,11 @@
     std::array<char, wire::header_size> header_bytes{};
     std::string payload;
     bool writing = false;
-    std::string in_flight;
+    std::vector<frame_pointer> in_flight;
 
     std::mutex mutex;
-    std::deque<std::string> handshake_frames;
-    std::deque<std::string> frames;
+    std::deque<frame_pointer> handshake_frames;
+    std::deque<frame_pointer> frames;
     std::size_t waiting_bytes = 0;
     bool finished = false;
     bool is_open = false;
--- a/oleanderhinge/net/link_table.cpp
+++ b/oleanderhinge/net/link_table.cpp
@@ -187,7 +187,22 @@
 send_status link_table::send(link_id id, const wire::message& content)
 {
     const auto session = this->state->find(id);
-    return session ? session->send(content) : send_status::closed;
+    return session ? session->send(this->state->shared->encode(content))
+                   : send_status::closed;
+}
+
+std::vector<link_id>
+link_table::send(const std::vector<link_id>& ids, const wire::message& content)
+{
+    std::vector<link_id> full;
+    if (ids.empty())
+        return full;
+    const auto frame = this->state->shared->encode(content);
+    for (const auto id : ids)
+        if (const auto session = this->state->find(id);
+            session && session->send(frame) == send_status::full)
+            full.push_back(id);
+    return full;
 }
 
 void link_table::set_busy(link_id id, bool busy)
--- a/oleanderhinge/net/link_table.hpp
+++ b/oleanderhinge/net/link_table.hpp
@@ -23,6 +23,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace oleanderhinge::net
 {
@@ -106,6 +107,10 @@
     // Starts a connection. `closed` is called if it fails.
     link_id connect(const wire::endpoint& peer);
     send_status send(link_id id, const wire::message& content);
+    // Sends one message on several links; it is serialized once and shared by
+    // their queues. Returns the links whose status is `full`.
+    std::vector<link_id>
+    send(const std::vector<link_id>& ids, const wire::message& content);
     // States whether requests are outstanding, which selects the heartbeat.
     void set_busy(link_id id, bool busy);
     void close(link_id id);
