gateway: a retry budget for each service that follows its requests

Cause: the budget was split evenly and saved up a share of the slack only. With 105 gateways each held 1.7 retries, while the streams of a lost chain fall on the gateways of one data centre at once. It was one budget for all services, although the platform's bound is by service.

Change: each gateway earns retries by its own requests for the service and may save those of one window; the slack is split as before. The number of gateways is the largest that a member of control has counted in the last 10 to 20 s, since a member that has just started counts few.

Weighed: grants from control by demand. They put a message, and the age of a leader, between a failure and its retry; not built.

Also: bounds of the platform may be fractions (a small twin of the large deployment has a slack of 59.69; gateways ended with code 1). The time before SIGKILL comes from the platform's settings. How long callers of a stream wait is taken from their route (2 s, four times the target or eight times the gap) instead of 1.8 s and 3.5 times the target. The route index shares the table instead of copying it.

--- a/oleanderhinge/gateway/control_client.cpp
+++ b/oleanderhinge/gateway/control_client.cpp
@@ -8,6 +8,23 @@
 namespace oleanderhinge::gateway
 {
 
+namespace
+{
+
+bool carries_whole_table(const wire::config_update& update)
+{
+    return !update.full.empty() ||
+           std::any_of(
+               update.changes.begin(),
+               update.changes.end(),
+               [](const auto& item) {
+                   return std::holds_alternative<wire::put_forwarding>(
+                       item.second);
+               });
+}
+
+} // namespace
+
 control_client::control_client(
     net::link_table& links_in,
     control_client_options options_in,
@@ -87,6 +104,7 @@
 void control_client::on_update(
     net::link_id link, wire::config_update&& update, base::time_point now)
 {
+    const bool whole_table = carries_whole_table(update);
     for (const auto& action :
          membership::apply_update(this->view, std::move(update), now)) {
         if (const auto* next =
@@ -98,6 +116,11 @@
                 next->from.value(),
                 this->view.config->forwarding.version);
             this->events.configuration(this->view.config);
+            // The other members need not send the table again.
+            if (whole_table)
+                for (const auto& [address, peer] : this->members)
+                    if (peer.open && peer.link != link)
+                        this->send_subscribe(*peer.link, next->to);
         } else if (
             const auto* missing =
                 std::get_if<membership::full_update_needed>(&action)) {
@@ -111,7 +134,7 @@
 {
     for (const auto& address : group.members)
         this->members[address].last_listed = now;
-    this->events.gateways(group.gateways);
+    this->events.gateways(group.gateways, now);
 }
 
 void control_client::report_suspicion(const wire::endpoint& server)
--- a/oleanderhinge/gateway/control_client.hpp
+++ b/oleanderhinge/gateway/control_client.hpp
@@ -54,8 +54,8 @@
     // Another gateway suspects a server, since requests that depend on it make
     // no progress.
     std::function<void(const wire::server_suspicion&)> suspicion;
-    // Number of gateways that share the retry budget, this one included.
-    std::function<void(std::uint32_t)> gateways;
+    // Number of gateways that a member has links to, this one included.
+    std::function<void(std::uint32_t, base::time_point)> gateways;
 };
 
 class control_client
--- a/oleanderhinge/gateway/forwarder.cpp
+++ b/oleanderhinge/gateway/forwarder.cpp
@@ -62,23 +62,36 @@
     , options(std::move(options_in))
     , stalls(
           context, protocol_in, selector_in, stats_in, options.report_suspect)
-    , budget(retry::make_budget(options.retries, base::monotonic_now()))
     , random(options.seed)
 {
 }
 
-void forwarder::split_retry_budget(std::uint32_t gateways)
+void forwarder::note_gateways(std::uint32_t count, base::time_point now)
 {
-    const double share = std::max(gateways, 1U);
-    retry::set_share(
-        this->budget,
-        this->options.retries.floor_per_second / share,
-        std::max(1.0, this->options.retries.max_saved / share));
+    const auto sharing = retry::note(this->gateways, count, now);
+    for (auto& [service, budget] : this->budgets)
+        retry::set_gateways(budget, sharing);
+}
+
+retry::shared_budget& forwarder::budget_of(const forwarding_request& request)
+{
+    const auto [found, is_new] = this->budgets.try_emplace(
+        request.service->name,
+        retry::make_shared_budget(
+            this->options.retries, base::monotonic_now()));
+    if (is_new)
+        retry::set_gateways(
+            found->second,
+            std::max(this->gateways.present, this->gateways.previous));
+    return found->second;
 }
 
 void forwarder::set_table(std::shared_ptr<const route_index> next)
 {
     this->index = std::move(next);
+    std::erase_if(this->budgets, [this](const auto& item) {
+        return this->index->find_service(item.first) == nullptr;
+    });
     for (const auto& waiting : this->table_waiters)
         cancel_wait(*waiting);
     this->stats.table_version.Set(double(this->index->table().version));
@@ -170,6 +183,7 @@
         std::min(request.metadata.caller_timeout.value_or(limit), limit);
     const auto& name = pick_target(*request.route, this->random);
     request.service = request.index->find_service(name);
+    retry::note_request(this->budget_of(request), base::monotonic_now());
     if (!request.route->streaming || !request.service->engine)
         co_return co_await this->serve_call(request);
     this->stalls.add(request.shared_from_this());
--- a/oleanderhinge/gateway/forwarder.hpp
+++ b/oleanderhinge/gateway/forwarder.hpp
@@ -20,11 +20,12 @@
 #include "oleanderhinge/gateway/server_choice.hpp"
 #include "oleanderhinge/gateway/stall_watch.hpp"
 #include "oleanderhinge/gateway/upstream.hpp"
-#include "oleanderhinge/retry/budget.hpp"
+#include "oleanderhinge/retry/shared_budget.hpp"
 
 #include <boost/asio/awaitable.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -33,7 +34,8 @@
 {
 
 struct forwarder_options {
-    retry::budget_options retries;
+    // For each service.
+    retry::shared_budget_options retries;
     std::uint64_t seed = 1;
     // Called when requests that depend on this server make no progress.
     std::function<void(const wire::endpoint&)> report_suspect;
@@ -54,8 +56,9 @@
 
     // Detects stalled streams. Call it ten times a second.
     void tick() { this->stalls.tick(); }
-    // Takes an equal part of the retry budget that this many gateways share.
-    void split_retry_budget(std::uint32_t gateways);
+    // Notes how many gateways share the retry budgets, as a member of control
+    // counts them.
+    void note_gateways(std::uint32_t count, base::time_point now);
 
     // Serves one request. If it fails, the caller gets an error answer, or a
     // closed connection if its stream has begun.
@@ -105,6 +108,7 @@
         forwarding_request& request,
         const base::verdict& why,
         base::time_point now);
+    retry::shared_budget& budget_of(const forwarding_request& request);
     void log_attempt(
         const forwarding_request& request,
         const attempt_result& result,
@@ -119,7 +123,9 @@
     const forwarder_options options;
     stall_watch stalls;
     std::shared_ptr<const route_index> index;
-    retry::budget budget;
+    // By service.
+    std::map<std::string, retry::shared_budget> budgets;
+    retry::recent_maximum gateways;
     base::random_source random;
     request_log log;
     std::size_t active = 0;
--- a/oleanderhinge/gateway/forwarder_test.cpp
+++ b/oleanderhinge/gateway/forwarder_test.cpp
@@ -157,7 +157,7 @@
               protocol,
               selector,
               stats,
-              {.retries = {.floor_per_second = 10},
+              {.retries = {.request_share = 10},
                .seed = 1,
                .report_suspect = [](const wire::endpoint&) {}})
         , front(
--- a/oleanderhinge/gateway/gateway_node.cpp
+++ b/oleanderhinge/gateway/gateway_node.cpp
@@ -104,8 +104,9 @@
         .configuration =
             [this](const std::shared_ptr<const wire::configuration>& config) {
                 if (config->forwarding.version != 0)
-                    this->forward.set_table(
-                        std::make_shared<route_index>(config->forwarding));
+                    this->forward.set_table(std::make_shared<route_index>(
+                        std::shared_ptr<const wire::forwarding_table>(
+                            config, &config->forwarding)));
             },
         .servers =
             [this](const wire::server_batch& batch) {
@@ -127,8 +128,8 @@
                     ++this->selector.generation;
             },
         .gateways =
-            [this](std::uint32_t gateway_count) {
-                this->forward.split_retry_budget(gateway_count);
+            [this](std::uint32_t gateway_count, base::time_point now) {
+                this->forward.note_gateways(gateway_count, now);
             }};
 }
 
--- a/oleanderhinge/gateway/internal/attempt.hpp
+++ b/oleanderhinge/gateway/internal/attempt.hpp
@@ -8,6 +8,7 @@
 #include "oleanderhinge/base/verdict.hpp"
 #include "oleanderhinge/gateway/forwarder.hpp"
 
+#include <chrono>
 #include <utility>
 
 namespace oleanderhinge::gateway
@@ -36,6 +37,10 @@
     steady_time until);
 void cancel_wait(forwarding_request& request);
 
+// Time without an event after which the caller of a stream leaves, also before
+// the first event.
+std::chrono::milliseconds caller_patience(const wire::forwarding_route& route);
+
 // Whether another attempt is allowed after one that may have run.
 inline bool is_repeatable(const wire::forwarding_route& route)
 {
--- a/oleanderhinge/gateway/internal/forwarder_attempts.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_attempts.cpp
@@ -167,7 +167,7 @@
     if (request.possible_runs >= request.route->attempts)
         return false;
     return retry::may_retry(
-               this->budget,
+               this->budget_of(request),
                why,
                is_repeatable(*request.route),
                // A stream that has begun is not limited by its number of
--- a/oleanderhinge/gateway/internal/forwarder_calls.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_calls.cpp
@@ -42,7 +42,6 @@
         this->log_attempt(request, result, now);
         if (result.end == attempt_end::answered) {
             note_success(this->selector, to->address, ms_since(started), now);
-            retry::note_success(this->budget);
             co_return;
         }
         if (result.end == attempt_end::caller_left || request.caller_left) {
--- a/oleanderhinge/gateway/internal/forwarder_streams.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_streams.cpp
@@ -17,20 +17,27 @@
 
 // A stream that is silent for this many times the longest gap that its route
 // allows, and at least for `min_stall_time`, is resumed on another path.
-// Callers give up after 2 s.
 constexpr int stall_gap_factor = 6;
 constexpr auto min_stall_time = milliseconds(1500);
-// Callers leave a stream after a silence of 2 s. Until `max_resume_silence`, a
-// stream that servers refuse is tried again after each `resume_retry_wait`, in
-// which about ten requests of a path end.
-constexpr auto max_resume_silence = milliseconds(1800);
+// A stream that servers refuse is tried again after each `resume_retry_wait`,
+// in which about ten requests of a path end, until `resume_margin` before its
+// caller leaves.
 constexpr auto resume_retry_wait = milliseconds(200);
-// The head of the answer may take this many times the target latency of the
-// route; then another attempt is made, if one is left.
-constexpr double first_event_limit_factor = 3.5;
+constexpr auto resume_margin = milliseconds(200);
+// A caller that waits for its first event gets a failure this long before it
+// would leave.
+constexpr auto first_event_margin = milliseconds(100);
 
 } // namespace
 
+milliseconds caller_patience(const wire::forwarding_route& route)
+{
+    return std::max(
+        {milliseconds(2000),
+         4 * milliseconds(route.target_latency_ms),
+         8 * milliseconds(route.largest_gap_ms)});
+}
+
 asio::awaitable<void> forwarder::serve_stream(forwarding_request& request)
 {
     while (true) {
@@ -90,7 +97,6 @@
     note_ended(this->selector, first);
     this->log_attempt(request, result, started);
     if (result.end == attempt_end::answered) {
-        retry::note_success(this->budget);
         for (const auto& part : request.parts)
             this->selector.health[part.address].failures_in_a_row = 0;
     } else if (result.end == attempt_end::failed && !request.caller_left)
@@ -138,7 +144,8 @@
 {
     if (!request.head_sent || request.caller_left ||
         request.possible_runs >= request.route->attempts ||
-        steady_now() >= request.last_event + max_resume_silence)
+        steady_now() >= request.last_event + caller_patience(*request.route) -
+                            resume_margin)
         co_return false;
     co_await wait_until(request, this->io, steady_now() + resume_retry_wait);
     // Servers that refused may have free memory by now.
@@ -164,9 +171,8 @@
         request.route->target_latency_ms != 0)
         limit = std::min(
             limit,
-            steady_now() + milliseconds(std::int64_t(
-                               request.route->target_latency_ms *
-                               first_event_limit_factor)));
+            steady_now() + caller_patience(*request.route) -
+                first_event_margin);
     const auto head = co_await this->read_answer_head(request, limit);
     if (head.end != attempt_end::answered)
         co_return head;
--- a/oleanderhinge/gateway/route_index.cpp
+++ b/oleanderhinge/gateway/route_index.cpp
@@ -21,9 +21,15 @@
 } // namespace
 
 route_index::route_index(wire::forwarding_table table_in)
-    : owned_table(std::move(table_in))
+    : route_index(
+          std::make_shared<const wire::forwarding_table>(std::move(table_in)))
 {
-    for (const auto& route : this->owned_table.routes)
+}
+
+route_index::route_index(std::shared_ptr<const wire::forwarding_table> table_in)
+    : held_table(std::move(table_in))
+{
+    for (const auto& route : this->held_table->routes)
         this->by_host[normalize_host(route.host)].push_back(&route);
     for (auto& [host, routes] : this->by_host)
         std::sort(
@@ -32,10 +38,10 @@
             [](const auto* left, const auto* right) {
                 return left->path_prefix.size() > right->path_prefix.size();
             });
-    for (const auto& customer : this->owned_table.customers)
+    for (const auto& customer : this->held_table->customers)
         for (const auto& key : customer.keys)
             this->by_key.emplace(key, &customer);
-    for (const auto& service : this->owned_table.services)
+    for (const auto& service : this->held_table->services)
         this->by_service.emplace(service.name, &service);
 }
 
--- a/oleanderhinge/gateway/route_index.hpp
+++ b/oleanderhinge/gateway/route_index.hpp
@@ -11,6 +11,7 @@
 #include "oleanderhinge/wire/forwarding.hpp"
 
 #include <map>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -25,6 +26,9 @@
 {
 public:
     explicit route_index(wire::forwarding_table table_in);
+    // Shares the table, which is not copied.
+    explicit route_index(
+        std::shared_ptr<const wire::forwarding_table> table_in);
     route_index(const route_index&) = delete;
     route_index& operator=(const route_index&) = delete;
 
@@ -38,10 +42,10 @@
     // Null for an unknown name.
     const wire::forwarding_service* find_service(std::string_view name) const;
 
-    const wire::forwarding_table& table() const { return this->owned_table; }
+    const wire::forwarding_table& table() const { return *this->held_table; }
 
 private:
-    const wire::forwarding_table owned_table;
+    const std::shared_ptr<const wire::forwarding_table> held_table;
     // Routes by host, longest prefix first.
     std::unordered_map<std::string, std::vector<const wire::forwarding_route*>>
         by_host;
--- a/oleanderhinge/gateway/settings.cpp
+++ b/oleanderhinge/gateway/settings.cpp
@@ -2,6 +2,8 @@
 
 #include "oleanderhinge/settings/node_keys.hpp"
 
+#include <algorithm>
+
 namespace oleanderhinge::gateway
 {
 
@@ -13,6 +15,8 @@
 // Limit on the attempts of one request, including those that no server ran.
 // More attempts would only spread an overload.
 constexpr std::uint32_t max_attempts_per_request = 5;
+// The process ends by itself this long before it would be killed.
+constexpr auto kill_margin = std::chrono::milliseconds(500);
 
 settings::schema own_keys()
 {
@@ -30,7 +34,17 @@
          "2500ms",
          "0s",
          "1min",
-         "time after the signal to end in which new connections are taken"},
+         "time after the signal to end in which new connections are taken, at "
+         "most a third of gateway.kill_delay"},
+        {"gateway",
+         "kill_delay",
+         value_type::duration,
+         "",
+         "1s",
+         "1h",
+         "time from the signal to end until the process is killed; "
+         "request.drain_limit ends half a second before",
+         true},
         {"control",
          "seeds",
          value_type::endpoint_list,
@@ -50,11 +64,11 @@
          value_type::number,
          "0.2",
          "0",
-         "1",
+         "10",
          "requests sent again for each request, over all gateways"},
         {"retries",
          "slack",
-         value_type::integer,
+         value_type::number,
          "100",
          "0",
          "1000000",
@@ -64,7 +78,7 @@
          "window",
          value_type::duration,
          "10s",
-         "1s",
+         "100ms",
          "10min",
          "window of retries.slack"},
         {"management",
@@ -84,22 +98,13 @@
          true}};
 }
 
-retry::budget_options read_retries(const settings::values& checked)
+retry::shared_budget_options read_retries(const settings::values& checked)
 {
-    // Of the slack, 45 % may be saved up and 45 % are earned in a window. The
-    // remaining tenth is reserved for gateways that do not know of each other
-    // yet.
-    constexpr double margin = 0.45;
-    const std::chrono::duration<double> window =
-        checked.duration("retries.window");
-    const auto slack = double(checked.integer("retries.slack"));
-    retry::budget_options options;
-    options.success_share = checked.number("retries.share") * margin;
-    options.floor_per_second = slack * margin / window.count();
-    options.max_saved = slack * margin;
-    options.starts_empty = true;
-    options.max_attempts = max_attempts_per_request;
-    return options;
+    return {
+        checked.number("retries.share"),
+        checked.number("retries.slack"),
+        checked.duration("retries.window"),
+        max_attempts_per_request};
 }
 
 } // namespace
@@ -129,6 +134,12 @@
         chosen.seeds.push_back({seed.address, port});
     chosen.retries = read_retries(checked);
     chosen.times = settings::load_timing(checked);
+    if (checked.has("gateway.kill_delay")) {
+        const auto delay = checked.duration("gateway.kill_delay");
+        chosen.times.drain_limit =
+            std::min(chosen.times.drain_limit, delay - kill_margin);
+        chosen.leave_time = std::min(chosen.leave_time, delay / 3);
+    }
     BOOST_LEAF_CHECK(settings::check_timing(chosen.times));
     return chosen;
 }
--- a/oleanderhinge/gateway/settings.hpp
+++ b/oleanderhinge/gateway/settings.hpp
@@ -35,7 +35,7 @@
     // New connections are still accepted for this time after SIGTERM, until the
     // load balancer has noticed that the node is not ready.
     base::duration leave_time = std::chrono::seconds(2);
-    retry::budget_options retries;
+    retry::shared_budget_options retries;
 };
 
 // Fails with `out_of_range` if a relation between settings is broken.
--- a/oleanderhinge/retry/budget.cpp
+++ b/oleanderhinge/retry/budget.cpp
@@ -12,8 +12,14 @@
 using base::execution;
 using base::failure_code;
 
-// Time over which the floor accumulates, in seconds.
-constexpr double floor_burst_seconds = 10;
+// Largest number of retries that the floor alone adds up to.
+double floor_burst(const budget_options& options)
+{
+    return std::min(
+        options.max_saved,
+        options.floor_per_second *
+            std::chrono::duration<double>(options.floor_burst).count());
+}
 
 void refill(budget& b, base::time_point now)
 {
@@ -22,8 +28,7 @@
     b.refilled = std::max(b.refilled, now);
     // The floor alone fills the budget only up to its own burst, not to
     // `max_saved`.
-    const double burst = std::min(
-        b.options.max_saved, b.options.floor_per_second * floor_burst_seconds);
+    const double burst = floor_burst(b.options);
     if (b.saved < burst)
         b.saved =
             std::min(burst, b.saved + seconds * b.options.floor_per_second);
@@ -96,8 +101,7 @@
     budget b;
     b.options = options;
     if (!options.starts_empty)
-        b.saved = std::min(
-            options.max_saved, options.floor_per_second * floor_burst_seconds);
+        b.saved = floor_burst(options);
     b.refilled = now;
     return b;
 }
--- a/oleanderhinge/retry/budget.hpp
+++ b/oleanderhinge/retry/budget.hpp
@@ -30,8 +30,10 @@
 struct budget_options {
     // Retries added to the budget by one success.
     double success_share = 0.1;
-    // Retries added per second, independent of traffic, up to 10 s worth.
+    // Retries added per second, independent of traffic, up to those of
+    // `floor_burst`.
     double floor_per_second = 1;
+    base::duration floor_burst = std::chrono::seconds(10);
     // Largest number of retries in the budget.
     double max_saved = 100;
     // Whether the budget is empty at the start. For processes that share a
@@ -75,7 +77,7 @@
 // Value of a metric label.
 const char* to_string(refusal value);
 
-// A budget that starts with 10 s worth of the floor, at most `max_saved`,
+// A budget that starts with the floor of `floor_burst`, at most `max_saved`,
 // unless `options.starts_empty`.
 budget make_budget(const budget_options& options, base::time_point now);
 
--- a/oleanderhinge/settings/internal/units.cpp
+++ b/oleanderhinge/settings/internal/units.cpp
@@ -65,6 +65,25 @@
     return std::nullopt;
 }
 
+// A decimal fraction and one of `units`, rounded to the smallest unit.
+template <std::size_t Size>
+std::optional<std::uint64_t> parse_fraction(
+    std::string_view text,
+    const std::array<unit, Size>& units,
+    std::uint64_t limit)
+{
+    const auto end = text.find_first_not_of("0123456789.");
+    if (end == std::string_view::npos)
+        return std::nullopt;
+    const auto count = parse_whole<double>(text.substr(0, end));
+    if (!count)
+        return std::nullopt;
+    for (const auto& [name, factor] : units)
+        if (text.substr(end) == name && *count * double(factor) < double(limit))
+            return std::uint64_t(std::llround(*count * double(factor)));
+    return std::nullopt;
+}
+
 } // namespace
 
 std::optional<std::int64_t> parse_integer(std::string_view text)
@@ -91,7 +110,9 @@
 {
     const auto limit =
         std::uint64_t(std::numeric_limits<base::duration::rep>::max());
-    const auto us = parse_with_unit(text, duration_units, limit);
+    const auto us = text.find('.') == std::string_view::npos
+                        ? parse_with_unit(text, duration_units, limit)
+                        : parse_fraction(text, duration_units, limit);
     if (!us)
         return std::nullopt;
     return base::duration(base::duration::rep(*us));
--- a/tests/deploy_test.cpp
+++ b/tests/deploy_test.cpp
@@ -16,10 +16,12 @@
 {
 
 // Values of the same form as the platform's.
-std::string
-fill_in(const std::string& name, const std::set<std::string>& without = {})
+std::string fill_in(
+    const std::string& name,
+    const std::set<std::string>& without = {},
+    const std::map<std::string, std::string>& others = {})
 {
-    const std::map<std::string, std::string> values{
+    std::map<std::string, std::string> values{
         {"nodeName", "edge-glasgow-1"},
         {"region", "scotland"},
         {"zone", "glasgow"},
@@ -34,7 +36,11 @@
         {"listen.controlPlane", "10.1.0.40:8229"},
         {"bounds.retryBudgetRatio", "0.2"},
         {"bounds.budgetSlack", "416"},
-        {"bounds.budgetWindowS", "10"}};
+        {"bounds.budgetWindowS", "10"},
+        {"bounds.graceS", "8"},
+        {"limits.linkMbps", "100.0"}};
+    for (const auto& [key, value] : others)
+        values[key] = value;
     std::ifstream in(std::string(OLEANDERHINGE_SOURCE_DIR) + "/deploy/" + name);
     std::ostringstream contents;
     contents << in.rdbuf();
@@ -69,12 +75,14 @@
     const std::string& name,
     const settings::schema& keys,
     const Load& load,
-    const std::set<std::string>& without = {})
+    const std::set<std::string>& without = {},
+    const std::map<std::string, std::string>& others = {})
 {
     return base::handle(
         [&]() -> base::result<Settings> {
             BOOST_LEAF_AUTO(
-                values, settings::parse(fill_in(name, without), keys, name));
+                values,
+                settings::parse(fill_in(name, without, others), keys, name));
             return load(values);
         },
         [](const base::error& e) -> Settings {
@@ -106,6 +114,45 @@
     EXPECT_EQ(chosen.service.tolerated_losses, 2U);
 }
 
+// Bounds of the platform may be integers or fractions, and tables may be
+// absent. Guards against gateways that end at the start: a small twin of a day
+// has a slack of 59.69.
+TEST(deploy, the_gateways_template_takes_fractions)
+{
+    const auto chosen = checked<gateway::gateway_settings>(
+        "gateway.ini",
+        gateway::gateway_keys(),
+        gateway::load_settings,
+        {},
+        {{"bounds.budgetSlack", "59.69696969696969"},
+         {"bounds.budgetWindowS", "2.5"},
+         {"bounds.retryBudgetRatio", "1.5"},
+         {"bounds.graceS", "4.5"}});
+    EXPECT_DOUBLE_EQ(chosen.retries.slack, 59.69696969696969);
+    EXPECT_EQ(chosen.retries.window, std::chrono::milliseconds(2500));
+    EXPECT_LT(chosen.times.drain_limit, std::chrono::milliseconds(4500));
+    EXPECT_LT(chosen.leave_time, chosen.times.drain_limit);
+}
+
+TEST(deploy, the_templates_are_valid_without_optional_values)
+{
+    const auto gateway = checked<gateway::gateway_settings>(
+        "gateway.ini",
+        gateway::gateway_keys(),
+        gateway::load_settings,
+        {"bounds.budgetSlack",
+         "bounds.budgetWindowS",
+         "bounds.retryBudgetRatio",
+         "bounds.graceS"});
+    EXPECT_EQ(gateway.seeds.size(), 3U);
+    const auto control = checked<control::control_settings>(
+        "control.ini",
+        control::control_keys(),
+        control::load_settings,
+        {"faultTolerance.machines", "limits.linkMbps"});
+    EXPECT_EQ(control.members.size(), 3U);
+}
+
 TEST(deploy, the_control_template_gives_valid_settings)
 {
     const auto chosen = checked<control::control_settings>(
