control: a member with a full disk goes on without it

The log was only compacted after 64 MiB of commands, on disks of 64 MiB, and 4,096 entries stayed in memory whatever their size.

Change: writes that a full disk refuses are repeated every 100 ms: the torn end is cut off, and the records that were collected are written again. Meanwhile the member acknowledges nothing new, does not stand for election, and as leader hands over to a voter that has stored an entry which its own disk refuses. Reads under the lease go on. A failed sync still ends the process: the pages may be lost.

Ruled out: giving up the lead at once. With all disks full no other member could take it, and reads would stop, too.

Tests: storage.log_store.a_disk_that_was_full_keeps_everything and .a_power_loss_on_a_full_disk_* at each operation of the script; replica.node.a_full_disk_* and .a_leader_with_a_full_disk_*; consensus.step.*.

--- a/oleanderhinge/base/error.cpp
+++ b/oleanderhinge/base/error.cpp
@@ -20,6 +20,8 @@
         return "out_of_range";
     case error_code::io:
         return "io";
+    case error_code::no_space:
+        return "no_space";
     case error_code::corrupt:
         return "corrupt";
     case error_code::conflict:
--- a/oleanderhinge/base/error.hpp
+++ b/oleanderhinge/base/error.hpp
@@ -29,6 +29,8 @@
     not_found,
     out_of_range,
     io,
+    // The disk is full.
+    no_space,
     corrupt,
     conflict,
     unavailable,
--- a/oleanderhinge/consensus/events.hpp
+++ b/oleanderhinge/consensus/events.hpp
@@ -76,6 +76,13 @@
 struct transfer_requested {
 };
 
+// Whether the disk refuses writes, since it is full. While it does, this member
+// does not stand for election, and as leader hands over to a voter that has
+// stored what this member cannot.
+struct disk_state {
+    bool refuses_writes = false;
+};
+
 using event = std::variant<
     tick,
     message_received,
@@ -85,7 +92,8 @@
     member_removed,
     persisted,
     snapshot_taken,
-    transfer_requested>;
+    transfer_requested,
+    disk_state>;
 
 // --- Actions --------------------------------------------------------------
 
--- a/oleanderhinge/consensus/internal/leader.cpp
+++ b/oleanderhinge/consensus/internal/leader.cpp
@@ -53,11 +53,10 @@
     }
 }
 
-void transfer_if_caught_up(context& c)
+// Hands leadership to a voter that has the whole log, if there is one.
+void hand_over_if_caught_up(context& c)
 {
     auto& state = c.state;
-    if (!state.leading.transfer_deadline)
-        return;
     for (const auto& m : members_of(state)) {
         const auto peer = state.leading.peers.find(m.vm);
         if (!m.voter || peer == state.leading.peers.end() ||
@@ -71,6 +70,12 @@
     }
 }
 
+void transfer_if_caught_up(context& c)
+{
+    if (c.state.leading.transfer_deadline)
+        hand_over_if_caught_up(c);
+}
+
 } // namespace
 
 void acknowledge(context& c, progress& p, std::int64_t sent_us)
@@ -180,7 +185,12 @@
             replicate(c, vm, p, true);
     }
     promote_learners(c);
-    transfer_if_caught_up(c);
+    // A voter that has stored an entry that this disk refuses has a working
+    // disk. Without such an entry none is known to have one.
+    if (state.disk_refuses_writes && state.durable < last_index(state.log))
+        hand_over_if_caught_up(c);
+    else
+        transfer_if_caught_up(c);
 }
 
 void on_proposals(context& c, proposals&& p)
--- a/oleanderhinge/consensus/internal/roles.cpp
+++ b/oleanderhinge/consensus/internal/roles.cpp
@@ -204,7 +204,8 @@
 
 void on_timeout_now(context& c)
 {
-    if (c.state.role == role::follower && is_voter(c.state))
+    if (c.state.role == role::follower && is_voter(c.state) &&
+        !c.state.disk_refuses_writes)
         start_campaign(c, false, true);
 }
 
--- a/oleanderhinge/consensus/internal/snapshot.cpp
+++ b/oleanderhinge/consensus/internal/snapshot.cpp
@@ -140,6 +140,22 @@
     replicate(c, from, p, false);
 }
 
+// The last entry up to the snapshot that does not stay in memory.
+log_index last_to_compact(const node_state& state, log_index covered)
+{
+    std::uint64_t entries = 0;
+    std::size_t bytes = 0;
+    auto index = covered;
+    while (index > state.log.base && entries < state.bounds.trailing_entries) {
+        bytes += entry_at(state.log, index).payload.size();
+        if (bytes > state.bounds.trailing_bytes)
+            break;
+        ++entries;
+        index = log_index{index.value() - 1};
+    }
+    return index;
+}
+
 void on_snapshot_taken(context& c, snapshot_taken&& s)
 {
     auto& state = c.state;
@@ -152,10 +168,7 @@
         *term_at(state.log, s.last),
         membership_at(state.log, s.last),
         std::move(s.data)};
-    const auto trailing = state.bounds.trailing_entries;
-    if (s.last.value() <= trailing)
-        return;
-    compact(state.log, log_index{s.last.value() - trailing});
+    compact(state.log, last_to_compact(state, s.last));
     state.durable = std::max(state.durable, state.log.base);
 }
 
--- a/oleanderhinge/consensus/node_state.hpp
+++ b/oleanderhinge/consensus/node_state.hpp
@@ -120,6 +120,9 @@
     // Last snapshot, sent to followers that need entries up to `log.base`.
     std::optional<snapshot_content> snapshot;
 
+    // The disk refuses writes; see `disk_state`.
+    bool disk_refuses_writes = false;
+
     consensus::role role = role::follower;
     vm_id leader;
     incarnation leader_disk;
--- a/oleanderhinge/consensus/step.cpp
+++ b/oleanderhinge/consensus/step.cpp
@@ -26,7 +26,7 @@
                                voter_count(members_of(state)) == 1;
     if (c.now < state.election_deadline && !is_only_voter)
         return;
-    if (is_voter(state)) {
+    if (is_voter(state) && !state.disk_refuses_writes) {
         internal::start_campaign(c, true, false);
         return;
     }
@@ -179,6 +179,11 @@
     internal::on_transfer(c);
 }
 
+void on_event(context& c, const disk_state& e)
+{
+    c.state.disk_refuses_writes = e.refuses_writes;
+}
+
 } // namespace
 
 node_state make_state(setup options, base::time_point now)
--- a/oleanderhinge/consensus/step_test.cpp
+++ b/oleanderhinge/consensus/step_test.cpp
@@ -337,6 +337,54 @@
     EXPECT_TRUE(is_voter(state));
 }
 
+// Guards against a leader that keeps the lead although its disk is full, and
+// against a transfer to a member whose disk may be full, too.
+TEST(step, a_leader_with_a_full_disk_hands_over_to_a_voter_that_has_stored_more)
+{
+    tested_member s;
+    s.elect();
+    const auto current = s.state.vote.current_term;
+    s.acknowledge(2, last_index(s.state.log), current, s.now);
+    s.feed(disk_state{true});
+    s.now += 200ms;
+    EXPECT_TRUE(sent_to<timeout_now>(s.feed(tick{}), 2).empty());
+    s.feed(proposals{{{7, "x"}}});
+    EXPECT_TRUE(sent_to<timeout_now>(s.feed(tick{}), 2).empty());
+    s.acknowledge(2, last_index(s.state.log), current, s.now);
+    EXPECT_EQ(sent_to<timeout_now>(s.feed(tick{}), 2).size(), 1U);
+    EXPECT_EQ(s.state.role, role::follower);
+}
+
+// Guards against a candidate whose vote is never durable.
+TEST(step, a_member_with_a_full_disk_does_not_stand_for_election)
+{
+    tested_member s;
+    s.feed(disk_state{true});
+    s.now += 5s;
+    EXPECT_TRUE(sent_to<vote_request>(s.feed(tick{}), 2).empty());
+    s.feed(disk_state{false});
+    s.now += 5s;
+    EXPECT_EQ(sent_to<vote_request>(s.feed(tick{}), 2).size(), 1U);
+}
+
+// Guards against a log of large commands that stays in memory.
+TEST(step, the_entries_that_stay_in_memory_are_bounded_in_bytes)
+{
+    limits bounds;
+    bounds.trailing_bytes = 1000;
+    tested_member s({}, bounds);
+    s.elect();
+    proposals many;
+    for (std::uint64_t i = 0; i < 100; ++i)
+        many.batch.push_back({i, std::string(100, 'x')});
+    s.feed(std::move(many));
+    s.feed(persisted{s.write_sequence});
+    const auto last = last_index(s.state.log);
+    s.acknowledge(2, last, s.state.vote.current_term, s.now);
+    s.feed(snapshot_taken{last, std::make_shared<const std::string>("s")});
+    EXPECT_EQ(s.state.log.entries.size(), 10U);
+}
+
 TEST(step, windows_and_chunks_are_bounded)
 {
     limits bounds;
--- a/oleanderhinge/consensus/types.hpp
+++ b/oleanderhinge/consensus/types.hpp
@@ -111,6 +111,8 @@
     // Entries up to the snapshot that stay in memory, so that followers that
     // lag a little need no snapshot.
     std::uint64_t trailing_entries = 4096;
+    // Largest size of their payloads together.
+    std::size_t trailing_bytes = std::size_t(8) << 20;
 };
 
 } // namespace oleanderhinge::consensus
--- a/oleanderhinge/replica/internal/disk_worker.cpp
+++ b/oleanderhinge/replica/internal/disk_worker.cpp
@@ -2,6 +2,7 @@
 
 #include "oleanderhinge/wire/archive.hpp"
 
+#include <iterator>
 #include <utility>
 
 namespace oleanderhinge::replica::internal
@@ -79,37 +80,70 @@
     return this->published;
 }
 
+bool disk_worker::wait_for_jobs()
+{
+    std::unique_lock lock(this->mutex);
+    this->published = this->store->counters();
+    this->wake.wait(
+        lock, [&] { return this->stopping || !this->waiting.empty(); });
+    std::move(
+        this->waiting.begin(),
+        this->waiting.end(),
+        std::back_inserter(this->in_hand));
+    this->waiting.clear();
+    return !this->stopping;
+}
+
+bool disk_worker::wait_to_retry()
+{
+    std::unique_lock lock(this->mutex);
+    return !this->wake.wait_for(
+        lock, disk_retry_interval, [&] { return this->stopping; });
+}
+
 void disk_worker::run()
 {
-    for (;;) {
-        std::deque<disk_job> jobs;
-        {
-            std::unique_lock lock(this->mutex);
-            this->published = this->store->counters();
-            this->wake.wait(
-                lock, [&] { return this->stopping || !this->waiting.empty(); });
-            if (this->stopping)
+    while (this->wait_for_jobs()) {
+        auto outcome = this->try_write();
+        const bool was_full = outcome.state == write_state::no_space;
+        if (was_full)
+            this->events.refused(outcome.reason);
+        while (outcome.state == write_state::no_space) {
+            if (!this->wait_to_retry())
                 return;
-            jobs.swap(this->waiting);
+            outcome = this->try_write();
         }
-        const auto reason = base::handle(
-            [&]() -> base::result<std::string> {
-                BOOST_LEAF_CHECK(this->write(jobs));
-                return std::string();
-            },
-            [](const base::error& e) { return e.detail; });
-        if (!reason.empty()) {
-            this->events.failed(reason);
+        if (outcome.state == write_state::failed) {
+            this->events.failed(outcome.reason);
             return;
         }
+        if (was_full)
+            this->events.writable();
     }
 }
 
-base::result<void> disk_worker::write(const std::deque<disk_job>& jobs)
+disk_worker::write_outcome disk_worker::try_write()
+{
+    return base::handle(
+        [&]() -> base::result<write_outcome> {
+            BOOST_LEAF_CHECK(this->store->repair());
+            BOOST_LEAF_CHECK(this->write());
+            return write_outcome{};
+        },
+        [](const base::error& e) -> write_outcome {
+            const bool full = e.code == base::error_code::no_space;
+            return {
+                full ? write_state::no_space : write_state::failed, e.detail};
+        });
+}
+
+base::result<void> disk_worker::write()
 {
-    for (const auto& job : jobs) {
-        BOOST_LEAF_CHECK(
-            std::visit([&](const auto& j) { return this->write_one(j); }, job));
+    while (!this->in_hand.empty()) {
+        BOOST_LEAF_CHECK(std::visit(
+            [&](const auto& job) { return this->write_one(job); },
+            this->in_hand.front()));
+        this->in_hand.pop_front();
     }
     return this->sync_and_report();
 }
--- a/oleanderhinge/replica/internal/disk_worker.hpp
+++ b/oleanderhinge/replica/internal/disk_worker.hpp
@@ -1,5 +1,5 @@
 // The thread that writes to the disk. Log writes that wait together share one
-// sync.
+// sync. Writes to a full disk are repeated until there is room.
 //
 // Example:
 //   disk.add(persist);  // calls events.persisted once it is durable
@@ -32,11 +32,19 @@
     // All writes up to and including this one are durable.
     std::function<void(std::uint64_t write_sequence)> persisted;
     std::function<void(const consensus::snapshot_content&)> snapshot_saved;
-    // A write or sync failed. The thread ends, and nothing more becomes
-    // durable.
+    // The disk is full. Writes are repeated, and nothing more becomes durable
+    // until `writable` is called.
+    std::function<void(const std::string& reason)> refused;
+    std::function<void()> writable;
+    // A write or sync failed otherwise. The thread ends, and nothing more
+    // becomes durable.
     std::function<void(const std::string& reason)> failed;
 };
 
+// Interval at which writes to a full disk are repeated.
+inline constexpr base::duration disk_retry_interval =
+    std::chrono::milliseconds(100);
+
 class disk_worker
 {
 public:
@@ -56,7 +64,18 @@
 
 private:
     void run();
-    base::result<void> write(const std::deque<disk_job>& jobs);
+    // Waits for jobs; returns false if the thread has to end.
+    bool wait_for_jobs();
+    bool wait_to_retry();
+    // Carries out the jobs in hand. After a failure it can be called again.
+    base::result<void> write();
+    enum class write_state : std::uint8_t { done, no_space, failed };
+    struct write_outcome {
+        write_state state = write_state::done;
+        // Why it is not done.
+        std::string reason;
+    };
+    write_outcome try_write();
     base::result<void> write_one(const consensus::persist& job);
     base::result<void> write_one(const consensus::install_snapshot& job);
     base::result<void> write_one(const save_snapshot& job);
@@ -65,6 +84,8 @@
 
     const std::unique_ptr<storage::log_store> store;
     const disk_events events;
+    // Jobs that the thread has taken and not carried out yet.
+    std::deque<disk_job> in_hand;
     // Write sequence numbers of the last job written and the last reported.
     std::uint64_t written_sequence = 0;
     std::uint64_t reported_sequence = 0;
--- a/oleanderhinge/replica/internal/event_loop.cpp
+++ b/oleanderhinge/replica/internal/event_loop.cpp
@@ -62,6 +62,12 @@
            [this](const consensus::snapshot_content& content) {
                this->add(snapshot_saved_input{content});
            },
+           [this](const std::string& reason) {
+               this->add(disk_input{{true}, reason});
+           },
+           [this] {
+               this->add(disk_input{{false}, {}});
+           },
            [this](const std::string& reason) {
                this->setup.on_fatal_error(reason);
            }})
@@ -245,6 +251,17 @@
     this->advance(consensus::persisted{in.write_sequence});
 }
 
+void event_loop::handle_input(disk_input& in, consensus::proposals&)
+{
+    if (in.state.refuses_writes)
+        spdlog::error("event=disk_refuses_writes reason=\"{}\"", in.reason);
+    else
+        spdlog::info("event=disk_writable");
+    if (in.state.refuses_writes)
+        ++this->counts.disk_refusals;
+    this->advance(in.state);
+}
+
 void event_loop::handle_input(snapshot_saved_input& in, consensus::proposals&)
 {
     this->snapshot_in_progress = false;
--- a/oleanderhinge/replica/internal/event_loop.hpp
+++ b/oleanderhinge/replica/internal/event_loop.hpp
@@ -49,6 +49,12 @@
     std::uint64_t write_sequence = 0;
 };
 
+struct disk_input {
+    consensus::disk_state state;
+    // Why writes are refused; empty if they are not.
+    std::string reason;
+};
+
 struct snapshot_saved_input {
     consensus::snapshot_content content;
 };
@@ -61,6 +67,7 @@
     message_input,
     transfer_input,
     persisted_input,
+    disk_input,
     snapshot_saved_input>;
 
 // Copied after each round of the event loop, for `status`.
@@ -100,6 +107,7 @@
     void handle_input(message_input& in, consensus::proposals& batch);
     void handle_input(transfer_input& in, consensus::proposals& batch);
     void handle_input(persisted_input& in, consensus::proposals& batch);
+    void handle_input(disk_input& in, consensus::proposals& batch);
     void handle_input(snapshot_saved_input& in, consensus::proposals& batch);
     static void refuse(input& in);
 
--- a/oleanderhinge/replica/node.hpp
+++ b/oleanderhinge/replica/node.hpp
@@ -44,7 +44,9 @@
     base::incarnation new_disk_incarnation;
     // A snapshot is taken after this many entries or bytes of commands.
     std::uint64_t snapshot_interval_entries = 50000;
-    std::uint64_t snapshot_interval_bytes = std::uint64_t(64) << 20;
+    // Small enough for a disk of 64 MiB, which holds the log since the
+    // snapshot, a part of the log before it and, for a moment, two snapshots.
+    std::uint64_t snapshot_interval_bytes = std::uint64_t(8) << 20;
     // Timeout of proposals and read barriers, and of membership changes.
     base::duration propose_timeout = std::chrono::seconds(5);
     base::duration membership_change_timeout = std::chrono::seconds(60);
@@ -55,7 +57,9 @@
     clock_function clock = &base::monotonic_now;
     // Called if a write or sync fails, on the disk thread, or if a committed
     // membership does not parse, on the event loop thread. The default logs the
-    // reason and ends the process.
+    // reason and ends the process. A full disk is no fatal error: nothing that
+    // it did not store is acknowledged, and writes are repeated until there is
+    // room.
     std::function<void(const std::string& reason)> on_fatal_error;
     // Called after a change of role, leader, term or members: once by `open`,
     // for the recovered state, and then on the event loop thread.
@@ -70,6 +74,8 @@
     std::uint64_t entries = 0;
     std::uint64_t applied = 0;
     std::uint64_t syncs = 0;
+    // Times when the disk became full.
+    std::uint64_t disk_refusals = 0;
     std::uint64_t bytes = 0;
     std::uint64_t snapshots_taken = 0;
     std::uint64_t snapshots_installed = 0;
--- a/oleanderhinge/replica/node_test.cpp
+++ b/oleanderhinge/replica/node_test.cpp
@@ -375,6 +375,46 @@
     EXPECT_TRUE(c.applied(1).empty());
 }
 
+// Guards against a member that ends since its disk is full, and against
+// acknowledgments of what it has not stored.
+TEST(node, a_full_disk_acknowledges_nothing_until_it_has_room)
+{
+    cluster c(1);
+    ASSERT_EQ(c.leader(), 1);
+    c.files(1).set_full(true);
+    auto state = std::make_shared<std::promise<propose_state>>();
+    auto answer = state->get_future();
+    c.at(1)->propose(
+        "x", [state](propose_result r) { state->set_value(r.state); });
+    EXPECT_TRUE(
+        c.eventually([&] { return c.at(1)->counters().disk_refusals == 1; }));
+    EXPECT_TRUE(c.barrier(1));
+    EXPECT_TRUE(c.applied(1).empty());
+    c.files(1).set_full(false);
+    EXPECT_EQ(answer.get(), propose_state::applied);
+    EXPECT_EQ(c.applied(1), std::vector<std::string>{"x"});
+    EXPECT_EQ(c.fatal(1), "");
+}
+
+// The leader's disk is full. Guards against a group whose leader stores
+// nothing, and against a member that does not take part again.
+TEST(node, a_leader_with_a_full_disk_hands_over_and_comes_back)
+{
+    cluster c(3);
+    const int first = c.leader();
+    ASSERT_EQ(c.propose(first, "a").state, propose_state::applied);
+    c.files(first).set_full(true);
+    c.propose(first, "b");
+    const int second = c.leader(first);
+    EXPECT_TRUE(c.eventually(
+        [&] { return c.at(first)->status().role != member_role::leader; }));
+    EXPECT_EQ(c.propose(second, "c").state, propose_state::applied);
+    c.files(first).set_full(false);
+    const std::vector<std::string> all{"a", "b", "c"};
+    EXPECT_TRUE(c.eventually([&] { return c.applied(first) == all; }));
+    EXPECT_EQ(c.fatal(first), "");
+}
+
 TEST(node, concurrent_proposals_are_applied_once_in_one_order)
 {
     cluster c(3);
--- a/oleanderhinge/storage/file_system.hpp
+++ b/oleanderhinge/storage/file_system.hpp
@@ -19,7 +19,8 @@
 namespace oleanderhinge::storage
 {
 
-// A file open for appending. Errors are `io` with the name and the reason.
+// A file open for appending. Errors carry the name and the reason: `no_space`
+// if the disk has no room for what was to be written, else `io`.
 class file
 {
 public:
@@ -50,6 +51,7 @@
     // Replaces `to` in one step. Durable after `sync_folder`.
     virtual base::result<void>
     rename(const std::string& from, const std::string& to) = 0;
+    // No error if there is no such file, so that it can be repeated.
     virtual base::result<void> remove(const std::string& name) = 0;
     virtual base::result<void> sync_folder() = 0;
 };
--- a/oleanderhinge/storage/log_store.cpp
+++ b/oleanderhinge/storage/log_store.cpp
@@ -37,6 +37,20 @@
     return outcome;
 }
 
+base::result<void> log_store::repair()
+{
+    if (!this->failed)
+        return {};
+    if (this->active) {
+        BOOST_LEAF_CHECK(this->files.truncate(
+            internal::log_name(this->segments.back().number),
+            this->active_size));
+        BOOST_LEAF_CHECK(this->active->sync());
+    }
+    this->failed = false;
+    return {};
+}
+
 base::result<void> log_store::start_segment()
 {
     const std::uint64_t number =
--- a/oleanderhinge/storage/log_store.hpp
+++ b/oleanderhinge/storage/log_store.hpp
@@ -51,7 +51,7 @@
 
 struct store_options {
     // A segment that reached this size is followed by a new one.
-    std::uint64_t segment_bytes = std::uint64_t(16) << 20;
+    std::uint64_t segment_bytes = std::uint64_t(4) << 20;
 };
 
 struct store_counters {
@@ -77,8 +77,9 @@
     std::uint64_t cut_bytes = 0;
 };
 
-// Used by one thread. After any error the store refuses all calls: the state of
-// the file is unknown and only a restart may read it again.
+// Used by one thread. After an error the store refuses all calls, since the
+// state of the file is unknown, until the folder is opened again or, if the
+// disk was full, `repair` has succeeded.
 class log_store
 {
 public:
@@ -105,6 +106,12 @@
     // the leader and the log does not lead up to it.
     base::result<void> install_snapshot(const snapshot& s);
 
+    // After a call that failed with `no_space`: cuts off what was written since
+    // the last successful call, which was never reported as durable, and
+    // accepts calls again. The failed call can then be repeated; collected
+    // records are kept for `sync`.
+    base::result<void> repair();
+
     const store_counters& counters() const { return this->counts; }
 
 private:
--- a/oleanderhinge/storage/log_store_test.cpp
+++ b/oleanderhinge/storage/log_store_test.cpp
@@ -45,6 +45,8 @@
 struct operation {
     std::function<base::result<void>(log_store&)> run;
     std::function<void(contents&)> effect;
+    // Repeats the call after `repair`; by default `run`.
+    std::function<base::result<void>(log_store&)> repeat;
 };
 
 operation append(std::uint64_t from, std::uint64_t to, std::uint64_t of_term)
@@ -62,7 +64,9 @@
             });
             for (auto i = from; i <= to; ++i)
                 c.records.push_back(make_record(i, of_term));
-        }};
+        },
+        // The records are collected already.
+        [](log_store& store) { return store.sync(); }};
 }
 
 operation vote_for(std::uint64_t of_term, const char* vm)
@@ -70,7 +74,8 @@
     const vote v{term{of_term}, base::vm_id{vm}};
     return {
         [=](log_store& store) { return store.save_vote(v); },
-        [=](contents& c) { c.vote = v; }};
+        [=](contents& c) { c.vote = v; },
+        {}};
 }
 
 operation snapshot_at(std::uint64_t last, std::uint64_t of_term, bool install)
@@ -86,7 +91,8 @@
             std::erase_if(c.records, [&](const record& r) {
                 return install || r.index <= s.last;
             });
-        }};
+        },
+        {}};
 }
 
 // Covers segments, truncation across segments, snapshots and an installation
@@ -324,6 +330,105 @@
         [](const base::error& e) { ADD_FAILURE() << e.detail; });
 }
 
+// Returns false if the disk was full.
+bool succeeds(const std::function<base::result<void>()>& call)
+{
+    return base::handle(
+        [&]() -> base::result<bool> {
+            BOOST_LEAF_CHECK(call());
+            return true;
+        },
+        [](const base::error& e) {
+            EXPECT_EQ(e.code, base::error_code::no_space) << e.detail;
+            return false;
+        });
+}
+
+// Runs an operation on a full disk, which gets room after the first attempt.
+// Before that, the power may be lost with what the caller was told.
+void run_with_full_disk(
+    memory_file_system& files, log_store& store, const operation& o)
+{
+    files.set_full(true);
+    const bool refused = !succeeds([&] { return o.run(store); });
+    if (refused) {
+        // The disk is still full.
+        EXPECT_FALSE(succeeds([&]() -> base::result<void> {
+            BOOST_LEAF_CHECK(store.repair());
+            return o.repeat ? o.repeat(store) : o.run(store);
+        }));
+    }
+    files.set_full(false);
+    if (refused) {
+        EXPECT_TRUE(succeeds([&]() -> base::result<void> {
+            BOOST_LEAF_CHECK(store.repair());
+            return o.repeat ? o.repeat(store) : o.run(store);
+        }));
+    }
+}
+
+// The disk is full at each single operation of the script, with and without a
+// loss of power after it. Guards against torn batches in the middle of the log
+// and against records that are lost although the disk has room again.
+TEST(log_store, a_disk_that_was_full_keeps_everything)
+{
+    const auto operations = script();
+    for (std::size_t full_at = 0; full_at < operations.size(); ++full_at) {
+        memory_file_system files;
+        contents expected;
+        base::handle(
+            [&]() -> base::result<void> {
+                BOOST_LEAF_AUTO(
+                    opened, log_store::open(files, small_segments, disk));
+                for (std::size_t i = 0; i < operations.size(); ++i) {
+                    operations[i].effect(expected);
+                    if (i == full_at)
+                        run_with_full_disk(files, *opened.store, operations[i]);
+                    else
+                        BOOST_LEAF_CHECK(operations[i].run(*opened.store));
+                }
+                return {};
+            },
+            [&](const base::error& e) { ADD_FAILURE() << e.detail; });
+        base::random_source random(full_at);
+        files.crash(unsynced::lost, random);
+        const auto got = reopen(files);
+        ASSERT_EQ(got.error, "") << "full at " << full_at;
+        ASSERT_EQ(got.found, expected) << "full at " << full_at;
+    }
+}
+
+// Power is lost while the disk is full.
+TEST(log_store, a_power_loss_on_a_full_disk_keeps_what_was_acknowledged)
+{
+    const auto operations = script();
+    for (std::size_t full_at = 0; full_at < operations.size(); ++full_at)
+        for (std::uint64_t seed = 0; seed < 40; ++seed) {
+            memory_file_system files;
+            contents before;
+            contents after;
+            base::handle(
+                [&]() -> base::result<void> {
+                    BOOST_LEAF_AUTO(
+                        opened, log_store::open(files, small_segments, disk));
+                    for (std::size_t i = 0; i <= full_at; ++i) {
+                        before = after;
+                        operations[i].effect(after);
+                        files.set_full(i == full_at);
+                        BOOST_LEAF_CHECK(operations[i].run(*opened.store));
+                    }
+                    return {};
+                },
+                [](const base::error&) {});
+            base::random_source random(seed);
+            files.crash(unsynced::random, random);
+            const auto got = reopen(files);
+            ASSERT_EQ(got.error, "") << full_at << " seed " << seed;
+            ASSERT_TRUE(got.found == before || got.found == after)
+                << full_at << " seed " << seed;
+        }
+}
+
 TEST(log_store, real_files_keep_the_contents)
 {
     const auto folder = std::filesystem::path(testing::TempDir()) /
--- a/oleanderhinge/storage/memory_file_system.cpp
+++ b/oleanderhinge/storage/memory_file_system.cpp
@@ -22,6 +22,10 @@
         const std::lock_guard lock(this->owner.mutex);
         BOOST_LEAF_CHECK(this->alive());
         BOOST_LEAF_CHECK(this->owner.begin_change());
+        if (this->owner.full) {
+            this->node->present += bytes.substr(0, bytes.size() / 2);
+            return base::fail(base::error_code::no_space, "the disk is full");
+        }
         this->node->present += bytes;
         return {};
     }
@@ -96,6 +100,8 @@
 {
     const std::lock_guard lock(this->mutex);
     BOOST_LEAF_CHECK(this->begin_change());
+    if (this->full)
+        return base::fail(base::error_code::no_space, "the disk is full");
     auto& node = this->present[name];
     if (node)
         node->present.clear();
@@ -137,7 +143,6 @@
 {
     const std::lock_guard lock(this->mutex);
     BOOST_LEAF_CHECK(this->begin_change());
-    BOOST_LEAF_CHECK(this->find(name));
     this->present.erase(name);
     return {};
 }
@@ -162,6 +167,12 @@
     this->limit = count;
 }
 
+void memory_file_system::set_full(bool value)
+{
+    const std::lock_guard lock(this->mutex);
+    this->full = value;
+}
+
 void memory_file_system::fail_next_sync()
 {
     const std::lock_guard lock(this->mutex);
@@ -192,6 +203,7 @@
 {
     const std::lock_guard lock(this->mutex);
     this->limit = UINT64_MAX;
+    this->full = false;
     this->sync_fails = false;
     ++this->generation;
     if (mode == unsynced::kept)
--- a/oleanderhinge/storage/memory_file_system.hpp
+++ b/oleanderhinge/storage/memory_file_system.hpp
@@ -49,6 +49,9 @@
     std::uint64_t operations() const;
     // After `count` changing operations in total, every call fails.
     void stop_after(std::uint64_t count);
+    // While the disk is full, files cannot be created, and a write fails after
+    // half of its bytes.
+    void set_full(bool value);
     // The next sync of a file fails once and makes nothing durable.
     void fail_next_sync();
     // End of the process or power loss: applies `mode`, forgets open files and
@@ -78,6 +81,7 @@
     names durable;
     std::uint64_t changes = 0;
     std::uint64_t limit = UINT64_MAX;
+    bool full = false;
     bool sync_fails = false;
     // Files that were opened before a crash are dead.
     std::uint64_t generation = 0;
--- a/oleanderhinge/storage/posix_file_system.cpp
+++ b/oleanderhinge/storage/posix_file_system.cpp
@@ -20,8 +20,9 @@
 boost::leaf::error_id failure(const char* operation, const std::string& path)
 {
     const std::error_code code(errno, std::generic_category());
+    const bool no_space = errno == ENOSPC || errno == EDQUOT;
     return base::fail(
-        base::error_code::io,
+        no_space ? base::error_code::no_space : base::error_code::io,
         std::string(operation) + " " + path + ": " + code.message());
 }
 
@@ -69,8 +70,13 @@
 
     base::result<void> sync() override
     {
+        // After any failure the pages may be dropped, so that none is
+        // `no_space`.
         if (::fdatasync(this->handle.number) != 0)
-            return failure("sync", this->path);
+            return base::fail(
+                base::error_code::io,
+                "sync " + this->path + ": " +
+                    std::error_code(errno, std::generic_category()).message());
         return {};
     }
 
@@ -162,7 +168,7 @@
     base::result<void> remove(const std::string& name) override
     {
         const auto path = this->path_of(name);
-        if (::unlink(path.c_str()) != 0)
+        if (::unlink(path.c_str()) != 0 && errno != ENOENT)
             return failure("remove", path);
         return {};
     }
