Keep paths within one data centre while one runs all layers

Pattern: a chain has lost a part, and the missing layers are only in another data centre.

Change: the charge for a change of data centre follows from the engine's profile instead of 8 ms, and paths that change it are left out while any data centre runs all layers.

--- a/oleanderhinge/fleet/paths.cpp
+++ b/oleanderhinge/fleet/paths.cpp
@@ -16,6 +16,8 @@
 // the charge for a part multiplied by this, which favours fewer, larger parts.
 constexpr double part_charge_factor = 8;
 constexpr int max_searches = 4;
+// Usual delay of a link between two data centres of a region.
+constexpr double link_delay_ms = 0.75;
 
 // Cheapest way to run the layers from a given one to the last, if the part
 // before ran in a given data centre.
@@ -155,6 +157,20 @@
 
 } // namespace
 
+path_costs costs_of(const wire::engine_profile& engine)
+{
+    constexpr double bits_per_byte = 8;
+    constexpr double bits_per_ms_and_mbps = 1000;
+    path_costs costs;
+    const double prompt_bits =
+        engine.usual_prompt_tokens * engine.activation_bytes * bits_per_byte;
+    if (prompt_bits > 0 && engine.data_centre_link_mbps > 0)
+        costs.crossing_ms =
+            link_delay_ms +
+            prompt_bits / (engine.data_centre_link_mbps * bits_per_ms_and_mbps);
+    return costs;
+}
+
 std::vector<costed_path> find_paths(
     const std::vector<path_server>& servers,
     std::uint32_t layer_count,
@@ -182,6 +198,13 @@
     return text;
 }
 
+bool stays_in_one_data_centre(const path& parts)
+{
+    return std::all_of(parts.begin(), parts.end(), [&](const path_part& part) {
+        return part.data_centre == parts.front().data_centre;
+    });
+}
+
 bool is_complete(const path& parts, std::uint32_t layer_count)
 {
     std::uint32_t next = 0;
--- a/oleanderhinge/fleet/paths.hpp
+++ b/oleanderhinge/fleet/paths.hpp
@@ -47,8 +47,7 @@
 
 struct path_costs {
     // Charge for a change of data centre between two parts, as milliseconds of
-    // one token. A transfer is delayed by 0.75 ms, and a prompt occupies the
-    // shared link for 9.6 ms; a third of all requests would saturate it.
+    // one token.
     double crossing_ms = 8;
     // Charge for a first part outside the home data centre, in which case only
     // the events of the answer cross the link.
@@ -59,6 +58,11 @@
     std::size_t max_parts = 32;
 };
 
+// The costs for an engine: a change of data centre is charged with the time for
+// which a usual prompt occupies the link between data centres, since all
+// transfers on the link wait for it.
+path_costs costs_of(const wire::engine_profile& engine);
+
 struct costed_path {
     path parts;
     // Time of one token with all charges, in milliseconds.
@@ -79,6 +83,9 @@
 // Ids of the servers, separated by commas, for the log.
 std::string describe(const path& parts);
 
+// True if all parts run in one data centre.
+bool stays_in_one_data_centre(const path& parts);
+
 // True if the parts run all layers once and in order.
 bool is_complete(const path& parts, std::uint32_t layer_count);
 
--- a/oleanderhinge/fleet/paths_test.cpp
+++ b/oleanderhinge/fleet/paths_test.cpp
@@ -153,5 +153,17 @@
         RC_ASSERT(seen.insert(part.server.value()).second);
 }
 
+// Guards against a charge that was right for one link only: prompts of 800
+// tokens occupy a link of 2,500 Mbit/s for 42 ms, one of 19,000 for 10.
+TEST(costs_of, a_crossing_costs_what_a_prompt_occupies_the_link)
+{
+    wire::engine_profile engine;
+    EXPECT_EQ(costs_of(engine).crossing_ms, path_costs{}.crossing_ms);
+    engine.usual_prompt_tokens = 800;
+    engine.activation_bytes = 16400;
+    engine.data_centre_link_mbps = 2500;
+    EXPECT_NEAR(costs_of(engine).crossing_ms, 42.7, 0.1);
+}
+
 } // namespace
 } // namespace oleanderhinge::fleet
--- a/oleanderhinge/gateway/server_choice.cpp
+++ b/oleanderhinge/gateway/server_choice.cpp
@@ -128,13 +128,28 @@
         path_servers(selector, service, tried, include_ejected, now);
     std::vector<server_selector::candidate> found;
     for (auto& item : fleet::find_paths(
-             servers, service.engine->layer_count, selector.home, {})) {
+             servers,
+             service.engine->layer_count,
+             selector.home,
+             fleet::costs_of(*service.engine))) {
         const auto cache_use = highest_cache_use(selector, item.parts);
         found.push_back({std::move(item.parts), item.cost, cache_use});
     }
     return found;
 }
 
+// Drops the paths that change the data centre, unless there is no other. The
+// prompts on them would share one link with all others, and the passes of each
+// first server, which run one after another, would wait for it.
+void prefer_one_data_centre(std::vector<server_selector::candidate>& candidates)
+{
+    const auto crosses = [](const server_selector::candidate& item) {
+        return !fleet::stays_in_one_data_centre(item.parts);
+    };
+    if (!std::all_of(candidates.begin(), candidates.end(), crosses))
+        std::erase_if(candidates, crosses);
+}
+
 std::vector<server_selector::candidate> find_candidates(
     const server_selector& selector,
     const wire::forwarding_service& service,
@@ -144,6 +159,7 @@
     auto found = find_candidates(selector, service, tried, false, now);
     if (found.empty())
         found = find_candidates(selector, service, tried, true, now);
+    prefer_one_data_centre(found);
     return found;
 }
 
--- a/oleanderhinge/gateway/server_choice_test.cpp
+++ b/oleanderhinge/gateway/server_choice_test.cpp
@@ -121,6 +121,33 @@
     EXPECT_EQ(this->count_first_servers(0)[""], 1000);
 }
 
+// Pattern: the chain of one data centre has lost a part, and only a slow link
+// leads to that part elsewhere. Guards against requests that cross the link
+// although another data centre runs all layers: the passes of each first server
+// wait for the link, and all requests fail.
+TEST_F(
+    choice_fixture, a_broken_chain_does_not_use_the_link_between_data_centres)
+{
+    // Only the first half of the layers is left at home, twice as fast.
+    auto half = make_record("a", "a", 2);
+    half.sequence = 2;
+    apply_record(this->selector, half, start);
+    this->set_load("b", 50, 0);
+    this->set_load("c", 50, 0);
+    auto second_half = make_record("d", "b");
+    second_half.layers = {base::layer_index{2}, base::layer_index{4}};
+    apply_record(this->selector, second_half, start);
+    EXPECT_EQ(this->count_first_servers(0)["a"], 0);
+    // Without a whole chain anywhere, the link is used.
+    for (const auto* id : {"b", "c"}) {
+        auto gone = make_record(id, id);
+        gone.sequence = 2;
+        gone.state = wire::reported_state::gone;
+        apply_record(this->selector, gone, start);
+    }
+    EXPECT_EQ(this->count_first_servers(0)["a"], 1000);
+}
+
 // Guards against a queue that keeps growing on one congested path.
 TEST_F(choice_fixture, a_congested_path_gets_less)
 {
