Refuse what would wait too long, redirect from standbys, stop without cuts

Ten of fifteen control nodes have no disk and refused every call, so that a change reached the leader 6 s after it was sent.

--- a/oleanderhinge/control/standby.cpp
+++ b/oleanderhinge/control/standby.cpp
@@ -1,5 +1,7 @@
 #include "oleanderhinge/control/standby.hpp"
 
+#include "oleanderhinge/control/json.hpp"
+
 namespace oleanderhinge::control
 {
 
@@ -9,20 +11,28 @@
 // The time line only holds events of this process.
 constexpr std::size_t kept_events = 16;
 
-boost::asio::awaitable<void>
-refuse(net::http_request, net::http_exchange& exchange)
+std::vector<wire::endpoint> other_nodes(const service_options& options)
 {
-    const auto why = base::not_run(
-        base::failure_code::not_ready, "this control node has no disk");
-    co_await net::respond_problem(exchange, why);
+    std::vector<wire::endpoint> found;
+    for (const auto& node : options.initial_members)
+        if (node.admin.port != 0 && node.admin != options.admin_listen)
+            found.push_back(node.admin);
+    return found;
 }
 
 } // namespace
 
 standby::standby(boost::asio::io_context& io, service_options chosen)
     : options(std::move(chosen))
+    , others(other_nodes(this->options))
     , events(this->options.link.self.vm, this->clock, kept_events)
-    , admin(io, {}, refuse)
+    , admin(
+          io,
+          {},
+          [this](net::http_request request, net::http_exchange& exchange)
+              -> boost::asio::awaitable<void> {
+              co_await this->answer(request, exchange);
+          })
     , management(
           io,
           {},
@@ -45,6 +55,23 @@
     return service_endpoints{{}, calls, pages};
 }
 
+boost::asio::awaitable<void>
+standby::answer(const net::http_request& request, net::http_exchange& exchange)
+{
+    if (this->others.empty()) {
+        const auto why = base::not_run(
+            base::failure_code::not_ready, "this control node has no disk");
+        co_await net::respond_problem(exchange, why);
+        co_return;
+    }
+    const auto& next = this->others[this->redirects++ % this->others.size()];
+    std::vector<wire::header> headers{
+        {"Location",
+         "http://" + to_text(next) + std::string(request.target())}};
+    co_await exchange.respond(
+        307, "application/json", "{}", std::move(headers));
+}
+
 void standby::stop()
 {
     this->admin.shutdown();
--- a/oleanderhinge/control/standby.hpp
+++ b/oleanderhinge/control/standby.hpp
@@ -1,8 +1,9 @@
 // A control node on a VM without a disk.
 //
 // It cannot be a member of the group, because it would lose entries that it has
-// acknowledged. It refuses every call as `not_run`, so that callers try the
-// next node.
+// acknowledged. It redirects every call to the nodes that its settings name, in
+// turn. If they name none, it refuses the calls as `not_run`, so that callers
+// try the next node.
 //
 // Example:
 //   standby node(io, options);
@@ -35,7 +36,13 @@
     void stop();
 
 private:
+    boost::asio::awaitable<void>
+    answer(const net::http_request& request, net::http_exchange& exchange);
+
     const service_options options;
+    // Admin endpoints of the other nodes that the settings name.
+    const std::vector<wire::endpoint> others;
+    std::size_t redirects = 0;
     timeline::hybrid_clock clock;
     timeline::recorder events;
     prometheus::Registry registry;
--- a/oleanderhinge/control/standby_test.cpp
+++ b/oleanderhinge/control/standby_test.cpp
@@ -13,6 +13,62 @@
 
 using namespace std::chrono_literals;
 
+// Starts a standby and returns its answer to each of `count` calls.
+std::vector<net::http_outcome>
+call_standby(std::vector<replica::member> seeds, int count)
+{
+    boost::asio::io_context io;
+    service_options options;
+    options.link.self.vm = base::vm_id{"edge-4"};
+    options.admin_listen = {"127.0.0.1", 0};
+    options.management_listen = {"127.0.0.1", 0};
+    options.initial_members = std::move(seeds);
+    standby node(io, options);
+    const auto open = base::handle(
+        [&] { return node.start(); },
+        [](const base::error& e) -> service_endpoints {
+            ADD_FAILURE() << e.detail;
+            return {};
+        });
+    net::http_client client(io, 1);
+    std::vector<net::http_outcome> outcomes;
+    boost::asio::co_spawn(
+        io,
+        [&]() -> boost::asio::awaitable<void> {
+            for (int i = 0; i < count; ++i) {
+                net::http_call call{"POST", "/v1/forwarding-table", {}, "{}"};
+                outcomes.push_back(co_await client.call(
+                    open.admin, std::move(call), 5s, net::reuse::never));
+            }
+            node.stop();
+        },
+        boost::asio::detached);
+    io.run();
+    return outcomes;
+}
+
+// Ten of fifteen control nodes have no disk. Guards against operators whose
+// calls fail at one after another: a change took 6 s to reach the leader.
+TEST(standby, calls_are_redirected_to_the_named_nodes_in_turn)
+{
+    std::vector<replica::member> seeds(2);
+    seeds[0].admin = {"10.1.0.1", 8229};
+    seeds[1].admin = {"10.2.0.1", 8229};
+    std::vector<std::string> locations;
+    for (const auto& outcome : call_standby(std::move(seeds), 3)) {
+        EXPECT_EQ(outcome.answer.status, 307U);
+        for (const auto& field : outcome.answer.headers)
+            if (field.name == "Location")
+                locations.push_back(field.value);
+    }
+    EXPECT_EQ(
+        locations,
+        (std::vector<std::string>{
+            "http://10.1.0.1:8229/v1/forwarding-table",
+            "http://10.2.0.1:8229/v1/forwarding-table",
+            "http://10.1.0.1:8229/v1/forwarding-table"}));
+}
+
 // Guards against a restart loop when the platform starts a control node on a VM
 // without a disk, and against acknowledgments by a node that cannot store them.
 TEST(standby, calls_are_refused_as_not_run)
--- a/oleanderhinge/gateway/forwarder.cpp
+++ b/oleanderhinge/gateway/forwarder.cpp
@@ -186,9 +186,19 @@
     retry::note_request(this->budget_of(request), base::monotonic_now());
     if (!request.route->streaming || !request.service->engine)
         co_return co_await this->serve_call(request);
+    const auto started = base::monotonic_now();
+    if (this->drain_end &&
+        !ends_before(this->durations, started, *this->drain_end)) {
+        const auto why = base::not_run(
+            failure_code::server_leaving,
+            "this node stops before the stream would end");
+        co_return co_await this->fail_request(request, why);
+    }
     this->stalls.add(request.shared_from_this());
     co_await this->serve_stream(request);
     this->stalls.remove(request.metadata.id);
+    if (request.outcome == "200")
+        note_duration(this->durations, started, base::monotonic_now());
 }
 
 // Ends a request for which no further attempt is made.
--- a/oleanderhinge/gateway/forwarder.hpp
+++ b/oleanderhinge/gateway/forwarder.hpp
@@ -19,6 +19,7 @@
 #include "oleanderhinge/gateway/route_index.hpp"
 #include "oleanderhinge/gateway/server_choice.hpp"
 #include "oleanderhinge/gateway/stall_watch.hpp"
+#include "oleanderhinge/gateway/stream_times.hpp"
 #include "oleanderhinge/gateway/upstream.hpp"
 #include "oleanderhinge/retry/shared_budget.hpp"
 
@@ -65,6 +66,10 @@
     boost::asio::awaitable<void>
     handle(net::http_request incoming, net::http_exchange& exchange);
 
+    // From now on, refuses streams that would not end before `end`, at which
+    // the process ends.
+    void begin_drain(base::time_point end) { this->drain_end = end; }
+
     // Requests that `handle` serves at present.
     std::size_t in_progress() const { return this->active; }
 
@@ -91,6 +96,7 @@
     read_answer_head(forwarding_request& request, steady_time limit);
     boost::asio::awaitable<attempt_result>
     relay_events(forwarding_request& request);
+    void note_first_event(const forwarding_request& request);
     boost::asio::awaitable<bool> write_events(
         forwarding_request& request, const std::vector<std::string>& events);
     boost::asio::awaitable<attempt_result>
@@ -126,6 +132,8 @@
     // By service.
     std::map<std::string, retry::shared_budget> budgets;
     retry::recent_maximum gateways;
+    stream_times durations;
+    std::optional<base::time_point> drain_end;
     base::random_source random;
     request_log log;
     std::size_t active = 0;
--- a/oleanderhinge/gateway/forwarding_request.hpp
+++ b/oleanderhinge/gateway/forwarding_request.hpp
@@ -51,6 +51,7 @@
     upstream_pointer connection;
     // Path of the present attempt.
     fleet::path parts;
+    steady_time attempt_started;
     // Time of the last event, path change or start of an attempt.
     steady_time last_progress;
     bool in_attempt = false;
--- a/oleanderhinge/gateway/gateway_node.cpp
+++ b/oleanderhinge/gateway/gateway_node.cpp
@@ -235,6 +235,8 @@
         this->forward.in_progress(),
         this->callers.connections());
     this->draining = true;
+    this->forward.begin_drain(
+        base::monotonic_now() + this->options.times.drain_limit);
     this->callers.stop_keeping();
     this->leave_timer.expires_after(this->options.leave_time);
     this->leave_timer.async_wait([this](boost::system::error_code) {
--- a/oleanderhinge/gateway/internal/forwarder_streams.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_streams.cpp
@@ -47,7 +47,11 @@
             request.tried,
             request.priority,
             this->random,
-            base::monotonic_now());
+            base::monotonic_now(),
+            request.head_sent
+                ? milliseconds(0)
+                : milliseconds(request.index->shortest_stream_target(
+                      request.service->name)));
         if (found.parts.empty()) {
             if (co_await this->wait_to_resume(request))
                 continue;
@@ -87,7 +91,8 @@
     request.logged_path = fleet::describe(request.parts);
     const auto first = request.parts.front().address;
     note_started(this->selector, first);
-    request.last_progress = steady_now();
+    request.attempt_started = steady_now();
+    request.last_progress = request.attempt_started;
     request.waits_for = {};
     request.in_attempt = true;
     auto result = co_await this->stream_once(request);
@@ -174,6 +179,8 @@
             steady_now() + caller_patience(*request.route) -
                 first_event_margin);
     const auto head = co_await this->read_answer_head(request, limit);
+    if (head.why.code == failure_code::deadline_exceeded)
+        this->note_first_event(request);
     if (head.end != attempt_end::answered)
         co_return head;
     if (request.connection->status() != 200) {
@@ -212,6 +219,7 @@
         const auto events = take_events(request.events, bytes);
         if (!events.empty() && !request.head_sent) {
             request.head_sent = true;
+            this->note_first_event(request);
             this->stats.first_byte_seconds.Observe(
                 ms_since(request.arrived) / 1000);
             const bool begun =
@@ -239,6 +247,17 @@
     co_return attempt_result{};
 }
 
+// Notes how long a new stream has waited for its first event until now.
+void forwarder::note_first_event(const forwarding_request& request)
+{
+    gateway::note_first_event(
+        this->selector.ended_waits,
+        request.parts.front().data_centre,
+        std::chrono::duration_cast<base::duration>(
+            steady_now() - request.attempt_started),
+        base::monotonic_now());
+}
+
 asio::awaitable<bool> forwarder::write_events(
     forwarding_request& request, const std::vector<std::string>& events)
 {
--- a/oleanderhinge/gateway/route_index.cpp
+++ b/oleanderhinge/gateway/route_index.cpp
@@ -41,6 +41,17 @@
     for (const auto& customer : this->held_table->customers)
         for (const auto& key : customer.keys)
             this->by_key.emplace(key, &customer);
+    for (const auto& route : this->held_table->routes) {
+        if (!route.streaming || route.target_latency_ms == 0)
+            continue;
+        for (const auto& target : route.targets) {
+            auto& shortest =
+                this->stream_targets
+                    .try_emplace(target.service, route.target_latency_ms)
+                    .first->second;
+            shortest = std::min(shortest, route.target_latency_ms);
+        }
+    }
     for (const auto& service : this->held_table->services)
         this->by_service.emplace(service.name, &service);
 }
@@ -72,6 +83,13 @@
     return found == this->by_service.end() ? nullptr : found->second;
 }
 
+std::uint32_t
+route_index::shortest_stream_target(std::string_view service) const
+{
+    const auto found = this->stream_targets.find(service);
+    return found == this->stream_targets.end() ? 0 : found->second;
+}
+
 const std::string&
 pick_target(const wire::forwarding_route& route, base::random_source& random)
 {
--- a/oleanderhinge/gateway/route_index.hpp
+++ b/oleanderhinge/gateway/route_index.hpp
@@ -42,6 +42,10 @@
     // Null for an unknown name.
     const wire::forwarding_service* find_service(std::string_view name) const;
 
+    // The shortest target latency of the streams of a service, in milliseconds;
+    // zero if none has a target.
+    std::uint32_t shortest_stream_target(std::string_view service) const;
+
     const wire::forwarding_table& table() const { return *this->held_table; }
 
 private:
@@ -52,6 +56,7 @@
     std::unordered_map<std::string, const wire::forwarding_customer*> by_key;
     std::map<std::string, const wire::forwarding_service*, std::less<>>
         by_service;
+    std::map<std::string, std::uint32_t, std::less<>> stream_targets;
 };
 
 // Name of a service, drawn among the route's targets by weight. The sum of the
--- a/oleanderhinge/gateway/server_choice.cpp
+++ b/oleanderhinge/gateway/server_choice.cpp
@@ -163,6 +163,20 @@
     return found;
 }
 
+// Wait for a first event that a new request on a path has to expect.
+base::duration first_event_wait(
+    const server_selector& selector,
+    const fleet::path_part& first,
+    base::time_point now)
+{
+    const auto expected =
+        expected_wait(selector.ended_waits, first.data_centre, now);
+    const auto found = selector.first_event_waits.find(first.address);
+    return found == selector.first_event_waits.end()
+               ? expected
+               : std::max(expected, found->second);
+}
+
 } // namespace
 
 fleet::report_outcome apply_record(
@@ -280,21 +294,14 @@
     return limits[std::min<std::size_t>(priority, limits.size() - 1)];
 }
 
-base::duration wait_limit(std::uint32_t priority)
-{
-    using std::chrono::milliseconds;
-    constexpr std::array limits{
-        milliseconds(1200), milliseconds(900), milliseconds(600)};
-    return limits[std::min<std::size_t>(priority, limits.size() - 1)];
-}
-
 path_choice choose_path(
     server_selector& selector,
     const wire::forwarding_service& service,
     const std::set<wire::endpoint>& tried,
     std::uint32_t priority,
     base::random_source& random,
-    base::time_point now)
+    base::time_point now,
+    base::duration target)
 {
     std::vector<server_selector::candidate> without_tried;
     auto& cached = selector.paths[service.name];
@@ -312,13 +319,9 @@
     std::vector<double> weights;
     double total = 0;
     for (const auto& item : candidates) {
-        const auto found =
-            selector.first_event_waits.find(item.parts.front().address);
-        const auto wait = found == selector.first_event_waits.end()
-                              ? base::duration(0)
-                              : found->second;
+        const auto wait = first_event_wait(selector, item.parts.front(), now);
         const bool fits = item.cache_use <= cache_limit(priority) &&
-                          wait <= wait_limit(priority);
+                          wait <= wait_limit(priority, target);
         const double wait_factor =
             1 + double(wait.count()) / double(weight_halving_wait.count());
         weights.push_back(
--- a/oleanderhinge/gateway/server_choice.hpp
+++ b/oleanderhinge/gateway/server_choice.hpp
@@ -15,6 +15,7 @@
 #include "oleanderhinge/base/random.hpp"
 #include "oleanderhinge/fleet/directory.hpp"
 #include "oleanderhinge/fleet/paths.hpp"
+#include "oleanderhinge/gateway/congestion.hpp"
 
 #include <map>
 #include <optional>
@@ -99,6 +100,8 @@
     // Longest present wait for a first event among this gateway's requests, by
     // the first server of the path.
     std::map<wire::endpoint, base::duration> first_event_waits;
+    // Waits that ended.
+    congestion ended_waits;
 };
 
 // --- Commands ---------------------------------------------------------------
@@ -152,13 +155,6 @@
 // for more urgent requests and for the growth of running ones.
 double cache_limit(std::uint32_t priority);
 
-// Admission limit by priority: a path takes a new request while no request that
-// this gateway sent to its first server has waited longer than this for its
-// first event. Callers leave after 2 s, so a request that would wait longer is
-// refused at once instead of being run for a caller that has left. Less urgent
-// requests are shed first.
-base::duration wait_limit(std::uint32_t priority);
-
 struct path_choice {
     // Empty if there is none.
     fleet::path parts;
@@ -167,14 +163,16 @@
 };
 
 // Draws a path over all layers by weight, without the servers in `tried`. Paths
-// with ejected servers are used only if there is no other.
+// with ejected servers are used only if there is no other. `target` is that of
+// `wait_limit`; zero for a stream that has begun.
 path_choice choose_path(
     server_selector& selector,
     const wire::forwarding_service& service,
     const std::set<wire::endpoint>& tried,
     std::uint32_t priority,
     base::random_source& random,
-    base::time_point now);
+    base::time_point now,
+    base::duration target = base::duration(0));
 
 // The cheapest path for a running request that keeps its first part and uses no
 // server that is in `avoided` or ejected. Empty if there is none.
