--- a/oleanderhinge/control/settings.cpp
+++ b/oleanderhinge/control/settings.cpp
@@ -183,7 +183,7 @@
          "",
          "",
          "folder of the log and the snapshots; without it the node keeps no "
-         "state, is no member and refuses every call",
+         "state, is no member and redirects calls to control.seeds",
          true},
         {"control",
          "members",
