fleet: find paths and living servers in linear time

Cause: whether a server is alive was decided by comparing its address with all others, so that each choice for a plain call and each search for paths took the square of the fleet; the search itself went over all servers for each layer and each data centre.

Change: the directory keeps the last start at each address. The search visits the holders of each layer once, and compares data centres after that. Servers are visited without copies of their records.

Tests: properties against the plain definitions, fleet.directory.an_address_* and fleet.find_paths.finds_the_cheapest_path.

--- a/oleanderhinge/fleet/directory.cpp
+++ b/oleanderhinge/fleet/directory.cpp
@@ -1,6 +1,7 @@
 #include "oleanderhinge/fleet/directory.hpp"
 
 #include <algorithm>
+#include <optional>
 #include <tuple>
 
 namespace oleanderhinge::fleet
@@ -23,6 +24,30 @@
            left.started_ms == right.started_ms && left.slots == right.slots;
 }
 
+wire::endpoint address_of(const wire::server_record& record)
+{
+    return {record.address, record.port};
+}
+
+// Finds the process that started last at the address.
+void update_last_started(directory& known, const wire::endpoint& address)
+{
+    std::optional<std::uint64_t> last;
+    for (const auto& [id, server] : known.servers)
+        if (address_of(server.record) == address)
+            last = std::max(last.value_or(0), server.record.started_ms);
+    if (last)
+        known.last_started[address] = *last;
+    else
+        known.last_started.erase(address);
+}
+
+void note_started_at(directory& known, const wire::server_record& record)
+{
+    auto& last = known.last_started[address_of(record)];
+    last = std::max(last, record.started_ms);
+}
+
 // Marks the process as gone. The notice may lack the other fields of a report.
 // False if the process had already gone or is not the one of the notice.
 bool mark_gone(known_server& server, const wire::server_record& notice)
@@ -44,6 +69,7 @@
     auto found = known.servers.find(record.id);
     if (found == known.servers.end()) {
         known.servers.emplace(record.id, known_server{record, heard, {}});
+        note_started_at(known, record);
         return report_outcome::changed;
     }
     auto& current = found->second;
@@ -63,7 +89,11 @@
     current.heard = std::max(current.heard, heard);
     const auto load = current.record.load;
     const bool same_process = current.record.started_ms == record.started_ms;
+    const auto address_before = address_of(current.record);
     current.record = record;
+    note_started_at(known, record);
+    if (address_before != address_of(record) || !same_process)
+        update_last_started(known, address_before);
     // A report may lack the load, which is polled from the engine.
     if (!record.load && same_process)
         current.record.load = load;
@@ -101,9 +131,15 @@
 
 void expire(directory& known, base::time_point now)
 {
+    std::vector<wire::endpoint> left;
     std::erase_if(known.servers, [&](const auto& item) {
-        return item.second.heard + tombstone_time < now;
+        const bool expired = item.second.heard + tombstone_time < now;
+        if (expired)
+            left.push_back(address_of(item.second.record));
+        return expired;
     });
+    for (const auto& address : left)
+        update_last_started(known, address);
 }
 
 bool is_alive(const directory& known, const known_server& server)
@@ -113,24 +149,18 @@
         (server.suspected != base::time_point{} &&
          server.heard < server.suspected + suspicion_margin))
         return false;
-    return std::none_of(
-        known.servers.begin(), known.servers.end(), [&](const auto& item) {
-            const auto& other = item.second.record;
-            return other.started_ms > server.record.started_ms &&
-                   other.address == server.record.address &&
-                   other.port == server.record.port;
-        });
+    const auto last = known.last_started.find(address_of(server.record));
+    return last == known.last_started.end() ||
+           last->second <= server.record.started_ms;
 }
 
 std::vector<wire::server_record>
 usable(const directory& known, std::string_view service)
 {
     std::vector<wire::server_record> found;
-    for (const auto& [id, server] : known.servers)
-        if (server.record.service == service &&
-            server.record.state == wire::reported_state::ready &&
-            is_alive(known, server))
-            found.push_back(server.record);
+    visit_usable(known, service, [&](const wire::server_record& record) {
+        found.push_back(record);
+    });
     return found;
 }
 
--- a/oleanderhinge/fleet/directory.hpp
+++ b/oleanderhinge/fleet/directory.hpp
@@ -49,6 +49,8 @@
 
 struct directory {
     std::map<base::backend_server_id, known_server> servers;
+    // Start time of the process that started last at each address.
+    std::map<wire::endpoint, std::uint64_t> last_started;
     // Arrival of the newest report of any server.
     base::time_point newest;
 };
@@ -98,6 +100,18 @@
 std::vector<wire::server_record>
 usable(const directory& known, std::string_view service);
 
+// Calls `visit(const wire::server_record&)` for each of them, without copies.
+template <class Visitor>
+void visit_usable(
+    const directory& known, std::string_view service, Visitor&& visit)
+{
+    for (const auto& [id, server] : known.servers)
+        if (server.record.service == service &&
+            server.record.state == wire::reported_state::ready &&
+            is_alive(known, server))
+            visit(server.record);
+}
+
 // Copy of a server's record with its age at `now`, in milliseconds since the
 // last report.
 wire::server_record with_age(const known_server& server, base::time_point now);
--- a/oleanderhinge/fleet/directory_test.cpp
+++ b/oleanderhinge/fleet/directory_test.cpp
@@ -1,6 +1,9 @@
 #include "oleanderhinge/fleet/directory.hpp"
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
 
 namespace oleanderhinge::fleet
 {
@@ -120,5 +123,45 @@
     EXPECT_EQ(usable_count(known), 1U);
 }
 
+// Whether another process that started later has the server's address, by
+// comparing it with all.
+bool has_successor(const directory& known, const known_server& server)
+{
+    return std::any_of(
+        known.servers.begin(), known.servers.end(), [&](const auto& item) {
+            const auto& other = item.second.record;
+            return other.started_ms > server.record.started_ms &&
+                   other.address == server.record.address &&
+                   other.port == server.record.port;
+        });
+}
+
+// Guards against requests for a process whose address another one has taken,
+// with reports in any order, restarts and changed addresses.
+RC_GTEST_PROP(directory, an_address_belongs_to_the_process_started_last, ())
+{
+    directory known;
+    auto now = start;
+    for (int i = 0; i < 60; ++i) {
+        now += seconds(*rc::gen::inRange(0, 8));
+        auto record = make_record(
+            std::to_string(*rc::gen::inRange(0, 5)),
+            std::uint64_t(*rc::gen::inRange(1, 6)),
+            std::uint64_t(*rc::gen::inRange(1, 6)),
+            *rc::gen::element(reported_state::ready, reported_state::gone),
+            std::to_string(*rc::gen::inRange(0, 3)));
+        apply(known, record, now);
+        if (*rc::gen::inRange(0, 10) == 0)
+            expire(known, now);
+        for (const auto& [id, server] : known.servers)
+            if (is_alive(known, server))
+                RC_ASSERT(!has_successor(known, server));
+            else if (
+                server.record.state == reported_state::ready &&
+                server.heard + silence_limit >= known.newest)
+                RC_ASSERT(has_successor(known, server));
+    }
+}
+
 } // namespace
 } // namespace oleanderhinge::fleet
--- a/oleanderhinge/fleet/paths.cpp
+++ b/oleanderhinge/fleet/paths.cpp
@@ -50,22 +50,22 @@
             std::vector<continuation>(this->data_centres.size()));
         for (auto& last : this->table[layer_count])
             last.cost = 0;
+        this->holders.resize(layer_count);
+        for (std::size_t server = 0; server < this->servers.size(); ++server)
+            for (auto layer = this->servers[server].layers.first.value();
+                 layer < this->end_of(server);
+                 ++layer)
+                this->holders[layer].push_back(server);
         // A part ends where the range of its server ends, so each part starts
         // at a higher layer than the one before and no server appears twice.
         for (std::uint32_t layer = layer_count; layer-- > 1;)
-            for (std::size_t data_centre = 0;
-                 data_centre < this->data_centres.size();
-                 ++data_centre)
-                this->table[layer][data_centre] =
-                    this->cheapest(layer, data_centre);
+            this->fill(layer);
     }
 
     std::vector<costed_path> run(const base::data_centre_id& home)
     {
         std::vector<costed_path> found;
-        for (std::size_t i = 0; i < this->servers.size(); ++i) {
-            if (!this->holds(i, 0))
-                continue;
+        for (const auto i : this->holders[0]) {
             const bool remote = this->servers[i].data_centre != home;
             const auto whole_path = this->continue_with(
                 i, 0, remote ? this->costs.remote_start_ms : 0);
@@ -90,12 +90,6 @@
         return std::min(this->servers[server].layers.end.value(), this->layers);
     }
 
-    bool holds(std::size_t server, std::uint32_t layer) const
-    {
-        return this->servers[server].layers.first.value() <= layer &&
-               layer < this->end_of(server);
-    }
-
     continuation
     continue_with(std::size_t server, std::uint32_t layer, double entry_ms)
     {
@@ -112,19 +106,29 @@
             server};
     }
 
-    continuation cheapest(std::uint32_t layer, std::size_t data_centre)
+    // Finds the cheapest continuation from a layer for each data centre of the
+    // part before.
+    void fill(std::uint32_t layer)
     {
-        continuation best;
-        for (std::size_t i = 0; i < this->servers.size(); ++i) {
-            if (!this->holds(i, layer))
-                continue;
-            const bool crosses = this->data_centre_of[i] != data_centre;
-            const auto next = this->continue_with(
-                i, layer, crosses ? this->costs.crossing_ms : 0);
+        // By the data centre of the next server, without a crossing.
+        std::vector<continuation> nearest(this->data_centres.size());
+        for (const auto i : this->holders[layer]) {
+            const auto next = this->continue_with(i, layer, 0);
+            auto& best = nearest[this->data_centre_of[i]];
             if (next.cost < best.cost)
                 best = next;
         }
-        return best;
+        for (std::size_t from = 0; from < nearest.size(); ++from) {
+            auto best = nearest[from];
+            for (std::size_t to = 0; to < nearest.size(); ++to) {
+                auto next = nearest[to];
+                if (to != from)
+                    next.cost += this->costs.crossing_ms;
+                if (next.cost < best.cost)
+                    best = next;
+            }
+            this->table[layer][from] = best;
+        }
     }
 
     path build_path(std::size_t first) const
@@ -151,6 +155,8 @@
     bool too_long = false;
     std::map<base::data_centre_id, std::size_t> data_centres;
     std::vector<std::size_t> data_centre_of;
+    // Servers that hold each layer.
+    std::vector<std::vector<std::size_t>> holders;
     // By first layer and data centre of the part before.
     std::vector<std::vector<continuation>> table;
 };
--- a/oleanderhinge/fleet/paths_test.cpp
+++ b/oleanderhinge/fleet/paths_test.cpp
@@ -4,6 +4,7 @@
 #include <rapidcheck/gtest.h>
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 namespace oleanderhinge::fleet
@@ -153,6 +154,62 @@
         RC_ASSERT(seen.insert(part.server.value()).second);
 }
 
+// Cost of the cheapest way to run the layers from `layer` on, by trying all.
+double cheapest_cost(
+    const std::vector<path_server>& servers,
+    std::uint32_t layer,
+    std::uint32_t layer_count,
+    const base::data_centre_id& from,
+    double change_ms,
+    const path_costs& costs)
+{
+    if (layer == layer_count)
+        return 0;
+    double least = 1e9;
+    for (const auto& server : servers) {
+        const auto end = std::min(server.layers.end.value(), layer_count);
+        if (server.layers.first.value() > layer || end <= layer)
+            continue;
+        const double change = server.data_centre == from ? 0 : change_ms;
+        least = std::min(
+            least,
+            change + server.ms_per_layer * (end - layer) + costs.part_ms +
+                cheapest_cost(
+                    servers,
+                    end,
+                    layer_count,
+                    server.data_centre,
+                    costs.crossing_ms,
+                    costs));
+    }
+    return least;
+}
+
+// Guards against a search that misses the cheapest path.
+RC_GTEST_PROP(find_paths, finds_the_cheapest_path, ())
+{
+    constexpr std::uint32_t layer_count = 6;
+    const path_costs costs;
+    std::vector<path_server> servers;
+    const auto count = *rc::gen::inRange(1, 9);
+    for (int i = 0; i < count; ++i) {
+        const auto first = *rc::gen::inRange<std::uint32_t>(0, layer_count);
+        const auto size = *rc::gen::inRange<std::uint32_t>(1, layer_count);
+        servers.push_back(make_server(
+            std::to_string(i),
+            std::string(1, char(*rc::gen::inRange('a', 'd'))),
+            first,
+            first + size,
+            *rc::gen::inRange(1, 50) / 10.0));
+    }
+    const auto found = find_paths(servers, layer_count, home, costs);
+    const auto least = cheapest_cost(
+        servers, 0, layer_count, home, costs.remote_start_ms, costs);
+    RC_ASSERT(found.empty() == (least >= 1e9));
+    if (!found.empty())
+        RC_ASSERT(std::abs(found.front().cost - least) < 1e-6);
+}
+
 // Guards against a charge that was right for one link only: prompts of 800
 // tokens occupy a link of 2,500 Mbit/s for 42 ms, one of 19,000 for 10.
 TEST(costs_of, a_crossing_costs_what_a_prompt_occupies_the_link)
--- a/oleanderhinge/gateway/server_choice.cpp
+++ b/oleanderhinge/gateway/server_choice.cpp
@@ -88,20 +88,21 @@
     base::time_point now)
 {
     std::vector<fleet::path_server> found;
-    for (const auto& record : fleet::usable(selector.servers, service.name)) {
+    const auto add = [&](const wire::server_record& record) {
         const wire::endpoint address{record.address, record.port};
         const auto* kind = fleet::find_kind(*service.engine, record.kind);
         if (kind == nullptr || record.layers == base::layer_range{} ||
             tried.contains(address) ||
             (!include_ejected && is_ejected(selector, address, now)))
-            continue;
+            return;
         found.push_back(
             {record.id,
              address,
              record.data_centre,
              record.layers,
              layer_time(*service.engine, *kind, record)});
-    }
+    };
+    fleet::visit_usable(selector.servers, service.name, add);
     return found;
 }
 
@@ -268,10 +269,10 @@
     std::optional<chosen_server> best;
     double least_cost = 0;
     bool best_ejected = true;
-    for (const auto& record : fleet::usable(selector.servers, service)) {
+    const auto consider = [&](const wire::server_record& record) {
         const wire::endpoint address{record.address, record.port};
         if (tried.contains(address))
-            continue;
+            return;
         const bool ejected = is_ejected(selector, address, now);
         // Up to 10 % of random noise, so that gateways do not all choose the
         // same server.
@@ -279,11 +280,12 @@
             request_cost(selector, record, now) * (1 + random.unit() / 10);
         if (best && (ejected > best_ejected ||
                      (ejected == best_ejected && cost >= least_cost)))
-            continue;
+            return;
         best = {record.id, address};
         least_cost = cost;
         best_ejected = ejected;
-    }
+    };
+    fleet::visit_usable(selector.servers, service, consider);
     return best;
 }
 
