net: a kept connection with unread bytes is not used again

The gateway's connections for requests of callers were guarded; those of http_client (state queries, path changes and orders to engines, calls of the agent) were not. A copy after the answer was dropped with its buffer and the connection kept; a late one was read as the next answer.

The check is shared: net::is_quiet. Test that first failed: net.http_client.a_second_copy_of_an_answer_is_not_the_next_answer.

--- a/oleanderhinge/gateway/upstream.cpp
+++ b/oleanderhinge/gateway/upstream.cpp
@@ -1,5 +1,7 @@
 #include "oleanderhinge/gateway/upstream.hpp"
 
+#include "oleanderhinge/net/idle_connection.hpp"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -139,16 +141,8 @@
     while (allowed == net::reuse::allowed && !kept.empty()) {
         auto candidate = std::move(kept.back());
         kept.pop_back();
-        // A readable idle connection was closed by the server or carries an
-        // unexpected answer.
-        char byte = 0;
-        error_code failed;
-        auto& socket = candidate.connection->stream.socket();
-        socket.non_blocking(true, failed);
-        socket.receive(
-            asio::buffer(&byte, 1), tcp::socket::message_peek, failed);
         if (now - candidate.since < max_idle_time &&
-            failed == asio::error::would_block)
+            net::is_quiet(candidate.connection->stream.socket()))
             return candidate.connection;
     }
     return std::make_shared<upstream_connection>(this->io, server, true);
--- a/oleanderhinge/net/http_client.cpp
+++ b/oleanderhinge/net/http_client.cpp
@@ -1,5 +1,7 @@
 #include "oleanderhinge/net/http_client.hpp"
 
+#include "oleanderhinge/net/idle_connection.hpp"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -69,11 +71,13 @@
             std::chrono::steady_clock::now() - kept.back().since >
                 max_idle_time)
             kept.clear();
-        if (kept.empty())
-            return nullptr;
-        auto stream = std::move(kept.back().stream);
-        kept.pop_back();
-        return stream;
+        while (!kept.empty()) {
+            auto stream = std::move(kept.back().stream);
+            kept.pop_back();
+            if (is_quiet(stream->socket()))
+                return stream;
+        }
+        return nullptr;
     }
 
     void keep(
@@ -169,7 +173,8 @@
         stream.reset();
         co_return failed_with(http_failure::unknown, read_failed);
     }
-    const bool keep = parser.get().keep_alive();
+    // Bytes after a complete answer belong to no request.
+    const bool keep = parser.get().keep_alive() && buffer.size() == 0;
     auto outcome = to_outcome(parser.release());
     if (!keep)
         stream.reset();
