control: send refreshes of servers as bits

Cause: each second every member sent whole records of all servers to every gateway.

Change: servers get numbers on each link, and members send every 250 ms one bit for each server that has reported again; changed records go at once as before. A refresh carries the age of its oldest report, so that a suspicion is not cleared by a report from before it.

--- a/oleanderhinge/control/fleet_watch.cpp
+++ b/oleanderhinge/control/fleet_watch.cpp
@@ -1,8 +1,54 @@
 #include "oleanderhinge/control/fleet_watch.hpp"
 
+#include <algorithm>
+#include <utility>
+
 namespace oleanderhinge::control
 {
 
+namespace
+{
+
+using refreshed_servers = fleet_watch::refreshed_servers;
+
+void add(
+    refreshed_servers& to,
+    const base::backend_server_id& id,
+    base::time_point heard)
+{
+    to.oldest = to.ids.empty() ? heard : std::min(to.oldest, heard);
+    to.ids.insert(id);
+}
+
+// Returns the message for the servers and forgets them.
+std::optional<wire::server_refresh> take(
+    refreshed_servers& from,
+    const fleet::numbering& numbers,
+    base::time_point now)
+{
+    const auto taken = std::exchange(from, {});
+    if (taken.ids.empty())
+        return std::nullopt;
+    const auto age = std::chrono::ceil<std::chrono::milliseconds>(
+        std::max(now - taken.oldest, base::duration(0)));
+    return fleet::make_refresh(numbers, taken.ids, std::uint32_t(age.count()));
+}
+
+wire::server_batch records_of(
+    const fleet_watch& fleet,
+    const std::set<base::backend_server_id>& ids,
+    base::time_point now)
+{
+    wire::server_batch batch;
+    for (const auto& id : ids)
+        if (const auto found = fleet.servers.servers.find(id);
+            found != fleet.servers.servers.end())
+            batch.records.push_back(fleet::with_age(found->second, now));
+    return batch;
+}
+
+} // namespace
+
 fleet::report_outcome report(
     fleet_watch& fleet,
     const wire::server_record& record,
@@ -15,39 +61,51 @@
         return outcome;
     if (fleet.first_report == base::time_point{})
         fleet.first_report = now;
-    if (outcome == fleet::report_outcome::changed)
+    if (outcome == fleet::report_outcome::changed) {
         fleet.changed.insert(record.id);
-    fleet.refreshed.insert(record.id);
-    if (!relayed)
-        fleet.reported_here.insert(record.id);
+        if (!relayed)
+            fleet.changed_here.insert(record.id);
+    } else {
+        add(relayed ? fleet.refreshed_elsewhere : fleet.refreshed_here,
+            record.id,
+            heard);
+    }
     return outcome;
 }
 
+void note_refreshed(
+    fleet_watch& fleet,
+    const fleet::peer_numbering& sender,
+    const wire::server_refresh& refresh,
+    base::time_point now)
+{
+    const auto heard = now - std::chrono::milliseconds(refresh.age_ms);
+    fleet::visit_refreshed(
+        sender, refresh, [&](const base::backend_server_id& id) {
+            if (fleet::refresh(fleet.servers, id, heard))
+                add(fleet.refreshed_elsewhere, id, heard);
+        });
+}
+
 fleet_changes take_changes(fleet_watch& fleet, base::time_point now)
 {
-    const bool refresh_due = now >= fleet.next_refresh;
-    if (refresh_due) {
-        fleet.next_refresh = now + refresh_interval;
-        fleet::expire(fleet.servers, now);
-    }
-    const auto& to_report = refresh_due ? fleet.refreshed : fleet.changed;
     fleet_changes to_send;
-    for (const auto& id : to_report) {
-        const auto found = fleet.servers.servers.find(id);
-        if (found == fleet.servers.servers.end())
-            continue;
-        const auto record = fleet::with_age(found->second, now);
-        to_send.for_gateways.records.push_back(record);
-        if (fleet.reported_here.contains(id))
-            to_send.for_members.records.push_back(record);
-    }
-    for (const auto& record : to_send.for_gateways.records) {
-        fleet.refreshed.erase(record.id);
-        fleet.reported_here.erase(record.id);
-    }
+    to_send.for_gateways = records_of(fleet, fleet.changed, now);
+    to_send.for_members = records_of(fleet, fleet.changed_here, now);
     fleet.changed.clear();
-    if (refresh_due)
-        fleet.refreshed.clear();
+    fleet.changed_here.clear();
+    if (now < fleet.next_refresh)
+        return to_send;
+    fleet.next_refresh = now + refresh_interval;
+    fleet::expire(fleet.servers, now);
+    auto reported = fleet.refreshed_here.ids;
+    reported.insert(
+        fleet.refreshed_elsewhere.ids.begin(),
+        fleet.refreshed_elsewhere.ids.end());
+    to_send.numbers = fleet::new_numbers(fleet.numbers, reported);
+    to_send.refreshed_here = take(fleet.refreshed_here, fleet.numbers, now);
+    to_send.refreshed_elsewhere =
+        take(fleet.refreshed_elsewhere, fleet.numbers, now);
     return to_send;
 }
 
--- a/oleanderhinge/control/fleet_watch.hpp
+++ b/oleanderhinge/control/fleet_watch.hpp
@@ -4,16 +4,18 @@
 //
 // Example:
 //   report(fleet, record, now);
-//   for (auto& batch : take_changes(fleet, now)) send_to_gateways(batch);
+//   send(take_changes(fleet, now));
 //   for (auto& order : plan_orders(fleet, table, leads, now)) give(order);
 #pragma once
 
 #include "oleanderhinge/control_state/commands.hpp"
 #include "oleanderhinge/fleet/directory.hpp"
+#include "oleanderhinge/fleet/numbering.hpp"
 #include "oleanderhinge/fleet/placement.hpp"
 #include "oleanderhinge/wire/messages.hpp"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -21,9 +23,10 @@
 namespace oleanderhinge::control
 {
 
-// Unchanged records that were reported again are sent in one batch per
-// interval; changed ones are sent at once.
-inline constexpr base::duration refresh_interval = std::chrono::seconds(1);
+// Changed records are sent at once. Which servers have reported again without a
+// change is sent once per interval.
+inline constexpr base::duration refresh_interval =
+    std::chrono::milliseconds(250);
 // A new leader waits this long before it plans. Every server reports within
 // 1.2 s, and a placement on a part of the fleet would move layers later.
 inline constexpr base::duration settle_time = std::chrono::milliseconds(1600);
@@ -39,14 +42,20 @@
 
 struct fleet_watch {
     fleet::directory servers;
-    // Servers whose records are to be sent: `changed` at once, `refreshed` with
-    // the next batch.
+    // Servers whose records are to be sent at once. Those in `changed_here`
+    // reported to this node directly and are sent to the other members, too.
     std::set<base::backend_server_id> changed;
-    std::set<base::backend_server_id> refreshed;
+    std::set<base::backend_server_id> changed_here;
+    // Servers that have reported again, to this node or through another member.
+    struct refreshed_servers {
+        std::set<base::backend_server_id> ids;
+        // The first of the reports.
+        base::time_point oldest;
+    };
+    refreshed_servers refreshed_here;
+    refreshed_servers refreshed_elsewhere;
     base::time_point next_refresh;
-    // Servers that reported to this node directly; their records are sent to
-    // the other members, too.
-    std::set<base::backend_server_id> reported_here;
+    fleet::numbering numbers;
     // Placement of each service with engines; empty unless this node leads.
     std::map<std::string, fleet::placement> placements;
     // Placement of each service that was last proposed to the log.
@@ -66,13 +75,26 @@
     bool relayed,
     base::time_point now);
 
-// Records to send to gateways and to the other members of the control group.
+// Notes that servers have reported again to another member without a change.
+void note_refreshed(
+    fleet_watch& fleet,
+    const fleet::peer_numbering& sender,
+    const wire::server_refresh& refresh,
+    base::time_point now);
+
+// What to send to gateways and to the other members of the control group.
 struct fleet_changes {
     wire::server_batch for_gateways;
     wire::server_batch for_members;
+    // To both, before the refreshes; empty if there are no new ones.
+    wire::server_numbers numbers;
+    // To both: servers that reported to this node.
+    std::optional<wire::server_refresh> refreshed_here;
+    // To gateways: servers that reported through another member.
+    std::optional<wire::server_refresh> refreshed_elsewhere;
 };
 
-// Returns the records to send now and marks them as sent. Also removes expired
+// Returns what is to be sent now and marks it as sent. Also removes expired
 // servers, once per `refresh_interval`.
 fleet_changes take_changes(fleet_watch& fleet, base::time_point now);
 
--- a/oleanderhinge/control/internal/service_fleet.cpp
+++ b/oleanderhinge/control/internal/service_fleet.cpp
@@ -173,18 +173,26 @@
 
 void service::impl::send_servers()
 {
-    const auto batches = take_changes(this->fleet, base::monotonic_now());
-    if (batches.for_gateways.records.empty())
-        return;
-    this->links.send(this->gateway_links(), batches.for_gateways);
-    if (batches.for_members.records.empty())
-        return;
+    const auto changes = take_changes(this->fleet, base::monotonic_now());
+    const auto gateways = this->gateway_links();
     std::vector<net::link_id> members;
     for (const auto& [link, peer] : this->open_links)
         if (peer.sender != wire::role::entry &&
             link_to(this->peers, peer.vm) == link)
             members.push_back(link);
-    this->links.send(members, batches.for_members);
+    const auto send_common = [&](const std::vector<net::link_id>& to,
+                                 const wire::server_batch& changed) {
+        if (!changed.records.empty())
+            this->links.send(to, changed);
+        if (!changes.numbers.servers.empty())
+            this->links.send(to, changes.numbers);
+        if (changes.refreshed_here)
+            this->links.send(to, *changes.refreshed_here);
+    };
+    send_common(gateways, changes.for_gateways);
+    send_common(members, changes.for_members);
+    if (changes.refreshed_elsewhere)
+        this->links.send(gateways, *changes.refreshed_elsewhere);
 }
 
 void service::impl::place_layers(
--- a/oleanderhinge/control/internal/service_impl.hpp
+++ b/oleanderhinge/control/internal/service_impl.hpp
@@ -204,6 +204,8 @@
     // The peer's hello for each open link.
     std::map<net::link_id, wire::hello> open_links;
     fleet_watch fleet;
+    // Numbers of servers that the other members use.
+    std::map<net::link_id, fleet::peer_numbering> peer_numbers;
     wire::server_loads new_loads;
     member_reach reach;
     base::time_point without_leader_since = base::monotonic_now();
--- a/oleanderhinge/control/internal/service_links.cpp
+++ b/oleanderhinge/control/internal/service_links.cpp
@@ -71,6 +71,7 @@
     // the short silence limit of busy links always applies to it.
     if (peer.sender == wire::role::control)
         this->links.set_busy(link, true);
+    this->links.send(link, fleet::all_numbers(this->fleet.numbers));
     this->events.record(event_kind::link_opened, peer.vm.value());
     spdlog::info("event=link_opened peer={}", peer.vm.value());
 }
@@ -91,6 +92,7 @@
         found->second.vm.value(),
         net::to_string(reason));
     this->open_links.erase(found);
+    this->peer_numbers.erase(link);
 }
 
 void service::impl::on_message(net::link_id link, wire::message&& content)
@@ -116,6 +118,18 @@
         if (peer->second.sender == wire::role::control)
             for (const auto& record : batch->records)
                 this->on_report(record, true);
+    } else if (
+        const auto* named = std::get_if<wire::server_numbers>(&content)) {
+        if (peer->second.sender == wire::role::control)
+            fleet::learn(this->peer_numbers[link], *named);
+    } else if (
+        const auto* refresh = std::get_if<wire::server_refresh>(&content)) {
+        if (peer->second.sender == wire::role::control)
+            note_refreshed(
+                this->fleet,
+                this->peer_numbers[link],
+                *refresh,
+                base::monotonic_now());
     } else if (
         const auto* suspicion = std::get_if<wire::server_suspicion>(&content)) {
         this->on_suspicion(link, *suspicion);
--- a/oleanderhinge/fleet/directory.cpp
+++ b/oleanderhinge/fleet/directory.cpp
@@ -100,6 +100,18 @@
     return same ? report_outcome::refreshed : report_outcome::changed;
 }
 
+bool refresh(
+    directory& known, const base::backend_server_id& id, base::time_point heard)
+{
+    const auto found = known.servers.find(id);
+    if (found == known.servers.end() ||
+        found->second.record.state == wire::reported_state::gone)
+        return false;
+    found->second.heard = std::max(found->second.heard, heard);
+    known.newest = std::max(known.newest, heard);
+    return true;
+}
+
 bool suspect(
     directory& known, const wire::endpoint& address, base::time_point now)
 {
--- a/oleanderhinge/fleet/directory.hpp
+++ b/oleanderhinge/fleet/directory.hpp
@@ -74,6 +74,13 @@
     const wire::server_record& record,
     base::time_point heard);
 
+// Notes that the process has reported again at `heard`, without a change. False
+// if there is no such server or it has gone.
+bool refresh(
+    directory& known,
+    const base::backend_server_id& id,
+    base::time_point heard);
+
 // Marks the server at the address as suspected of having failed, since requests
 // that depend on it make no progress. It is not alive until it reports again,
 // at least `suspicion_margin` later. False if no server there was alive.
--- a/oleanderhinge/gateway/control_client.cpp
+++ b/oleanderhinge/gateway/control_client.cpp
@@ -91,6 +91,13 @@
         membership::apply_confirm(this->view, *confirm, now);
     } else if (const auto* batch = std::get_if<wire::server_batch>(&content)) {
         this->events.servers(*batch);
+    } else if (
+        const auto* numbers = std::get_if<wire::server_numbers>(&content)) {
+        if (const auto found = this->find(link); found != this->members.end())
+            fleet::learn(found->second.numbers, *numbers);
+    } else if (
+        const auto* refresh = std::get_if<wire::server_refresh>(&content)) {
+        this->on_refresh(link, *refresh, now);
     } else if (const auto* group = std::get_if<wire::control_group>(&content)) {
         this->on_group(*group, now);
     } else if (
@@ -137,6 +144,21 @@
     this->events.gateways(group.gateways, now);
 }
 
+void control_client::on_refresh(
+    net::link_id link,
+    const wire::server_refresh& refresh,
+    base::time_point now)
+{
+    const auto found = this->find(link);
+    if (found == this->members.end())
+        return;
+    const auto heard = now - std::chrono::milliseconds(refresh.age_ms);
+    fleet::visit_refreshed(
+        found->second.numbers, refresh, [&](const base::backend_server_id& id) {
+            this->events.refreshed(id, heard);
+        });
+}
+
 void control_client::report_suspicion(const wire::endpoint& server)
 {
     for (const auto& [address, peer] : this->members)
@@ -158,6 +180,7 @@
             net::to_string(reason));
     peer.link.reset();
     peer.open = false;
+    peer.numbers = {};
     peer.next_connect =
         now + reconnect_wait +
         base::duration(
--- a/oleanderhinge/gateway/control_client.hpp
+++ b/oleanderhinge/gateway/control_client.hpp
@@ -14,6 +14,7 @@
 #pragma once
 
 #include "oleanderhinge/base/random.hpp"
+#include "oleanderhinge/fleet/numbering.hpp"
 #include "oleanderhinge/membership/config_view.hpp"
 #include "oleanderhinge/net/link_table.hpp"
 
@@ -50,6 +51,9 @@
     std::function<void(std::shared_ptr<const wire::configuration>)>
         configuration;
     std::function<void(const wire::server_batch&)> servers;
+    // A server has reported again without a change.
+    std::function<void(const base::backend_server_id&, base::time_point heard)>
+        refreshed;
     std::function<void(const wire::server_loads&)> loads;
     // Another gateway suspects a server, since requests that depend on it make
     // no progress.
@@ -96,11 +100,17 @@
         base::time_point last_confirm;
         // When a group listed it last; unset for seeds that none has listed.
         base::time_point last_listed;
+        // The numbers of servers on this link.
+        fleet::peer_numbering numbers;
     };
 
     void on_update(
         net::link_id link, wire::config_update&& update, base::time_point now);
     void on_group(const wire::control_group& group, base::time_point now);
+    void on_refresh(
+        net::link_id link,
+        const wire::server_refresh& refresh,
+        base::time_point now);
     void send_subscribe(net::link_id link, base::revision held_revision);
     std::map<wire::endpoint, member>::iterator find(net::link_id link);
 
--- a/oleanderhinge/gateway/gateway_node.cpp
+++ b/oleanderhinge/gateway/gateway_node.cpp
@@ -112,6 +112,10 @@
             [this](const wire::server_batch& batch) {
                 this->on_servers(batch);
             },
+        .refreshed =
+            [this](const base::backend_server_id& id, base::time_point heard) {
+                fleet::refresh(this->selector.servers, id, heard);
+            },
         .loads =
             [this](const wire::server_loads& loads) {
                 for (const auto& item : loads.items)
--- a/oleanderhinge/wire/frame.cpp
+++ b/oleanderhinge/wire/frame.cpp
@@ -48,6 +48,8 @@
     "join_request",
     "server_suspicion",
     "server_loads",
+    "server_numbers",
+    "server_refresh",
 };
 
 using payload_decoder = base::result<message> (*)(std::string_view);
--- a/oleanderhinge/wire/messages.hpp
+++ b/oleanderhinge/wire/messages.hpp
@@ -767,6 +767,33 @@
     }
 };
 
+// Control to gateway and to other control nodes: the numbers that stand for
+// servers in `server_refresh` on this link, from `first` on.
+struct server_numbers {
+    std::uint32_t first = 0;
+    std::vector<base::backend_server_id> servers;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->first, this->servers);
+    }
+};
+
+// Control to gateway and to other control nodes: the servers that have reported
+// again without a change, at most `age_ms` ago. Bit n % 8 of byte n / 8 stands
+// for the server with the number n.
+struct server_refresh {
+    std::uint32_t age_ms = 0;
+    std::vector<std::uint8_t> reported;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->age_ms, this->reported);
+    }
+};
+
 // Control to gateway: states of engines that the leader asked for.
 struct server_loads {
     struct item {
@@ -864,6 +891,8 @@
     control_group,
     join_request,
     server_suspicion,
-    server_loads>;
+    server_loads,
+    server_numbers,
+    server_refresh>;
 
 } // namespace oleanderhinge::wire
