--- a/oleanderhinge/control/service_test.cpp
+++ b/oleanderhinge/control/service_test.cpp
@@ -141,11 +141,14 @@
 class entry_link
 {
 public:
-    entry_link(asio::io_context& io, const wire::endpoint& to)
+    entry_link(
+        asio::io_context& io,
+        const wire::endpoint& to,
+        wire::role sender = wire::role::entry)
         : links(
               io,
               clock,
-              options(),
+              options(sender),
               {.opened = [](net::link_id, const wire::hello&) {},
                .received =
                    [this](net::link_id, wire::message content) {
@@ -181,9 +184,10 @@
     }
 
 private:
-    static net::link_options options()
+    static net::link_options options(wire::role sender)
     {
         net::link_options made;
+        made.self.sender = sender;
         made.cluster_secret = secret;
         made.self.vm = base::vm_id{"entry-1"};
         return made;
@@ -506,6 +510,28 @@
     second.next<wire::config_confirm>();
 }
 
+// Guards against a member that knows only the servers that report to it: it
+// would plan the layers of all others anew as leader.
+TEST(feed, a_member_that_connects_is_sent_all_servers)
+{
+    cluster group(1);
+    entry_link reporter(group.io, group.member(0).link, wire::role::control);
+    wire::server_record record;
+    record.id = base::backend_server_id{"a"};
+    record.service = "chat";
+    reporter.send(wire::server_batch{{record}});
+    reporter.next<wire::server_batch>();
+    // Another one, after the record has arrived.
+    while (true) {
+        entry_link other(group.io, group.member(0).link, wire::role::control);
+        const auto batch = other.next<wire::server_batch>();
+        if (batch.records.empty())
+            continue;
+        EXPECT_EQ(batch.records.front().id, record.id);
+        break;
+    }
+}
+
 TEST(claims, race_resend_and_outcome)
 {
     cluster group(2);
