control: members share the polling of engines, loads by number

Change: each member asks the engines of its own data centre, the leader those of data centres without a member, and sends the loads to gateways and members by the numbers of the link, 17 bytes each. Version 2 of the link protocol, so that processes of the two versions refuse each other by name.

Tests: control.fleet_watch.members_share_*, .loads_reach_*, fleet.numbering.

--- a/oleanderhinge/control/fleet_watch.cpp
+++ b/oleanderhinge/control/fleet_watch.cpp
@@ -120,25 +120,57 @@
 std::vector<wire::server_record> due_for_load(
     fleet_watch& fleet,
     const wire::forwarding_table& table,
-    bool leads,
+    const load_duty& duty,
     base::time_point now)
 {
-    if (!leads || now < fleet.next_load_round)
+    if (!duty.active || now < fleet.next_load_round)
         return {};
     fleet.next_load_round = now + load_interval / int(load_rounds);
     const auto round = fleet.load_round++ % load_rounds;
     std::vector<wire::server_record> due;
-    std::size_t engine_index = 0;
-    for (const auto& service : table.services) {
-        if (!service.engine || service.engine->layer_count == 0)
-            continue;
-        for (auto& record : fleet::usable(fleet.servers, service.name))
-            if (engine_index++ % load_rounds == round)
-                due.push_back(std::move(record));
-    }
+    std::size_t index_at_home = 0;
+    std::size_t index = 0;
+    const auto add = [&](const wire::server_record& record) {
+        const bool mine =
+            record.data_centre == duty.home
+                ? index_at_home++ % duty.members == duty.position
+                : duty.leads && !duty.with_member.contains(record.data_centre);
+        if (mine && index++ % load_rounds == round)
+            due.push_back(record);
+    };
+    for (const auto& service : table.services)
+        if (service.engine && service.engine->layer_count != 0)
+            fleet::visit_usable(fleet.servers, service.name, add);
     return due;
 }
 
+void note_loads(
+    fleet_watch& fleet,
+    const fleet::peer_numbering& sender,
+    const wire::server_loads& loads)
+{
+    fleet::visit_loads(
+        sender,
+        loads,
+        [&](const base::backend_server_id& id, const wire::engine_load& load) {
+            fleet::note_load(fleet.servers, id, load);
+        });
+}
+
+load_changes take_loads(fleet_watch& fleet)
+{
+    load_changes taken;
+    std::vector<base::backend_server_id> ids;
+    for (const auto& [id, load] : fleet.new_loads)
+        ids.push_back(id);
+    taken.numbers = fleet::new_numbers(fleet.numbers, ids);
+    for (const auto& [id, load] : fleet.new_loads)
+        taken.loads.items.push_back(
+            fleet::pack_load(fleet.numbers.numbers.at(id), load));
+    fleet.new_loads.clear();
+    return taken;
+}
+
 std::vector<control_state::record_places> due_records(fleet_watch& fleet)
 {
     std::vector<control_state::record_places> due;
--- a/oleanderhinge/control/fleet_watch.hpp
+++ b/oleanderhinge/control/fleet_watch.hpp
@@ -36,7 +36,8 @@
 
 // Each engine is asked for its load once per interval, a fraction of the
 // engines in each of `load_rounds` rounds. A request costs as much as a health
-// check.
+// check. The members of the group share the engines, so that none of them has
+// connections to thousands.
 inline constexpr base::duration load_interval = std::chrono::seconds(1);
 inline constexpr std::size_t load_rounds = 4;
 
@@ -56,6 +57,8 @@
     refreshed_servers refreshed_elsewhere;
     base::time_point next_refresh;
     fleet::numbering numbers;
+    // Loads that this node has received and not sent yet.
+    std::map<base::backend_server_id, wire::engine_load> new_loads;
     // Placement of each service with engines; empty unless this node leads.
     std::map<std::string, fleet::placement> placements;
     // Placement of each service that was last proposed to the log.
@@ -101,13 +104,41 @@
 // Returns the records of all servers, for a new subscriber.
 wire::server_batch all_servers(const fleet_watch& fleet, base::time_point now);
 
-// Returns the engines to ask for their load now; none unless `leads`.
+// The engines that this node asks for their load.
+struct load_duty {
+    // Those of its data centre, divided among the members there.
+    base::data_centre_id home;
+    std::size_t position = 0;
+    std::size_t members = 1;
+    // A leader also asks those of data centres without a member.
+    bool leads = false;
+    std::set<base::data_centre_id> with_member;
+    // False without a quorum: others ask.
+    bool active = false;
+};
+
+// Returns the engines to ask for their load now.
 std::vector<wire::server_record> due_for_load(
     fleet_watch& fleet,
     const wire::forwarding_table& table,
-    bool leads,
+    const load_duty& duty,
     base::time_point now);
 
+// Notes loads that another member has received.
+void note_loads(
+    fleet_watch& fleet,
+    const fleet::peer_numbering& sender,
+    const wire::server_loads& loads);
+
+// The loads noted by this node since the last call, for gateways and members.
+struct load_changes {
+    // To be sent before the loads; empty if there are no new ones.
+    wire::server_numbers numbers;
+    wire::server_loads loads;
+};
+
+load_changes take_loads(fleet_watch& fleet);
+
 // Returns the placements that have changed since they were last proposed, and
 // marks them as proposed.
 std::vector<control_state::record_places> due_records(fleet_watch& fleet);
--- a/oleanderhinge/control/fleet_watch_test.cpp
+++ b/oleanderhinge/control/fleet_watch_test.cpp
@@ -100,5 +100,74 @@
     EXPECT_EQ(usable_count(second), 2U);
 }
 
+// Pattern: thousands of engines are asked for their load each second. Guards
+// against a leader that has connections to all of them, and against engines
+// that nobody or several members ask.
+TEST(fleet_watch, members_share_the_engines_that_are_asked_for_their_load)
+{
+    wire::forwarding_table table;
+    table.services = {{"chat", "", 0, wire::engine_profile{}}};
+    table.services[0].engine->layer_count = 80;
+    const std::vector<std::string> places{"a", "b", "c"};
+    // Two members in a, one in b, none in c; the first one leads.
+    std::vector<load_duty> duties(3);
+    for (std::size_t i = 0; i < duties.size(); ++i) {
+        duties[i].home = base::data_centre_id{i < 2 ? "a" : "b"};
+        duties[i].position = i % 2;
+        duties[i].members = 2;
+        duties[i].with_member = {
+            base::data_centre_id{"a"}, base::data_centre_id{"b"}};
+        duties[i].active = true;
+    }
+    duties[0].leads = true;
+    duties[2].position = 0;
+    duties[2].members = 1;
+    std::map<base::backend_server_id, int> asked;
+    for (const auto& duty : duties) {
+        fleet_watch member;
+        for (int i = 0; i < 300; ++i) {
+            auto record = make_record("s" + std::to_string(i), 1);
+            record.data_centre =
+                base::data_centre_id{places[std::size_t(i) % 3]};
+            report(member, record, true, start);
+        }
+        std::size_t most = 0;
+        for (std::size_t round = 0; round < load_rounds; ++round) {
+            const auto due = due_for_load(
+                member,
+                table,
+                duty,
+                start + load_interval * int(round) / int(load_rounds));
+            most = std::max(most, due.size());
+            for (const auto& record : due)
+                ++asked[record.id];
+        }
+        EXPECT_LE(most, 50U);
+    }
+    EXPECT_EQ(asked.size(), 300U);
+    for (const auto& [id, count] : asked)
+        EXPECT_EQ(count, 1) << id.value();
+}
+
+// Guards against members whose placement does not follow what others asked.
+TEST(fleet_watch, loads_reach_the_other_members)
+{
+    fleet_watch first;
+    fleet_watch second;
+    for (auto* member : {&first, &second})
+        report(*member, make_record("a", 1), true, start);
+    wire::engine_load load;
+    load.running = 7;
+    first.new_loads[base::backend_server_id{"a"}] = load;
+    const auto changes = take_loads(first);
+    fleet::peer_numbering numbers;
+    fleet::learn(numbers, changes.numbers);
+    note_loads(second, numbers, changes.loads);
+    const auto& record = second.servers.servers.begin()->second.record;
+    ASSERT_TRUE(record.load);
+    EXPECT_EQ(record.load->running, 7U);
+    EXPECT_TRUE(take_loads(first).loads.items.empty());
+}
+
 } // namespace
 } // namespace oleanderhinge::control
--- a/oleanderhinge/control/internal/service_fleet.cpp
+++ b/oleanderhinge/control/internal/service_fleet.cpp
@@ -175,11 +175,7 @@
 {
     const auto changes = take_changes(this->fleet, base::monotonic_now());
     const auto gateways = this->gateway_links();
-    std::vector<net::link_id> members;
-    for (const auto& [link, peer] : this->open_links)
-        if (peer.sender != wire::role::entry &&
-            link_to(this->peers, peer.vm) == link)
-            members.push_back(link);
+    const auto members = this->member_links();
     const auto send_common = [&](const std::vector<net::link_id>& to,
                                  const wire::server_batch& changed) {
         if (!changed.records.empty())
@@ -238,15 +234,35 @@
     }
 }
 
+load_duty service::impl::duty_for_loads(const replica::log_status& status) const
+{
+    load_duty duty;
+    duty.home = this->options.link.self.data_centre;
+    duty.active = status.has_quorum;
+    duty.leads = status.role == replica::member_role::leader;
+    duty.with_member.insert(duty.home);
+    std::set<base::vm_id> at_home{this->self};
+    for (const auto& [link, peer] : this->open_links) {
+        if (peer.sender != wire::role::control)
+            continue;
+        duty.with_member.insert(peer.data_centre);
+        if (peer.data_centre == duty.home)
+            at_home.insert(peer.vm);
+    }
+    duty.members = at_home.size();
+    duty.position =
+        std::size_t(std::distance(at_home.begin(), at_home.find(this->self)));
+    return duty;
+}
+
 void service::impl::request_loads(
     const replica::log_status& status, base::time_point now)
 {
     if (!this->options.read_load)
         return;
-    const bool leads =
-        status.role == replica::member_role::leader && status.has_quorum;
+    const auto duty = this->duty_for_loads(status);
     const auto due = this->state.read([&](const control_state::state& from) {
-        return due_for_load(this->fleet, from.config.forwarding, leads, now);
+        return due_for_load(this->fleet, from.config.forwarding, duty, now);
     });
     for (const auto& server : due)
         this->options.read_load(
@@ -256,17 +272,22 @@
                     this->on_strand([this, id, load = *load] {
                         if (fleet::note_load(this->fleet.servers, id, load))
                             this->fleet.changed.insert(id);
-                        this->new_loads.items.push_back({id, load});
+                        this->fleet.new_loads.insert_or_assign(id, load);
                     });
             });
 }
 
 void service::impl::send_loads()
 {
-    if (this->new_loads.items.empty())
+    if (this->fleet.new_loads.empty())
         return;
-    this->links.send(this->gateway_links(), this->new_loads);
-    this->new_loads.items.clear();
+    const auto changes = take_loads(this->fleet);
+    auto receivers = this->gateway_links();
+    const auto members = this->member_links();
+    receivers.insert(receivers.end(), members.begin(), members.end());
+    if (!changes.numbers.servers.empty())
+        this->links.send(receivers, changes.numbers);
+    this->links.send(receivers, changes.loads);
 }
 
 } // namespace oleanderhinge::control
--- a/oleanderhinge/control/internal/service_impl.hpp
+++ b/oleanderhinge/control/internal/service_impl.hpp
@@ -136,6 +136,7 @@
     on_suspicion(net::link_id from, const wire::server_suspicion& suspicion);
     void send_servers();
     void place_layers(const replica::log_status& status, base::time_point now);
+    load_duty duty_for_loads(const replica::log_status& status) const;
     void request_loads(const replica::log_status& status, base::time_point now);
     void send_loads();
 
@@ -150,6 +151,8 @@
     wire::control_group group() const;
     // The links to gateways.
     std::vector<net::link_id> gateway_links() const;
+    // The links that this node has opened to other members.
+    std::vector<net::link_id> member_links() const;
     void send(const std::vector<outgoing>& messages);
     void count_subscribers();
 
@@ -206,7 +209,6 @@
     fleet_watch fleet;
     // Numbers of servers that the other members use.
     std::map<net::link_id, fleet::peer_numbering> peer_numbers;
-    wire::server_loads new_loads;
     member_reach reach;
     base::time_point without_leader_since = base::monotonic_now();
     base::time_point next_join;
--- a/oleanderhinge/control/internal/service_links.cpp
+++ b/oleanderhinge/control/internal/service_links.cpp
@@ -56,6 +56,16 @@
     return found;
 }
 
+std::vector<net::link_id> service::impl::member_links() const
+{
+    std::vector<net::link_id> found;
+    for (const auto& [link, peer] : this->open_links)
+        if (peer.sender != wire::role::entry &&
+            link_to(this->peers, peer.vm) == link)
+            found.push_back(link);
+    return found;
+}
+
 void service::impl::on_opened(net::link_id link, const wire::hello& peer)
 {
     if (peer.sender == wire::role::agent ||
@@ -134,6 +144,9 @@
                 this->peer_numbers[link],
                 *refresh,
                 base::monotonic_now());
+    } else if (const auto* loads = std::get_if<wire::server_loads>(&content)) {
+        if (peer->second.sender == wire::role::control)
+            note_loads(this->fleet, this->peer_numbers[link], *loads);
     } else if (
         const auto* suspicion = std::get_if<wire::server_suspicion>(&content)) {
         this->on_suspicion(link, *suspicion);
--- a/oleanderhinge/fleet/numbering.hpp
+++ b/oleanderhinge/fleet/numbering.hpp
@@ -64,6 +64,11 @@
     return made;
 }
 
+// A server's load as sent on links. The cache is rounded to a share.
+wire::server_loads::item
+pack_load(std::uint32_t number, const wire::engine_load& load);
+wire::engine_load unpack_load(const wire::server_loads::item& item);
+
 // The numbers of the peer of a link.
 struct peer_numbering {
     std::vector<base::backend_server_id> servers;
@@ -73,6 +78,19 @@
 // them are ignored.
 void learn(peer_numbering& known, const wire::server_numbers& received);
 
+// Calls `visit(const backend_server_id&, const engine_load&)` for each load.
+// Unknown numbers are skipped.
+template <class Visitor>
+void visit_loads(
+    const peer_numbering& known,
+    const wire::server_loads& received,
+    Visitor&& visit)
+{
+    for (const auto& item : received.items)
+        if (item.server < known.servers.size())
+            visit(known.servers[item.server], unpack_load(item));
+}
+
 // Calls `visit(const backend_server_id&)` for each server that has reported.
 // Unknown numbers are skipped.
 template <class Visitor>
--- a/oleanderhinge/fleet/numbering_test.cpp
+++ b/oleanderhinge/fleet/numbering_test.cpp
@@ -53,6 +53,32 @@
     }
 }
 
+TEST(numbering, loads_arrive_for_their_servers)
+{
+    numbering sender;
+    peer_numbering known;
+    learn(known, new_numbers(sender, ids{base::backend_server_id{"a"}}));
+    wire::engine_load load;
+    load.slowness = 1.5;
+    load.cache_used = 600;
+    load.cache_total = 1200;
+    load.running = 70000;
+    load.waiting = 3;
+    load.layers = {base::layer_index{8}, base::layer_index{16}};
+    wire::server_loads sent{{pack_load(0, load), pack_load(7, load)}};
+    int count = 0;
+    visit_loads(known, sent, [&](const auto& id, const auto& got) {
+        ++count;
+        EXPECT_EQ(id, base::backend_server_id{"a"});
+        EXPECT_EQ(got.slowness, 1.5);
+        EXPECT_NEAR(
+            double(got.cache_used) / double(got.cache_total), 0.5, 0.01);
+        EXPECT_EQ(got.running, 65535U);
+        EXPECT_EQ(got.layers, load.layers);
+    });
+    EXPECT_EQ(count, 1);
+}
+
 // Numbers of a link whose first message was not received.
 TEST(numbering, numbers_with_a_gap_before_them_are_ignored)
 {
--- a/oleanderhinge/gateway/control_client.cpp
+++ b/oleanderhinge/gateway/control_client.cpp
@@ -104,7 +104,7 @@
         const auto* suspicion = std::get_if<wire::server_suspicion>(&content)) {
         this->events.suspicion(*suspicion);
     } else if (const auto* loads = std::get_if<wire::server_loads>(&content)) {
-        this->events.loads(*loads);
+        this->on_loads(link, *loads);
     }
 }
 
@@ -144,6 +144,14 @@
     this->events.gateways(group.gateways, now);
 }
 
+void control_client::on_loads(
+    net::link_id link, const wire::server_loads& loads)
+{
+    const auto found = this->find(link);
+    if (found != this->members.end())
+        fleet::visit_loads(found->second.numbers, loads, this->events.load);
+}
+
 void control_client::on_refresh(
     net::link_id link,
     const wire::server_refresh& refresh,
--- a/oleanderhinge/gateway/control_client.hpp
+++ b/oleanderhinge/gateway/control_client.hpp
@@ -54,7 +54,9 @@
     // A server has reported again without a change.
     std::function<void(const base::backend_server_id&, base::time_point heard)>
         refreshed;
-    std::function<void(const wire::server_loads&)> loads;
+    std::function<void(
+        const base::backend_server_id&, const wire::engine_load&)>
+        load;
     // Another gateway suspects a server, since requests that depend on it make
     // no progress.
     std::function<void(const wire::server_suspicion&)> suspicion;
@@ -107,6 +109,7 @@
     void on_update(
         net::link_id link, wire::config_update&& update, base::time_point now);
     void on_group(const wire::control_group& group, base::time_point now);
+    void on_loads(net::link_id link, const wire::server_loads& loads);
     void on_refresh(
         net::link_id link,
         const wire::server_refresh& refresh,
--- a/oleanderhinge/gateway/gateway_node.cpp
+++ b/oleanderhinge/gateway/gateway_node.cpp
@@ -116,12 +116,12 @@
             [this](const base::backend_server_id& id, base::time_point heard) {
                 fleet::refresh(this->selector.servers, id, heard);
             },
-        .loads =
-            [this](const wire::server_loads& loads) {
-                for (const auto& item : loads.items)
-                    if (fleet::note_load(
-                            this->selector.servers, item.server, item.load))
-                        ++this->selector.generation;
+        .load =
+            [this](
+                const base::backend_server_id& id,
+                const wire::engine_load& load) {
+                if (fleet::note_load(this->selector.servers, id, load))
+                    ++this->selector.generation;
             },
         .suspicion =
             [this](const wire::server_suspicion& suspicion) {
--- a/oleanderhinge/wire/frame.hpp
+++ b/oleanderhinge/wire/frame.hpp
@@ -21,7 +21,7 @@
 namespace oleanderhinge::wire
 {
 
-inline constexpr std::uint8_t protocol_version = 1;
+inline constexpr std::uint8_t protocol_version = 2;
 inline constexpr std::size_t header_size = 16;
 // Largest payload in bytes. A configuration of 10,000 customers takes about
 // 1.5 MB.
--- a/oleanderhinge/wire/messages.hpp
+++ b/oleanderhinge/wire/messages.hpp
@@ -794,16 +794,27 @@
     }
 };
 
-// Control to gateway: states of engines that the leader asked for.
+// Control to gateway and to other control nodes: states of engines, by the
+// numbers of `server_numbers`.
 struct server_loads {
     struct item {
-        base::backend_server_id server;
-        engine_load load;
+        std::uint32_t server = 0;
+        float slowness = 1;
+        // Share of the cache in use, of 255.
+        std::uint8_t cache_use = 0;
+        std::uint16_t running = 0;
+        std::uint16_t waiting = 0;
+        std::uint16_t first_layer = 0;
+        std::uint16_t end_layer = 0;
+
+        bool operator==(const item&) const = default;
 
         template <class Archive>
         void serialize(Archive& archive)
         {
-            archive(this->server, this->load);
+            archive(this->server, this->slowness, this->cache_use);
+            archive(this->running, this->waiting, this->first_layer);
+            archive(this->end_layer);
         }
     };
     std::vector<item> items;
