fleet: do not wait for the reports of ended loads; free server numbers

Change: an order counts as loading for 1.5 times the time that its layers take by the profile; without one, until it is reported, as before. And numbers of servers that have left are given up once they are the most. caller_patience is now caller_silence_limit.

Tests: fleet.fleet_fixture.orders_do_not_wait_*, fleet.numbering.numbers_of_*.

--- a/oleanderhinge/control/fleet_watch.cpp
+++ b/oleanderhinge/control/fleet_watch.cpp
@@ -102,7 +102,10 @@
     reported.insert(
         fleet.refreshed_elsewhere.ids.begin(),
         fleet.refreshed_elsewhere.ids.end());
-    to_send.numbers = fleet::new_numbers(fleet.numbers, reported);
+    to_send.numbers =
+        fleet::is_sparse(fleet.numbers, fleet.servers.servers.size())
+            ? fleet::renumber(fleet.numbers, reported)
+            : fleet::new_numbers(fleet.numbers, reported);
     to_send.refreshed_here = take(fleet.refreshed_here, fleet.numbers, now);
     to_send.refreshed_elsewhere =
         take(fleet.refreshed_elsewhere, fleet.numbers, now);
--- a/oleanderhinge/control/internal/service_impl.hpp
+++ b/oleanderhinge/control/internal/service_impl.hpp
@@ -147,7 +147,7 @@
     void forward_join_request(
         const replica::log_status& status, const wire::join_request& request);
     void manage_group(const replica::log_status& status, base::time_point now);
-    // What gateways are told of the group.
+    // The message about the group for gateways.
     wire::control_group group() const;
     // The links to gateways.
     std::vector<net::link_id> gateway_links() const;
--- a/oleanderhinge/fleet/numbering.cpp
+++ b/oleanderhinge/fleet/numbering.cpp
@@ -49,6 +49,12 @@
     return load;
 }
 
+bool is_sparse(const numbering& from, std::size_t known_servers)
+{
+    constexpr std::size_t allowance = 1024;
+    return from.servers.size() > 2 * known_servers + allowance;
+}
+
 wire::server_numbers all_numbers(const numbering& from)
 {
     return {0, from.servers};
--- a/oleanderhinge/fleet/numbering.hpp
+++ b/oleanderhinge/fleet/numbering.hpp
@@ -1,5 +1,5 @@
-// Numbers for backend servers, so that news of which servers have reported
-// again takes one bit for each server.
+// Numbers for backend servers, so that a message about which servers have
+// reported again takes one bit for each server.
 //
 // Pattern: thousands of servers report every second, and hundreds of gateways
 // have to learn that they are alive. With a whole record for each report, the
@@ -25,7 +25,7 @@
 namespace oleanderhinge::fleet
 {
 
-// The numbers of a sender. Servers keep theirs until the process ends.
+// The numbers of a sender.
 struct numbering {
     std::map<base::backend_server_id, std::uint32_t> numbers;
     std::vector<base::backend_server_id> servers;
@@ -46,6 +46,18 @@
     return added;
 }
 
+// Gives new numbers to the servers that are known at present, and returns them
+// for all links.
+template <class Ids>
+wire::server_numbers renumber(numbering& from, const Ids& known)
+{
+    from = {};
+    return new_numbers(from, known);
+}
+
+// True if most numbers belong to servers that are not known any more.
+bool is_sparse(const numbering& from, std::size_t known_servers);
+
 // All numbers, for a new link.
 wire::server_numbers all_numbers(const numbering& from);
 
--- a/oleanderhinge/fleet/numbering_test.cpp
+++ b/oleanderhinge/fleet/numbering_test.cpp
@@ -79,6 +79,23 @@
     EXPECT_EQ(count, 1);
 }
 
+// Servers come and go for months. Guards against numbers that are never freed.
+TEST(numbering, numbers_of_servers_that_have_left_are_given_up)
+{
+    numbering sender;
+    peer_numbering known;
+    ids present;
+    for (int i = 0; i < 5000; ++i) {
+        present = {base::backend_server_id{"server-" + std::to_string(i)}};
+        learn(
+            known,
+            is_sparse(sender, present.size()) ? renumber(sender, present)
+                                              : new_numbers(sender, present));
+        ASSERT_EQ(refreshed(known, make_refresh(sender, present, 0)), present);
+    }
+    EXPECT_LT(sender.servers.size(), 1100U);
+}
+
 // Numbers of a link whose first message was not received.
 TEST(numbering, numbers_with_a_gap_before_them_are_ignored)
 {
--- a/oleanderhinge/fleet/placement.cpp
+++ b/oleanderhinge/fleet/placement.cpp
@@ -176,6 +176,26 @@
     }
 }
 
+// Whether the last order may still occupy the weight store. Its effect is
+// reported up to 1.2 s after the load; waiting for the report would leave the
+// store idle for most of that time. Without a load time in the profile, the
+// order counts until it is reported.
+bool may_be_loading(
+    const placed_server& server,
+    const wire::engine_profile& profile,
+    base::time_point now)
+{
+    constexpr double margin = 1.5;
+    if (!server.load_pending || profile.load_seconds <= 0)
+        return server.load_pending;
+    const double layers =
+        server.ordered_layers.end.value() - server.ordered_layers.first.value();
+    const std::chrono::duration<double> expected(
+        margin * profile.load_seconds * layers / profile.layer_count);
+    return now < server.ordered_at +
+                     std::chrono::duration_cast<base::duration>(expected);
+}
+
 bool has_plan(const placement& plan)
 {
     return std::any_of(
@@ -292,7 +312,7 @@
             server.load_pending && record.layers != server.ordered_layers &&
             server.ordered_process_start_ms == record.started_ms &&
             now < server.ordered_at + order_resend_after;
-        loading += server.load_pending ? 1 : 0;
+        loading += may_be_loading(server, profile, now) ? 1 : 0;
     }
     for (const auto& record : ready) {
         const auto found = plan.servers.find(address_of(record));
--- a/oleanderhinge/fleet/placement_test.cpp
+++ b/oleanderhinge/fleet/placement_test.cpp
@@ -349,6 +349,28 @@
             successor.servers.at({server.address, 80}).layers, server.layers);
 }
 
+// Pattern: many servers are replaced at the same time, and each takes a few
+// layers. Guards against orders that wait for the reports of loads that ended
+// long before.
+TEST_F(fleet_fixture, orders_do_not_wait_for_the_reports_of_ended_loads)
+{
+    this->profile.load_seconds = 2;
+    const base::time_point now{std::chrono::seconds(100)};
+    update(this->plan, this->profile, this->servers, now);
+    const auto count_due = [&](base::time_point at) {
+        return due_orders(this->plan, this->profile, this->servers, false, at)
+            .size();
+    };
+    EXPECT_EQ(count_due(now), this->profile.loads_at_once);
+    EXPECT_EQ(count_due(now + std::chrono::milliseconds(50)), 0U);
+    // Loads of the whole model take 2 s, those of a part at most 1 s. No load
+    // is reported, and orders are sent again after 3 s only.
+    std::size_t later = 0;
+    for (int tenth = 1; tenth < 29; ++tenth)
+        later += count_due(now + std::chrono::milliseconds(100 * tenth));
+    EXPECT_GT(later, this->profile.loads_at_once);
+}
+
 // Guards against more concurrent loads than `loads_at_once`, which slow each
 // other down.
 TEST_F(fleet_fixture, orders_respect_the_loads_at_once)
--- a/oleanderhinge/gateway/internal/attempt.hpp
+++ b/oleanderhinge/gateway/internal/attempt.hpp
@@ -39,7 +39,8 @@
 
 // Time without an event after which the caller of a stream leaves, also before
 // the first event.
-std::chrono::milliseconds caller_patience(const wire::forwarding_route& route);
+std::chrono::milliseconds
+caller_silence_limit(const wire::forwarding_route& route);
 
 // Whether another attempt is allowed after one that may have run.
 inline bool is_repeatable(const wire::forwarding_route& route)
--- a/oleanderhinge/gateway/internal/forwarder_streams.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_streams.cpp
@@ -30,7 +30,7 @@
 
 } // namespace
 
-milliseconds caller_patience(const wire::forwarding_route& route)
+milliseconds caller_silence_limit(const wire::forwarding_route& route)
 {
     return std::max(
         {milliseconds(2000),
@@ -149,7 +149,8 @@
 {
     if (!request.head_sent || request.caller_left ||
         request.possible_runs >= request.route->attempts ||
-        steady_now() >= request.last_event + caller_patience(*request.route) -
+        steady_now() >= request.last_event +
+                            caller_silence_limit(*request.route) -
                             resume_margin)
         co_return false;
     co_await wait_until(request, this->io, steady_now() + resume_retry_wait);
@@ -176,7 +177,7 @@
         request.route->target_latency_ms != 0)
         limit = std::min(
             limit,
-            steady_now() + caller_patience(*request.route) -
+            steady_now() + caller_silence_limit(*request.route) -
                 first_event_margin);
     const auto head = co_await this->read_answer_head(request, limit);
     if (head.why.code == failure_code::deadline_exceeded)
