--- a/oleanderhinge/control/service_test.cpp
+++ b/oleanderhinge/control/service_test.cpp
@@ -522,7 +522,7 @@
     reporter.send(wire::server_batch{{record}});
     reporter.next<wire::server_batch>();
     // Another one, after the record has arrived.
-    while (true) {
+    while (!testing::Test::HasFailure()) {
         entry_link other(group.io, group.member(0).link, wire::role::control);
         const auto batch = other.next<wire::server_batch>();
         if (batch.records.empty())
--- a/oleanderhinge/fleet/directory.cpp
+++ b/oleanderhinge/fleet/directory.cpp
@@ -24,11 +24,6 @@
            left.started_ms == right.started_ms && left.slots == right.slots;
 }
 
-wire::endpoint address_of(const wire::server_record& record)
-{
-    return {record.address, record.port};
-}
-
 // Finds the process that started last at the address.
 void update_last_started(directory& known, const wire::endpoint& address)
 {
@@ -154,6 +149,11 @@
         update_last_started(known, address);
 }
 
+wire::endpoint address_of(const wire::server_record& record)
+{
+    return {record.address, record.port};
+}
+
 bool is_alive(const directory& known, const known_server& server)
 {
     if (server.record.state == wire::reported_state::gone ||
--- a/oleanderhinge/fleet/directory.hpp
+++ b/oleanderhinge/fleet/directory.hpp
@@ -99,6 +99,8 @@
 
 // --- Queries ----------------------------------------------------------------
 
+wire::endpoint address_of(const wire::server_record& record);
+
 // True if the process has not ended, is neither silent nor suspected, and no
 // process that started later has its address.
 bool is_alive(const directory& known, const known_server& server);
--- a/oleanderhinge/fleet/placement.cpp
+++ b/oleanderhinge/fleet/placement.cpp
@@ -1,5 +1,6 @@
 #include "oleanderhinge/fleet/placement.hpp"
 
+#include "oleanderhinge/fleet/directory.hpp"
 #include "oleanderhinge/fleet/internal/chains.hpp"
 #include "oleanderhinge/fleet/internal/failover.hpp"
 
@@ -14,11 +15,6 @@
 namespace
 {
 
-wire::endpoint address_of(const wire::server_record& server)
-{
-    return {server.address, server.port};
-}
-
 // A present server without assigned layers that can hold the range of the lost
 // one, preferably in the same data centre, then with the most memory. Null if
 // there is none.
--- a/oleanderhinge/gateway/congestion.cpp
+++ b/oleanderhinge/gateway/congestion.cpp
@@ -1,8 +1,9 @@
 #include "oleanderhinge/gateway/congestion.hpp"
 
+#include "oleanderhinge/base/decay.hpp"
+
 #include <algorithm>
 #include <array>
-#include <cmath>
 
 namespace oleanderhinge::gateway
 {
@@ -14,9 +15,8 @@
 
 double decayed_ms(const wait_average& average, base::time_point now)
 {
-    const auto age = std::max(now - average.updated, base::duration(0));
     return average.ms *
-           std::exp2(-double(age.count()) / double(wait_half_life.count()));
+           base::decay_factor(now - average.updated, wait_half_life);
 }
 
 } // namespace
--- a/oleanderhinge/gateway/forwarder.cpp
+++ b/oleanderhinge/gateway/forwarder.cpp
@@ -68,22 +68,21 @@
 
 void forwarder::note_gateways(std::uint32_t count, base::time_point now)
 {
-    const auto sharing = retry::note(this->gateways, count, now);
+    retry::note(this->gateways, count, now);
     for (auto& [service, budget] : this->budgets)
-        retry::set_gateways(budget, sharing);
+        retry::set_gateways(budget, retry::maximum(this->gateways));
 }
 
 retry::shared_budget& forwarder::budget_of(const forwarding_request& request)
 {
-    const auto [found, is_new] = this->budgets.try_emplace(
-        request.service->name,
-        retry::make_shared_budget(
-            this->options.retries, base::monotonic_now()));
-    if (is_new)
-        retry::set_gateways(
-            found->second,
-            std::max(this->gateways.present, this->gateways.previous));
-    return found->second;
+    const auto& service = request.service->name;
+    if (const auto found = this->budgets.find(service);
+        found != this->budgets.end())
+        return found->second;
+    auto made =
+        retry::make_shared_budget(this->options.retries, base::monotonic_now());
+    retry::set_gateways(made, retry::maximum(this->gateways));
+    return this->budgets.emplace(service, made).first->second;
 }
 
 void forwarder::set_table(std::shared_ptr<const route_index> next)
--- a/oleanderhinge/gateway/server_choice.cpp
+++ b/oleanderhinge/gateway/server_choice.cpp
@@ -1,5 +1,7 @@
 #include "oleanderhinge/gateway/server_choice.hpp"
 
+#include "oleanderhinge/base/decay.hpp"
+
 #include "oleanderhinge/fleet/placement.hpp"
 
 #include <algorithm>
@@ -14,11 +16,7 @@
 
 double decay_factor(const server_health& health, base::time_point now)
 {
-    if (now <= health.updated)
-        return 1;
-    return std::exp2(
-        -double((now - health.updated).count()) /
-        double(health_half_life.count()));
+    return base::decay_factor(now - health.updated, health_half_life);
 }
 
 void update_failure_rate(
--- a/oleanderhinge/gateway/stream_times.cpp
+++ b/oleanderhinge/gateway/stream_times.cpp
@@ -1,7 +1,8 @@
 #include "oleanderhinge/gateway/stream_times.hpp"
 
+#include "oleanderhinge/base/decay.hpp"
+
 #include <algorithm>
-#include <cmath>
 
 namespace oleanderhinge::gateway
 {
@@ -11,9 +12,8 @@
 
 base::duration decayed(const stream_times& times, base::time_point now)
 {
-    const auto age = std::max(now - times.updated, base::duration(0));
     const auto factor =
-        std::exp2(-double(age.count()) / double(duration_half_life.count()));
+        base::decay_factor(now - times.updated, duration_half_life);
     return base::duration(std::int64_t(double(times.longest.count()) * factor));
 }
 
--- a/oleanderhinge/replica/internal/event_loop.cpp
+++ b/oleanderhinge/replica/internal/event_loop.cpp
@@ -253,12 +253,12 @@
 
 void event_loop::handle_input(disk_input& in, consensus::proposals&)
 {
-    if (in.state.refuses_writes)
+    if (in.state.refuses_writes) {
+        ++this->counts.disk_refusals;
         spdlog::error("event=disk_refuses_writes reason=\"{}\"", in.reason);
-    else
+    } else {
         spdlog::info("event=disk_writable");
-    if (in.state.refuses_writes)
-        ++this->counts.disk_refusals;
+    }
     this->advance(in.state);
 }
 
--- a/oleanderhinge/retry/shared_budget.cpp
+++ b/oleanderhinge/retry/shared_budget.cpp
@@ -95,8 +95,7 @@
         b.tokens, failure, idempotent, attempt, remaining, random, now);
 }
 
-std::uint32_t
-note(recent_maximum& recent, std::uint32_t number, base::time_point now)
+void note(recent_maximum& recent, std::uint32_t number, base::time_point now)
 {
     if (now >= recent.period_end) {
         const bool skipped = now >= recent.period_end + recent.period;
@@ -105,6 +104,10 @@
         recent.period_end = now + recent.period;
     }
     recent.present = std::max(recent.present, number);
+}
+
+std::uint32_t maximum(const recent_maximum& recent)
+{
     return std::max(recent.present, recent.previous);
 }
 
--- a/oleanderhinge/retry/shared_budget.hpp
+++ b/oleanderhinge/retry/shared_budget.hpp
@@ -89,8 +89,7 @@
     base::time_point period_end;
 };
 
-// Notes a number and returns the maximum.
-std::uint32_t
-note(recent_maximum& recent, std::uint32_t number, base::time_point now);
+void note(recent_maximum& recent, std::uint32_t number, base::time_point now);
+std::uint32_t maximum(const recent_maximum& recent);
 
 } // namespace oleanderhinge::retry
--- a/oleanderhinge/retry/shared_budget_test.cpp
+++ b/oleanderhinge/retry/shared_budget_test.cpp
@@ -107,12 +107,16 @@
 TEST(shared_budget, counts_the_gateways_of_the_last_seconds)
 {
     recent_maximum recent;
-    EXPECT_EQ(note(recent, 105, start), 105U);
-    EXPECT_EQ(note(recent, 3, start + 5s), 105U);
-    EXPECT_EQ(note(recent, 3, start + 11s), 105U);
-    EXPECT_EQ(note(recent, 3, start + 22s), 3U);
-    EXPECT_EQ(note(recent, 105, start + 60s), 105U);
-    EXPECT_EQ(note(recent, 4, start + 100s), 4U);
+    const auto after = [&](std::uint32_t number, base::time_point now) {
+        note(recent, number, now);
+        return maximum(recent);
+    };
+    EXPECT_EQ(after(105, start), 105U);
+    EXPECT_EQ(after(3, start + 5s), 105U);
+    EXPECT_EQ(after(3, start + 11s), 105U);
+    EXPECT_EQ(after(3, start + 22s), 3U);
+    EXPECT_EQ(after(105, start + 60s), 105U);
+    EXPECT_EQ(after(4, start + 100s), 4U);
 }
 
 TEST(shared_budget, is_empty_after_a_start)
--- a/oleanderhinge/settings/internal/units.cpp
+++ b/oleanderhinge/settings/internal/units.cpp
@@ -4,6 +4,7 @@
 #include <boost/algorithm/string/trim.hpp>
 #include <boost/asio/ip/address.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <cmath>
@@ -46,6 +47,16 @@
     return value;
 }
 
+template <std::size_t Size>
+std::optional<std::uint64_t>
+factor_of(std::string_view name, const std::array<unit, Size>& units)
+{
+    for (const auto& item : units)
+        if (item.name == name)
+            return item.factor;
+    return std::nullopt;
+}
+
 // A count and one of `units`; at most `limit` in the smallest unit.
 template <std::size_t Size>
 std::optional<std::uint64_t> parse_with_unit(
@@ -53,16 +64,13 @@
     const std::array<unit, Size>& units,
     std::uint64_t limit)
 {
-    const auto digits = text.find_first_not_of("0123456789");
-    if (digits == std::string_view::npos)
+    const auto end =
+        std::min(text.find_first_not_of("0123456789"), text.size());
+    const auto count = parse_whole<std::uint64_t>(text.substr(0, end));
+    const auto factor = factor_of(text.substr(end), units);
+    if (!count || !factor || *count > limit / *factor)
         return std::nullopt;
-    const auto count = parse_whole<std::uint64_t>(text.substr(0, digits));
-    if (!count)
-        return std::nullopt;
-    for (const auto& [name, factor] : units)
-        if (text.substr(digits) == name && *count <= limit / factor)
-            return *count * factor;
-    return std::nullopt;
+    return *count * *factor;
 }
 
 // A decimal fraction and one of `units`, rounded to the smallest unit.
@@ -72,16 +80,13 @@
     const std::array<unit, Size>& units,
     std::uint64_t limit)
 {
-    const auto end = text.find_first_not_of("0123456789.");
-    if (end == std::string_view::npos)
-        return std::nullopt;
+    const auto end =
+        std::min(text.find_first_not_of("0123456789."), text.size());
     const auto count = parse_whole<double>(text.substr(0, end));
-    if (!count)
+    const auto factor = factor_of(text.substr(end), units);
+    if (!count || !factor || *count * double(*factor) >= double(limit))
         return std::nullopt;
-    for (const auto& [name, factor] : units)
-        if (text.substr(end) == name && *count * double(factor) < double(limit))
-            return std::uint64_t(std::llround(*count * double(factor)));
-    return std::nullopt;
+    return std::uint64_t(std::llround(*count * double(*factor)));
 }
 
 } // namespace
