net: log handlers that throw

A caller can lose its connection without an answer because the handler of its request threw after the answer had begun. The exception was counted, but the counter was exported nowhere and nothing was logged, so that the logs could not tell this from a stream that a gateway gave up.

Change: `handler_failed` with the reason, at the 1st, 2nd, 4th, 8th ... failure of a process, so that the volume stays bounded.

--- a/oleanderhinge/net/http_server.cpp
+++ b/oleanderhinge/net/http_server.cpp
@@ -11,8 +11,10 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/json.hpp>
+#include <spdlog/spdlog.h>
 
 #include <atomic>
+#include <bit>
 #include <mutex>
 #include <unordered_map>
 #include <utility>
@@ -260,8 +262,8 @@
         stream.expires_never();
         try {
             co_await this->handler(std::move(request), exchange);
-        } catch (const std::exception&) {
-            ++this->handler_failures;
+        } catch (const std::exception& failure) {
+            this->note_handler_failure(failure);
         }
         if (!exchange.has_answered())
             co_await respond_problem(
@@ -292,6 +294,17 @@
             {});
     }
 
+    // The volume of the log stays bounded if every request fails.
+    void note_handler_failure(const std::exception& failure)
+    {
+        const auto count = ++this->handler_failures;
+        if (std::has_single_bit(count))
+            spdlog::error(
+                "event=handler_failed count={} reason=\"{}\"",
+                count,
+                failure.what());
+    }
+
     std::uint64_t register_stream(beast::tcp_stream& stream)
     {
         const std::lock_guard lock(this->mutex);
