gateway: end no answer because its server is silent

What callers saw: a stream ended in the middle while its server was sound, counted where it came beside a change of the table.

Cause: a read of a stream ended after 1.5 s without bytes, and the attempt failed with deadline_exceeded, which is never sent again. The gateway had closed a sound connection for nothing and closed the caller's 0.4 s later. The stall watch also cancelled attempts after a failed path change when no attempt, retry or other path was left. Class: giving up what one has before its replacement is granted.

Ruled out: a handler that throws (no handler_failed line since it is logged); a stop of the gateway.

Change: the stall watch alone decides on silence, by whole events and only while the gateway waits for the server. An answer that has begun is cancelled only with its next attempt reserved: an attempt left, a path, and the retry taken from the budget, so that several streams are not cancelled for one retry. Failed path changes are repeated after a second. Requests with equal ids do not replace each other any more.

Why it works: without a successor the connection stays open until the server, the caller or the deadline ends it.

--- a/oleanderhinge/gateway/forwarder.cpp
+++ b/oleanderhinge/gateway/forwarder.cpp
@@ -61,7 +61,14 @@
     , pool(context)
     , options(std::move(options_in))
     , stalls(
-          context, protocol_in, selector_in, stats_in, options.report_suspect)
+          context,
+          protocol_in,
+          selector_in,
+          stats_in,
+          options.report_suspect,
+          [this](auto& request, const auto& avoided) {
+              return this->reserve_attempt(request, avoided);
+          })
     , random(options.seed)
 {
 }
@@ -195,7 +202,7 @@
     }
     this->stalls.add(request.shared_from_this());
     co_await this->serve_stream(request);
-    this->stalls.remove(request.metadata.id);
+    this->stalls.remove(request.shared_from_this());
     if (request.outcome == "200")
         note_duration(this->durations, started, base::monotonic_now());
 }
--- a/oleanderhinge/gateway/forwarder.hpp
+++ b/oleanderhinge/gateway/forwarder.hpp
@@ -90,10 +90,13 @@
     boost::asio::awaitable<bool>
     may_continue(forwarding_request& request, base::verdict why);
     boost::asio::awaitable<bool> wait_to_resume(forwarding_request& request);
+    bool reserve_attempt(
+        forwarding_request& request, const std::set<wire::endpoint>& avoided);
     boost::asio::awaitable<attempt_result>
     send_request(forwarding_request& request, net::http_request to_send);
     boost::asio::awaitable<attempt_result>
     read_answer_head(forwarding_request& request, steady_time limit);
+    static steady_time first_event_limit(const forwarding_request& request);
     boost::asio::awaitable<attempt_result>
     relay_events(forwarding_request& request);
     void note_first_event(const forwarding_request& request);
--- a/oleanderhinge/gateway/forwarding_request.hpp
+++ b/oleanderhinge/gateway/forwarding_request.hpp
@@ -58,8 +58,14 @@
     // The unresponsive server for which the attempt was cancelled; empty
     // address: none.
     wire::endpoint waits_for;
+    // The answer is being read, so that a pause is the server's.
+    bool awaits_server = false;
     // The first server has been asked to change the path and has not answered.
     bool path_change_pending = false;
+    // No path change is tried before this time, since the last one failed.
+    steady_time next_path_change;
+    // The retry for the next attempt has been taken from the budget.
+    bool retry_reserved = false;
     // Set while the request is suspended in `wait_until`.
     std::optional<boost::asio::steady_timer> wait_timer;
     bool caller_left = false;
--- a/oleanderhinge/gateway/internal/forwarder_attempts.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_attempts.cpp
@@ -166,6 +166,8 @@
     }
     if (request.possible_runs >= request.route->attempts)
         return false;
+    if (std::exchange(request.retry_reserved, false))
+        return true;
     return retry::may_retry(
                this->budget_of(request),
                why,
--- a/oleanderhinge/gateway/internal/forwarder_streams.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_streams.cpp
@@ -15,10 +15,6 @@
 namespace
 {
 
-// A stream that is silent for this many times the longest gap that its route
-// allows, and at least for `min_stall_time`, is resumed on another path.
-constexpr int stall_gap_factor = 6;
-constexpr auto min_stall_time = milliseconds(1500);
 // A stream that servers refuse is tried again after each `resume_retry_wait`,
 // in which about ten requests of a path end, until `resume_margin` before its
 // caller leaves.
@@ -159,6 +155,44 @@
     co_return !request.caller_left;
 }
 
+// Takes the retry for an attempt that continues the stream now, if there is a
+// path for it. `avoided` is excluded beside the servers that have failed it.
+bool forwarder::reserve_attempt(
+    forwarding_request& request, const std::set<wire::endpoint>& avoided)
+{
+    if (!is_repeatable(*request.route) ||
+        request.possible_runs >= request.route->attempts)
+        return false;
+    const auto now = base::monotonic_now();
+    auto excluded = request.tried;
+    excluded.insert(avoided.begin(), avoided.end());
+    const auto found = choose_path(
+        this->selector,
+        *request.service,
+        excluded,
+        request.priority,
+        this->random,
+        now);
+    request.retry_reserved = !found.parts.empty() &&
+                             retry::take_retry(this->budget_of(request), now);
+    return request.retry_reserved;
+}
+
+// When the wait for the first event of an attempt ends: shortly before the
+// caller would leave, so that it can try again while an attempt is left. For a
+// stream that has begun, `stall_watch` decides.
+steady_time forwarder::first_event_limit(const forwarding_request& request)
+{
+    if (request.head_sent || !is_repeatable(*request.route) ||
+        request.possible_runs >= request.route->attempts ||
+        request.route->target_latency_ms == 0)
+        return request.deadline;
+    return std::min(
+        request.deadline,
+        request.attempt_started + caller_silence_limit(*request.route) -
+            first_event_margin);
+}
+
 asio::awaitable<forwarder::attempt_result>
 forwarder::stream_once(forwarding_request& request)
 {
@@ -171,15 +205,10 @@
     const auto sent = co_await this->send_request(request, std::move(to_send));
     if (sent.end != attempt_end::answered)
         co_return sent;
-    auto limit = request.deadline;
-    if (is_repeatable(*request.route) &&
-        request.possible_runs < request.route->attempts &&
-        request.route->target_latency_ms != 0)
-        limit = std::min(
-            limit,
-            steady_now() + caller_silence_limit(*request.route) -
-                first_event_margin);
-    const auto head = co_await this->read_answer_head(request, limit);
+    request.awaits_server = true;
+    const auto head =
+        co_await this->read_answer_head(request, first_event_limit(request));
+    request.awaits_server = false;
     if (head.why.code == failure_code::deadline_exceeded)
         this->note_first_event(request);
     if (head.end != attempt_end::answered)
@@ -201,22 +230,18 @@
 }
 
 // Relays complete events until the stream ends. The answer to the caller begins
-// with the first event. Fails if the stream breaks off or stalls.
+// with the first event. Fails if the stream breaks off; `stall_watch` cancels
+// the connection of a stream that stalls.
 asio::awaitable<forwarder::attempt_result>
 forwarder::relay_events(forwarding_request& request)
 {
-    const auto stall = std::max<milliseconds>(
-        min_stall_time,
-        stall_gap_factor * milliseconds(request.route->largest_gap_ms));
     const auto headers = end_to_end_fields(request.connection->fields());
     while (!request.connection->complete()) {
         std::string bytes;
-        auto limit = request.deadline;
-        if (is_repeatable(*request.route) &&
-            request.possible_runs < request.route->attempts)
-            limit = std::min(limit, steady_now() + stall);
-        const error_code failed =
-            co_await request.connection->read_body(bytes, limit);
+        request.awaits_server = true;
+        const error_code failed = co_await request.connection->read_body(
+            bytes, first_event_limit(request));
+        request.awaits_server = false;
         const auto events = take_events(request.events, bytes);
         if (!events.empty() && !request.head_sent) {
             request.head_sent = true;
@@ -233,8 +258,9 @@
             co_return attempt_result{attempt_end::caller_left, {}, {}};
         if (failed || request.events.oversized)
             co_return failed_with<attempt_result>(base::may_have_run(
-                steady_now() >= limit ? failure_code::deadline_exceeded
-                                      : failure_code::server_failed,
+                steady_now() >= first_event_limit(request)
+                    ? failure_code::deadline_exceeded
+                    : failure_code::server_failed,
                 "stream broke off: " + failed.message()));
     }
     if (!request.events.partial.empty() || !request.head_sent)
@@ -269,9 +295,10 @@
                 std::chrono::duration<double>(now - request.last_event)
                     .count());
         request.last_event = now;
-        request.last_progress = now;
         this->stats.events.Increment();
         const bool written = co_await request.exchange.write_chunk(event);
+        // A caller that reads slowly is not the server's silence.
+        request.last_progress = steady_now();
         if (!written)
             co_return false;
     }
--- a/oleanderhinge/gateway/stall_watch.cpp
+++ b/oleanderhinge/gateway/stall_watch.cpp
@@ -24,6 +24,15 @@
 // Timeout of state queries and path changes. Servers answer both at once.
 constexpr auto engine_call_timeout = milliseconds(200);
 constexpr std::size_t kept_connections = 1;
+// A stream that is silent for this many times the longest gap that its route
+// allows, and at least for `min_silence`, is resumed on another path if there
+// is one. Bytes that complete no event do not count.
+constexpr int silence_gap_factor = 6;
+constexpr auto min_silence = milliseconds(1500);
+// A tick that is this late shows that the process was paused.
+constexpr auto pause_threshold = milliseconds(1000);
+// Time until a path change that failed is tried again.
+constexpr auto path_change_interval = milliseconds(1000);
 
 bool is_stalled(const forwarding_request& request, steady_time now)
 {
@@ -32,6 +41,14 @@
            now >= request.last_progress + stall_threshold;
 }
 
+std::set<wire::endpoint> servers_of(const fleet::path& parts)
+{
+    std::set<wire::endpoint> servers;
+    for (const auto& part : parts)
+        servers.insert(part.address);
+    return servers;
+}
+
 } // namespace
 
 stall_watch::stall_watch(
@@ -39,31 +56,42 @@
     const protocol_adapter& protocol_in,
     server_selector& selector_in,
     metrics& stats_in,
-    std::function<void(const wire::endpoint&)> report_suspect_in)
+    std::function<void(const wire::endpoint&)> report_suspect_in,
+    attempt_reservation reserve_attempt_in)
     : io(context)
     , protocol(protocol_in)
     , selector(selector_in)
     , stats(stats_in)
     , report_suspect(std::move(report_suspect_in))
+    , reserve_attempt(std::move(reserve_attempt_in))
     , client(context, kept_connections)
 {
 }
 
 void stall_watch::add(const request_pointer& request)
 {
-    this->requests.insert_or_assign(request->metadata.id, request);
+    this->requests.emplace(request->metadata.id, request);
 }
 
-void stall_watch::remove(const std::string& id)
+void stall_watch::remove(const request_pointer& request)
 {
-    this->requests.erase(id);
+    const auto [begin, end] = this->requests.equal_range(request->metadata.id);
+    const auto found = std::find_if(
+        begin, end, [&](const auto& item) { return item.second == request; });
+    if (found != end)
+        this->requests.erase(found);
 }
 
 void stall_watch::tick()
 {
     const auto now = steady_now();
+    // What servers sent while this process was paused has not been read yet.
+    const bool was_paused = now >= this->last_tick + pause_threshold;
+    this->last_tick = now;
     this->selector.first_event_waits.clear();
     for (const auto& [id, request] : this->requests) {
+        if (was_paused)
+            request->last_progress = std::max(request->last_progress, now);
         if (request->in_attempt && request->connection &&
             request->events.event_count == 0) {
             auto& longest =
@@ -75,6 +103,7 @@
         }
         if (!is_stalled(*request, now))
             continue;
+        this->cancel_if_silent(*request, now);
         auto& last = this->last_query[request->connection->server()];
         if (now < last + state_query_interval)
             continue;
@@ -125,29 +154,54 @@
     this->report_suspect(stalled.waits_for);
 }
 
+void stall_watch::cancel_if_silent(forwarding_request& request, steady_time now)
+{
+    const auto limit = std::max<milliseconds>(
+        min_silence,
+        silence_gap_factor * milliseconds(request.route->largest_gap_ms));
+    if (request.head_sent && request.awaits_server &&
+        now >= request.last_progress + limit &&
+        this->reserve_attempt(request, servers_of(request.parts)))
+        request.connection->cancel();
+}
+
+// False if the answer has begun and cannot be continued.
+bool stall_watch::cancel_attempt(
+    forwarding_request& request, const wire::endpoint& waits_for)
+{
+    if (request.head_sent && !this->reserve_attempt(request, {waits_for}))
+        return false;
+    request.waits_for = waits_for;
+    request.connection->cancel();
+    return true;
+}
+
 void stall_watch::on_stall(
     const stalled_request& stalled, steady_time queried_at)
 {
     if (stalled.waits_for.address.empty())
         return;
     this->note_suspicion(stalled);
-    const auto found = this->requests.find(stalled.request);
-    // Skip a request that has made progress since the query.
-    if (found == this->requests.end() ||
-        !is_stalled(*found->second, queried_at))
-        return;
-    auto& request = *found->second;
-    if (request.parts.empty() ||
-        stalled.waits_for == request.parts.front().address) {
-        request.waits_for = stalled.waits_for;
-        request.connection->cancel();
+    const auto [begin, end] = this->requests.equal_range(stalled.request);
+    for (auto found = begin; found != end; ++found)
+        // Skips a request that has made progress since the query.
+        if (is_stalled(*found->second, queried_at))
+            this->handle_stall(found->second, stalled.waits_for);
+}
+
+void stall_watch::handle_stall(
+    const request_pointer& held, const wire::endpoint& waits_for)
+{
+    auto& request = *held;
+    if (request.parts.empty() || waits_for == request.parts.front().address) {
+        this->cancel_attempt(request, waits_for);
         return;
     }
+    if (steady_now() < request.next_path_change)
+        return;
     request.path_change_pending = true;
     asio::co_spawn(
-        this->io,
-        this->change_path(found->second, stalled.waits_for),
-        asio::detached);
+        this->io, this->change_path(held, waits_for), asio::detached);
 }
 
 asio::awaitable<void>
@@ -179,9 +233,10 @@
     const bool changed = !parts.empty() &&
                          outcome.failure == net::http_failure::none &&
                          outcome.answer.status < 300;
+    const bool cancelled = !changed && this->cancel_attempt(request, waits_for);
     spdlog::info(
         "event=path_changed request={} waits_for={}:{} parts={} outcome={} "
-        "paused_ms={:.0f}",
+        "cancelled={} paused_ms={:.0f}",
         request.metadata.id,
         waits_for.address,
         waits_for.port,
@@ -189,12 +244,10 @@
         parts.empty() ? "none"
         : changed     ? "changed"
                       : std::to_string(outcome.answer.status),
+        cancelled,
         ms_since(request.last_progress));
-    if (!changed) {
-        request.waits_for = waits_for;
-        connection->cancel();
+    if (!changed)
         co_return;
-    }
     this->stats.changed_paths.Increment();
     request.parts = std::move(parts);
     request.logged_path = fleet::describe(request.parts);
--- a/oleanderhinge/gateway/stall_watch.hpp
+++ b/oleanderhinge/gateway/stall_watch.hpp
@@ -4,14 +4,19 @@
 // server it waits for. That server is reported as suspected, and the first
 // server is told to continue the stream along another path, which keeps the
 // prompt that the remaining servers have read. If there is no such path or the
-// first server does not change it, the attempt is cancelled, and the forwarder
+// first server does not change it, or if the stream stays silent although no
+// server is known to be at fault, the attempt is cancelled, and the forwarder
 // makes another one.
 //
+// An answer that has begun is cancelled only if another attempt can continue it
+// now. Its server is slow or silent but has not failed, and it may go on.
+//
 // Used on the gateway's thread only.
 //
 // Example:
-//   stall_watch stalls(io, protocol, selector, stats, report_suspect);
-//   stalls.add(request); ... stalls.remove(request->metadata.id);
+//   stall_watch stalls(
+//       io, protocol, selector, stats, report_suspect, reserve_attempt);
+//   stalls.add(request); ... stalls.remove(request);
 //   stalls.tick(); // ten times a second
 #pragma once
 
@@ -26,6 +31,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace oleanderhinge::gateway
@@ -34,6 +40,11 @@
 class stall_watch
 {
 public:
+    // Reserves another attempt that continues the request now, on a path
+    // without the given servers. False if there is none.
+    using attempt_reservation = std::function<bool(
+        forwarding_request&, const std::set<wire::endpoint>& avoided)>;
+
     // `report_suspect` is called with a server that stalled requests wait for,
     // unless it is suspected already.
     stall_watch(
@@ -41,11 +52,11 @@
         const protocol_adapter& protocol,
         server_selector& selector,
         metrics& stats,
-        std::function<void(const wire::endpoint&)> report_suspect);
+        std::function<void(const wire::endpoint&)> report_suspect,
+        attempt_reservation reserve_attempt);
 
-    // Requests are identified by the id that their callers gave them.
     void add(const std::shared_ptr<forwarding_request>& request);
-    void remove(const std::string& id);
+    void remove(const std::shared_ptr<forwarding_request>& request);
     // Updates `server_selector::first_event_waits` and checks for stalls.
     void tick();
 
@@ -54,7 +65,12 @@
 
     boost::asio::awaitable<void> query_state(wire::endpoint first_server);
     void on_stall(const stalled_request& stalled, steady_time queried_at);
+    void
+    handle_stall(const request_pointer& held, const wire::endpoint& waits_for);
     void note_suspicion(const stalled_request& stalled);
+    void cancel_if_silent(forwarding_request& request, steady_time now);
+    bool cancel_attempt(
+        forwarding_request& request, const wire::endpoint& waits_for);
     boost::asio::awaitable<void>
     change_path(request_pointer held, wire::endpoint waits_for);
 
@@ -63,8 +79,11 @@
     server_selector& selector;
     metrics& stats;
     const std::function<void(const wire::endpoint&)> report_suspect;
+    const attempt_reservation reserve_attempt;
     net::http_client client;
-    std::map<std::string, request_pointer> requests;
+    // By the id that their callers gave them, which need not be unique.
+    std::multimap<std::string, request_pointer> requests;
+    steady_time last_tick;
     // Time of the last state query, by first server of a path.
     std::map<wire::endpoint, steady_time> last_query;
 };
--- a/oleanderhinge/retry/budget.cpp
+++ b/oleanderhinge/retry/budget.cpp
@@ -118,6 +118,15 @@
     b.saved = std::min(b.options.max_saved, b.saved + b.options.success_share);
 }
 
+bool take_retry(budget& b, base::time_point now)
+{
+    refill(b, now);
+    if (b.saved < 1)
+        return false;
+    b.saved -= 1;
+    return true;
+}
+
 retry_decision may_retry(
     budget& b,
     const base::verdict& failure,
@@ -127,7 +136,6 @@
     base::random_source& random,
     base::time_point now)
 {
-    refill(b, now);
     if (!is_allowed(failure, idempotent, attempt.value()))
         return {.reason = refusal::verdict};
     if (attempt.value() >= b.options.max_attempts)
@@ -135,9 +143,8 @@
     const auto delay = back_off(b, attempt.value(), random);
     if (delay >= remaining)
         return {.reason = refusal::out_of_time};
-    if (b.saved < 1)
+    if (!take_retry(b, now))
         return {.reason = refusal::budget_empty};
-    b.saved -= 1;
     return {.retry = true, .delay = delay};
 }
 
--- a/oleanderhinge/retry/budget.hpp
+++ b/oleanderhinge/retry/budget.hpp
@@ -88,6 +88,9 @@
 // Adds `success_share` to the budget.
 void note_success(budget& b);
 
+// Takes one retry from the budget. False if it holds none.
+bool take_retry(budget& b, base::time_point now);
+
 // Decides whether to retry after attempt `attempt` (from 1) has failed, and
 // takes one retry from the budget if so. `remaining` is the time until the
 // request expires. `idempotent` is true for model answers, which are resumed
--- a/oleanderhinge/retry/shared_budget.cpp
+++ b/oleanderhinge/retry/shared_budget.cpp
@@ -80,6 +80,13 @@
     note_success(b.tokens);
 }
 
+bool take_retry(shared_budget& b, base::time_point now)
+{
+    advance(b.requests, b.options.window, now);
+    update_limits(b);
+    return take_retry(b.tokens, now);
+}
+
 retry_decision may_retry(
     shared_budget& b,
     const base::verdict& failure,
--- a/oleanderhinge/retry/shared_budget.hpp
+++ b/oleanderhinge/retry/shared_budget.hpp
@@ -70,7 +70,8 @@
 // Counts a request for the service.
 void note_request(shared_budget& b, base::time_point now);
 
-// As `may_retry` of a single budget.
+// As `take_retry` and `may_retry` of a single budget.
+bool take_retry(shared_budget& b, base::time_point now);
 retry_decision may_retry(
     shared_budget& b,
     const base::verdict& failure,
