fleet, gateway, control: quarantine parts of prompts that crash servers

Cause: nothing connected a crash to what the request held. Each gateway saw single failures and sent the request again. Class: retries of the failure's cause.

The logs show the connections to the first server of a path broken before the first event of one request, and refused new connections 13 ms later.

Ruled out: later servers of the path (no stalls behind them); load (with the part refused, no further server crashed).

Change: crashes (a connection broken before the first event, and a refused new one) and answers are collected by parts of the prompt, by every gateway, relayed by every member of control without a leader. After two crashes on a part its requests are not repeated; from three at different servers or times and under different requests it is quarantined, for five minutes after the last crash: 503 `quarantined`, not run, with a Retry-After at the end. Any answer that begins on a part clears it.

--- a/oleanderhinge/base/ids.hpp
+++ b/oleanderhinge/base/ids.hpp
@@ -51,6 +51,10 @@
 // A number of tokens, of prompt and generated ones together.
 using token_count = strong<struct token_count_tag, std::uint64_t>;
 
+// Stable hash of the id of a prompt part. Requests whose prompts share a part
+// have the same value.
+using prompt_part = strong<struct prompt_part_tag, std::uint64_t>;
+
 // Half-open range of layers [first, end).
 struct layer_range {
     layer_index first;
--- a/oleanderhinge/base/verdict.cpp
+++ b/oleanderhinge/base/verdict.cpp
@@ -84,6 +84,8 @@
         return "shutting_down";
     case failure_code::internal:
         return "internal";
+    case failure_code::quarantined:
+        return "quarantined";
     }
     return "unknown";
 }
--- a/oleanderhinge/base/verdict.hpp
+++ b/oleanderhinge/base/verdict.hpp
@@ -46,6 +46,8 @@
     duplicate,
     shutting_down,
     internal,
+    // Part of the request has crashed servers.
+    quarantined,
 };
 
 // Verdict with its reason.
--- a/oleanderhinge/control/internal/service_fleet.cpp
+++ b/oleanderhinge/control/internal/service_fleet.cpp
@@ -163,14 +163,40 @@
         suspicion.server.port,
         suspicion.age_ms,
         this->open_links[from].vm.value());
-    std::vector<net::link_id> others;
-    for (const auto& [link, peer] : this->open_links)
-        if (link != from && (peer.sender == wire::role::entry ||
-                             link_to(this->peers, peer.vm) == link))
-            others.push_back(link);
+    auto others = this->gateway_and_member_links();
+    std::erase(others, from);
     this->links.send(others, suspicion);
 }
 
+void service::impl::on_crash_evidence(
+    net::link_id from, const wire::crash_evidence& received)
+{
+    const auto& sender = this->open_links.at(from);
+    auto effect =
+        fleet::apply(this->quarantine, received, base::monotonic_now());
+    if (!fleet::is_empty(effect.relay)) {
+        spdlog::info(
+            "event=crash_evidence from={} crashes={} answered={}",
+            sender.vm.value(),
+            effect.relay.crashes.size(),
+            effect.relay.answered.size());
+        auto others = sender.sender == wire::role::entry
+                          ? this->gateway_and_member_links()
+                          : this->gateway_links();
+        std::erase(others, from);
+        this->links.send(others, effect.relay);
+    }
+    if (!fleet::is_empty(effect.reply))
+        this->links.send(from, std::move(effect.reply));
+}
+
+void service::impl::send_crashes(net::link_id to)
+{
+    auto crashes = fleet::all_crashes(this->quarantine, base::monotonic_now());
+    if (!fleet::is_empty(crashes))
+        this->links.send(to, std::move(crashes));
+}
+
 void service::impl::send_servers()
 {
     const auto changes = take_changes(this->fleet, base::monotonic_now());
@@ -282,9 +308,7 @@
     if (this->fleet.new_loads.empty())
         return;
     const auto changes = take_loads(this->fleet);
-    auto receivers = this->gateway_links();
-    const auto members = this->member_links();
-    receivers.insert(receivers.end(), members.begin(), members.end());
+    const auto receivers = this->gateway_and_member_links();
     if (!changes.numbers.servers.empty())
         this->links.send(receivers, changes.numbers);
     this->links.send(receivers, changes.loads);
--- a/oleanderhinge/control/internal/service_impl.hpp
+++ b/oleanderhinge/control/internal/service_impl.hpp
@@ -16,6 +16,7 @@
 #include "oleanderhinge/control/service.hpp"
 #include "oleanderhinge/control/status_watch.hpp"
 #include "oleanderhinge/control_state/commands.hpp"
+#include "oleanderhinge/fleet/crash_quarantine.hpp"
 #include "oleanderhinge/net/http_server.hpp"
 #include "oleanderhinge/net/management.hpp"
 #include "oleanderhinge/timeline/event.hpp"
@@ -134,6 +135,13 @@
     // not know of it relays the suspicion to all other gateways and members.
     void
     on_suspicion(net::link_id from, const wire::server_suspicion& suspicion);
+    // Relays what is new about crashes: from a gateway to all others and to the
+    // members, from a member to gateways only, so that nothing returns. Needs
+    // no leader.
+    void
+    on_crash_evidence(net::link_id from, const wire::crash_evidence& received);
+    // Sends all crashes to a peer that has connected.
+    void send_crashes(net::link_id to);
     void send_servers();
     void place_layers(const replica::log_status& status, base::time_point now);
     load_duty duty_for_loads(const replica::log_status& status) const;
@@ -153,6 +161,8 @@
     std::vector<net::link_id> gateway_links() const;
     // The links that this node has opened to other members.
     std::vector<net::link_id> member_links() const;
+    // Both.
+    std::vector<net::link_id> gateway_and_member_links() const;
     void send(const std::vector<outgoing>& messages);
     void count_subscribers();
 
@@ -207,6 +217,7 @@
     // The peer's hello for each open link.
     std::map<net::link_id, wire::hello> open_links;
     fleet_watch fleet;
+    fleet::crash_quarantine quarantine;
     // Numbers of servers that the other members use.
     std::map<net::link_id, fleet::peer_numbering> peer_numbers;
     member_reach reach;
--- a/oleanderhinge/control/internal/service_links.cpp
+++ b/oleanderhinge/control/internal/service_links.cpp
@@ -66,6 +66,14 @@
     return found;
 }
 
+std::vector<net::link_id> service::impl::gateway_and_member_links() const
+{
+    auto found = this->gateway_links();
+    const auto members = this->member_links();
+    found.insert(found.end(), members.begin(), members.end());
+    return found;
+}
+
 void service::impl::on_opened(net::link_id link, const wire::hello& peer)
 {
     if (peer.sender == wire::role::agent ||
@@ -86,6 +94,7 @@
     // get all records when they subscribe.
     if (peer.sender == wire::role::control)
         this->links.send(link, all_servers(this->fleet, base::monotonic_now()));
+    this->send_crashes(link);
     this->events.record(event_kind::link_opened, peer.vm.value());
     spdlog::info("event=link_opened peer={}", peer.vm.value());
 }
@@ -150,6 +159,9 @@
     } else if (
         const auto* suspicion = std::get_if<wire::server_suspicion>(&content)) {
         this->on_suspicion(link, *suspicion);
+    } else if (
+        const auto* evidence = std::get_if<wire::crash_evidence>(&content)) {
+        this->on_crash_evidence(link, *evidence);
     } else if (
         const auto* request = std::get_if<wire::join_request>(&content)) {
         if (peer->second.sender == wire::role::control)
--- a/oleanderhinge/control/service.cpp
+++ b/oleanderhinge/control/service.cpp
@@ -67,6 +67,7 @@
     this->manage_group(status, now);
     if (now >= this->next_expire) {
         this->next_expire = now + this->options.expire_interval;
+        fleet::expire(this->quarantine, now);
         if (status.role == replica::member_role::leader && status.has_quorum)
             this->propose_expire();
     }
--- a/oleanderhinge/control/service_test.cpp
+++ b/oleanderhinge/control/service_test.cpp
@@ -183,6 +183,17 @@
         return found ? std::get<T>(this->messages[this->seen - 1]) : T{};
     }
 
+    // Messages of type `T` so far.
+    template <class T>
+    std::size_t count()
+    {
+        const std::lock_guard lock(this->mutex);
+        return std::size_t(std::count_if(
+            this->messages.begin(), this->messages.end(), [](const auto& item) {
+                return std::holds_alternative<T>(item);
+            }));
+    }
+
 private:
     static net::link_options options(wire::role sender)
     {
@@ -495,7 +506,6 @@
     first.next<wire::subscribe_redirect>();
 }
 
-// Guards against two owners of one call, with claims sent over links.
 // Guards against gateways that are redirected and never get a table: of 105,
 // each member of the group served 64.
 TEST(feed, every_gateway_of_a_self_managed_group_is_served)
@@ -532,6 +542,51 @@
     }
 }
 
+// Servers crash on a prompt while control has no leader. Guards against crashes
+// that stay with the gateway that saw them, and against a gateway that connects
+// later and does not learn of them.
+TEST(feed, evidence_of_crashes_reaches_all_gateways_without_a_leader)
+{
+    cluster group(1, 8, true);
+    group.change_log([](shared_log& log) { log.quorum = false; });
+    entry_link first(group.io, group.member(0).link);
+    first.send(wire::subscribe{});
+    first.next<wire::control_group>();
+    entry_link second(group.io, group.member(0).link);
+    second.send(wire::subscribe{});
+    second.next<wire::control_group>();
+    const wire::crash_evidence seen{
+        {{base::prompt_part{1}, {base::prompt_part{2}}, {"10.0.0.1", 80}, 0}},
+        {}};
+    first.send(seen);
+    const auto relayed = second.next<wire::crash_evidence>();
+    ASSERT_EQ(relayed.crashes.size(), 1U);
+    EXPECT_EQ(relayed.crashes[0].shared, seen.crashes[0].shared);
+    entry_link late(group.io, group.member(0).link);
+    EXPECT_EQ(late.next<wire::crash_evidence>().crashes.size(), 1U);
+}
+
+// Evidence from another member goes to gateways only. Guards against messages
+// that circulate among the members.
+TEST(feed, evidence_of_a_member_is_not_sent_to_members)
+{
+    cluster group(3, 8, true);
+    entry_link gateway(group.io, group.member(0).link);
+    gateway.send(wire::subscribe{});
+    gateway.next<wire::control_group>();
+    entry_link member(group.io, group.member(0).link, wire::role::control);
+    member.send(wire::crash_evidence{
+        {{base::prompt_part{1}, {base::prompt_part{2}}, {"10.0.0.1", 80}, 0}},
+        {}});
+    gateway.next<wire::crash_evidence>();
+    // The other members have sent all that they know when a gateway connects.
+    entry_link elsewhere(group.io, group.member(1).link);
+    elsewhere.send(wire::subscribe{});
+    elsewhere.next<wire::control_group>();
+    EXPECT_EQ(elsewhere.count<wire::crash_evidence>(), 0U);
+}
+
+// Guards against two owners of one call, with claims sent over links.
 TEST(claims, race_resend_and_outcome)
 {
     cluster group(2);
--- a/oleanderhinge/gateway/control_client.cpp
+++ b/oleanderhinge/gateway/control_client.cpp
@@ -77,6 +77,7 @@
         found->first.address,
         this->revision().value());
     this->send_subscribe(link, this->revision());
+    this->send_unless_empty(link, this->events.all_crashes());
 }
 
 void control_client::on_message(
@@ -103,6 +104,9 @@
     } else if (
         const auto* suspicion = std::get_if<wire::server_suspicion>(&content)) {
         this->events.suspicion(*suspicion);
+    } else if (
+        const auto* evidence = std::get_if<wire::crash_evidence>(&content)) {
+        this->send_unless_empty(link, this->events.evidence(*evidence));
     } else if (const auto* loads = std::get_if<wire::server_loads>(&content)) {
         this->on_loads(link, *loads);
     }
@@ -174,6 +178,20 @@
             this->links.send(*peer.link, wire::server_suspicion{server, 0});
 }
 
+void control_client::send_unless_empty(
+    net::link_id link, wire::crash_evidence&& evidence)
+{
+    if (!fleet::is_empty(evidence))
+        this->links.send(link, std::move(evidence));
+}
+
+void control_client::send_evidence(const wire::crash_evidence& news)
+{
+    for (const auto& [address, peer] : this->members)
+        if (peer.open)
+            this->links.send(*peer.link, news);
+}
+
 void control_client::on_closed(
     net::link_id link, net::close_reason reason, base::time_point now)
 {
--- a/oleanderhinge/gateway/control_client.hpp
+++ b/oleanderhinge/gateway/control_client.hpp
@@ -14,6 +14,7 @@
 #pragma once
 
 #include "oleanderhinge/base/random.hpp"
+#include "oleanderhinge/fleet/crash_quarantine.hpp"
 #include "oleanderhinge/fleet/numbering.hpp"
 #include "oleanderhinge/membership/config_view.hpp"
 #include "oleanderhinge/net/link_table.hpp"
@@ -60,6 +61,11 @@
     // Another gateway suspects a server, since requests that depend on it make
     // no progress.
     std::function<void(const wire::server_suspicion&)> suspicion;
+    // Applies evidence about crashes that a member has relayed, and returns
+    // what contradicts it.
+    std::function<wire::crash_evidence(const wire::crash_evidence&)> evidence;
+    // All crashes known here, for a member to which a link has opened.
+    std::function<wire::crash_evidence()> all_crashes;
     // Number of gateways that a member has links to, this one included.
     std::function<void(std::uint32_t, base::time_point)> gateways;
 };
@@ -85,6 +91,8 @@
     // Reports to each connected member that requests that depend on the server
     // make no progress.
     void report_suspicion(const wire::endpoint& server);
+    // Sends evidence about crashes to each connected member.
+    void send_evidence(const wire::crash_evidence& news);
     // Adds seeds; those that are known already are kept.
     void add_seeds(const std::vector<wire::endpoint>& seeds);
 
@@ -114,6 +122,7 @@
         net::link_id link,
         const wire::server_refresh& refresh,
         base::time_point now);
+    void send_unless_empty(net::link_id link, wire::crash_evidence&& evidence);
     void send_subscribe(net::link_id link, base::revision held_revision);
     std::map<wire::endpoint, member>::iterator find(net::link_id link);
 
--- a/oleanderhinge/gateway/forwarder.cpp
+++ b/oleanderhinge/gateway/forwarder.cpp
@@ -52,11 +52,13 @@
     asio::io_context& context,
     const protocol_adapter& protocol_in,
     server_selector& selector_in,
+    fleet::crash_quarantine& quarantine_in,
     metrics& stats_in,
     forwarder_options options_in)
     : io(context)
     , protocol(protocol_in)
     , selector(selector_in)
+    , quarantine(quarantine_in)
     , stats(stats_in)
     , pool(context)
     , options(std::move(options_in))
@@ -215,7 +217,8 @@
     base::verdict overall = why;
     if (request.possible_runs > 0 && overall.state == base::execution::not_run)
         overall = base::may_have_run(why.code, why.detail);
-    if (overall.state == base::execution::not_run)
+    if (overall.state == base::execution::not_run &&
+        overall.retry_after.count() == 0)
         overall.retry_after = milliseconds(std::int64_t(
             1000 *
             (min_retry_after_s + retry_after_spread_s * this->random.unit())));
--- a/oleanderhinge/gateway/forwarder.hpp
+++ b/oleanderhinge/gateway/forwarder.hpp
@@ -7,7 +7,7 @@
 // Used on the gateway's thread only.
 //
 // Example:
-//   forwarder forward(io, protocol, selector, stats, options);
+//   forwarder forward(io, protocol, selector, quarantine, stats, options);
 //   forward.set_table(std::make_shared<route_index>(table));
 //   co_await forward.handle(request, exchange);
 #pragma once
@@ -40,6 +40,8 @@
     std::uint64_t seed = 1;
     // Called when requests that depend on this server make no progress.
     std::function<void(const wire::endpoint&)> report_suspect;
+    // Called with news about crashes, for the other gateways.
+    std::function<void(const wire::crash_evidence&)> share_evidence;
 };
 
 class forwarder
@@ -49,6 +51,7 @@
         boost::asio::io_context& io,
         const protocol_adapter& protocol,
         server_selector& selector,
+        fleet::crash_quarantine& quarantine,
         metrics& stats,
         forwarder_options options);
 
@@ -87,6 +90,11 @@
     boost::asio::awaitable<attempt_result>
     attempt_stream(forwarding_request& request, fleet::path parts);
     void note_fault(forwarding_request& request, const attempt_result& result);
+    boost::asio::awaitable<void>
+    note_crash(const forwarding_request& request, const attempt_result& result);
+    std::optional<base::verdict>
+    quarantine_verdict(const forwarding_request& request);
+    void share(const wire::crash_evidence& news) const;
     boost::asio::awaitable<bool>
     may_continue(forwarding_request& request, base::verdict why);
     boost::asio::awaitable<bool> wait_to_resume(forwarding_request& request);
@@ -127,6 +135,7 @@
     boost::asio::io_context& io;
     const protocol_adapter& protocol;
     server_selector& selector;
+    fleet::crash_quarantine& quarantine;
     metrics& stats;
     upstream_pool pool;
     const forwarder_options options;
--- a/oleanderhinge/gateway/forwarder_test.cpp
+++ b/oleanderhinge/gateway/forwarder_test.cpp
@@ -1,5 +1,7 @@
 #include "oleanderhinge/gateway/forwarder.hpp"
 
+#include "oleanderhinge/base/hash.hpp"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
@@ -19,6 +21,11 @@
 namespace asio = boost::asio;
 using namespace std::chrono_literals;
 
+base::prompt_part part_of(const std::string& id)
+{
+    return base::prompt_part{base::stable_hash(id)};
+}
+
 // Uses its own field names, which no platform has.
 protocol_adapter make_protocol_adapter()
 {
@@ -28,6 +35,9 @@
         metadata.id = std::string(fields["Id"]);
         metadata.key = std::string(fields["Key"]);
         metadata.caller_timeout = 2000ms;
+        metadata.prompt.own = part_of(metadata.id);
+        if (!fields["Part"].empty())
+            metadata.prompt.shared = {part_of(std::string(fields["Part"]))};
         if (!fields["Patience"].empty())
             metadata.caller_timeout = std::chrono::milliseconds(
                 std::stoi(std::string(fields["Patience"])));
@@ -192,10 +202,15 @@
               io,
               protocol,
               selector,
+              quarantine,
               stats,
               {.retries = {.request_share = 10},
                .seed = 1,
-               .report_suspect = [](const wire::endpoint&) {}})
+               .report_suspect = [](const wire::endpoint&) {},
+               .share_evidence =
+                   [this](const wire::crash_evidence& news) {
+                       this->shared_evidence.push_back(news);
+                   }})
         , front(
               io,
               {},
@@ -275,6 +290,8 @@
             [&]() -> asio::awaitable<void> {
                 net::http_call call{
                     "POST", target, {{"Id", "r1"}, {"Key", this->key}}, "body"};
+                if (!this->part.empty())
+                    call.headers.push_back({"Part", this->part});
                 if (this->patience.count() != 0)
                     call.headers.push_back(
                         {"Patience", std::to_string(this->patience.count())});
@@ -366,6 +383,7 @@
     metrics stats;
     std::shared_ptr<const route_index> index;
     server_selector selector;
+    fleet::crash_quarantine quarantine;
     protocol_adapter protocol;
     backend first;
     backend second;
@@ -377,6 +395,8 @@
     // The caller's time; zero: two seconds.
     std::chrono::milliseconds patience{0};
     int state_queries = 0;
+    std::string part;
+    std::vector<wire::crash_evidence> shared_evidence;
 };
 
 // Each row: the route, what the two servers do, the status that the caller gets
@@ -608,6 +628,90 @@
     EXPECT_NE(outcome.failure, net::http_failure::none);
 }
 
+// Behaves as a server that crashes: no event, and no listener any more.
+backend::behaviour crash(backend& self)
+{
+    return [&self](
+               const net::http_request& request,
+               net::http_exchange& exchange) -> asio::awaitable<void> {
+        co_await exchange.begin_stream(200, "", server_headers(request));
+        self.server.drain();
+    };
+}
+
+// Guards against crashes that a gateway does not attribute to the request that
+// waited for its first event, and against a caller who is told that the request
+// has not run.
+TEST_F(
+    forwarder_fixture, a_server_that_crashes_before_the_first_event_is_evidence)
+{
+    this->part = "deadly";
+    this->first.behave = crash(this->first);
+    this->second.behave = crash(this->second);
+    EXPECT_EQ(this->ask("/talk/x").answer.status, 502U);
+    ASSERT_FALSE(this->shared_evidence.empty());
+    ASSERT_EQ(this->shared_evidence[0].crashes.size(), 1U);
+    const auto& crash = this->shared_evidence[0].crashes[0];
+    EXPECT_EQ(crash.own, part_of("r1"));
+    EXPECT_EQ(crash.shared, std::vector{part_of("deadly")});
+}
+
+// Guards against suspecting requests whose connection broke although their
+// server goes on, and those that it had begun to answer.
+TEST_F(forwarder_fixture, a_broken_connection_to_a_living_server_is_no_evidence)
+{
+    this->part = "sound";
+    this->first.behave =
+        [](const net::http_request& request,
+           net::http_exchange& exchange) -> asio::awaitable<void> {
+        co_await exchange.begin_stream(200, "", server_headers(request));
+    };
+    this->second.behave = break_off;
+    this->ask("/talk/x");
+    EXPECT_TRUE(this->shared_evidence.empty());
+}
+
+// Guards against requests with a quarantined part that reach a server, and
+// against callers who are not told when to return.
+TEST_F(forwarder_fixture, a_quarantined_request_is_refused)
+{
+    this->part = "deadly";
+    this->first.behave = stream;
+    for (const auto* other : {"r2", "r3", "r4"})
+        fleet::note_crash(
+            this->quarantine,
+            {part_of(other), {part_of("deadly")}},
+            {other, 80},
+            base::monotonic_now());
+    const auto refused = this->ask("/talk/x").answer;
+    EXPECT_EQ(refused.status, 503U);
+    EXPECT_EQ(this->runs(), 0U);
+    const auto found = std::find_if(
+        refused.headers.begin(), refused.headers.end(), [](const auto& item) {
+            return item.name == "Retry-After";
+        });
+    ASSERT_NE(found, refused.headers.end());
+    EXPECT_GT(std::stod(found->value), 200);
+    this->part = "sound";
+    EXPECT_EQ(this->ask("/talk/x").answer.status, 200U);
+}
+
+// The server of another request with the same part has crashed. Guards against
+// the repetition that crashes a third one.
+TEST_F(forwarder_fixture, a_request_on_a_suspected_part_is_not_repeated)
+{
+    this->part = "deadly";
+    fleet::note_crash(
+        this->quarantine,
+        {part_of("r2"), {part_of("deadly")}},
+        {"r2", 80},
+        base::monotonic_now());
+    this->first.behave = crash(this->first);
+    this->second.behave = crash(this->second);
+    EXPECT_EQ(this->ask("/talk/x").answer.status, 502U);
+    EXPECT_EQ(this->runs(), 1U);
+}
+
 // Guards against requests that reach a server without a route or a customer,
 // and against a final refusal by a gateway that has no table yet: it answers
 // 503 with a Retry-After.
@@ -618,7 +722,13 @@
     this->key = "unknown";
     EXPECT_EQ(this->ask("/once/x").answer.status, 401U);
     EXPECT_EQ(this->runs(), 0U);
-    forwarder fresh(this->io, this->protocol, this->selector, this->stats, {});
+    forwarder fresh(
+        this->io,
+        this->protocol,
+        this->selector,
+        this->quarantine,
+        this->stats,
+        {});
     net::http_server other(
         this->io,
         {},
@@ -643,7 +753,13 @@
 TEST_F(forwarder_fixture, callers_wait_a_little_for_the_first_table)
 {
     this->first.behave = answer;
-    forwarder fresh(this->io, this->protocol, this->selector, this->stats, {});
+    forwarder fresh(
+        this->io,
+        this->protocol,
+        this->selector,
+        this->quarantine,
+        this->stats,
+        {});
     net::http_server other(
         this->io,
         {},
--- a/oleanderhinge/gateway/gateway_node.cpp
+++ b/oleanderhinge/gateway/gateway_node.cpp
@@ -36,12 +36,17 @@
           context,
           this->protocol,
           this->selector,
+          this->quarantine,
           this->stats,
           {.retries = this->options.retries,
            .seed = base::entropy_seed(),
            .report_suspect =
                [this](const wire::endpoint& server) {
                    this->control.report_suspicion(server);
+               },
+           .share_evidence =
+               [this](const wire::crash_evidence& news) {
+                   this->control.send_evidence(news);
                }})
     , callers(
           context,
@@ -131,6 +136,15 @@
                         this->selector.servers, suspicion.server, seen))
                     ++this->selector.generation;
             },
+        .evidence =
+            [this](const wire::crash_evidence& received) {
+                return this->on_evidence(received);
+            },
+        .all_crashes =
+            [this] {
+                return fleet::all_crashes(
+                    this->quarantine, base::monotonic_now());
+            },
         .gateways =
             [this](std::uint32_t gateway_count, base::time_point now) {
                 this->forward.note_gateways(gateway_count, now);
@@ -158,6 +172,9 @@
             [this] {
                 this->stats.servers.Set(
                     double(this->selector.servers.servers.size()));
+                this->stats.quarantined_parts.Set(
+                    double(fleet::quarantined_parts(
+                        this->quarantine, base::monotonic_now())));
             }};
 }
 
@@ -183,6 +200,24 @@
     }
 }
 
+wire::crash_evidence
+gateway_node::on_evidence(const wire::crash_evidence& received)
+{
+    const auto now = base::monotonic_now();
+    const auto before = fleet::quarantined_parts(this->quarantine, now);
+    auto effect = fleet::apply(this->quarantine, received, now);
+    if (const auto parts = fleet::quarantined_parts(this->quarantine, now);
+        parts != before)
+        spdlog::warn(
+            "event=quarantine_changed parts={} before={} crashes={} "
+            "answered={}",
+            parts,
+            before,
+            received.crashes.size(),
+            received.answered.size());
+    return effect.reply;
+}
+
 base::result<void> gateway_node::start()
 {
     BOOST_LEAF_CHECK(this->callers.listen(this->options.listen));
@@ -215,6 +250,7 @@
 {
     this->control.tick(base::monotonic_now());
     this->forward.tick();
+    fleet::expire(this->quarantine, base::monotonic_now());
     this->timer.expires_after(tick_interval);
     this->timer.async_wait([this](boost::system::error_code failed) {
         if (!failed && !this->stopped)
--- a/oleanderhinge/gateway/gateway_node.hpp
+++ b/oleanderhinge/gateway/gateway_node.hpp
@@ -51,6 +51,7 @@
     net::http_limits caller_limits() const;
     net::management_options management_options();
     void on_servers(const wire::server_batch& batch);
+    wire::crash_evidence on_evidence(const wire::crash_evidence& received);
     void schedule_tick();
     net::readiness readiness() const;
     void begin_drain();
@@ -64,6 +65,7 @@
     prometheus::Registry registry;
     metrics stats;
     server_selector selector;
+    fleet::crash_quarantine quarantine;
     net::link_table links;
     control_client control;
     forwarder forward;
--- a/oleanderhinge/gateway/internal/forwarder_streams.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_streams.cpp
@@ -37,6 +37,8 @@
 asio::awaitable<void> forwarder::serve_stream(forwarding_request& request)
 {
     while (true) {
+        if (const auto why = this->quarantine_verdict(request))
+            co_return co_await this->fail_request(request, *why);
         auto found = choose_path(
             this->selector,
             *request.service,
@@ -100,8 +102,10 @@
     if (result.end == attempt_end::answered) {
         for (const auto& part : request.parts)
             this->selector.health[part.address].failures_in_a_row = 0;
-    } else if (result.end == attempt_end::failed && !request.caller_left)
+    } else if (result.end == attempt_end::failed && !request.caller_left) {
         this->note_fault(request, result);
+        co_await this->note_crash(request, result);
+    }
     co_return result;
 }
 
@@ -128,6 +132,10 @@
 asio::awaitable<bool>
 forwarder::may_continue(forwarding_request& request, base::verdict why)
 {
+    if (!request.head_sent && why.state == base::execution::may_have_run &&
+        !fleet::may_repeat_after_crash(
+            this->quarantine, request.metadata.prompt))
+        co_return false;
     const bool refused_midway =
         request.head_sent && why.state == base::execution::not_run;
     if (!refused_midway &&
@@ -245,6 +253,10 @@
         const auto events = take_events(request.events, bytes);
         if (!events.empty() && !request.head_sent) {
             request.head_sent = true;
+            this->share(fleet::note_answer(
+                this->quarantine,
+                request.metadata.prompt,
+                base::monotonic_now()));
             this->note_first_event(request);
             this->stats.first_byte_seconds.Observe(
                 ms_since(request.arrived) / 1000);
--- a/oleanderhinge/gateway/metrics.cpp
+++ b/oleanderhinge/gateway/metrics.cpp
@@ -36,6 +36,14 @@
           registry,
           "oleanderhinge_gateway_changed_paths_total",
           "Streams whose first server went on along another path"))
+    , crashes(net::add_counter(
+          registry,
+          "oleanderhinge_gateway_crashes_total",
+          "Requests whose server crashed before their first event"))
+    , quarantined(net::add_counter(
+          registry,
+          "oleanderhinge_gateway_quarantined_total",
+          "Requests refused because servers crashed on a part of their prompt"))
     , events(net::add_counter(
           registry,
           "oleanderhinge_gateway_events_total",
@@ -64,6 +72,10 @@
           "Version of the forwarding table in force"))
     , servers(net::add_gauge(
           registry, "oleanderhinge_gateway_servers", "Backend servers known"))
+    , quarantined_parts(net::add_gauge(
+          registry,
+          "oleanderhinge_gateway_quarantined_parts",
+          "Parts of prompts in quarantine"))
 {
 }
 
--- a/oleanderhinge/gateway/metrics.hpp
+++ b/oleanderhinge/gateway/metrics.hpp
@@ -27,6 +27,8 @@
     prometheus::Counter& repeats;
     prometheus::Counter& resumed_streams;
     prometheus::Counter& changed_paths;
+    prometheus::Counter& crashes;
+    prometheus::Counter& quarantined;
     prometheus::Counter& events;
     prometheus::Counter& log_lines_dropped;
     prometheus::Histogram& first_byte_seconds;
@@ -34,6 +36,7 @@
     prometheus::Gauge& in_progress;
     prometheus::Gauge& table_version;
     prometheus::Gauge& servers;
+    prometheus::Gauge& quarantined_parts;
 };
 
 } // namespace oleanderhinge::gateway
--- a/oleanderhinge/gateway/protocol_adapter.hpp
+++ b/oleanderhinge/gateway/protocol_adapter.hpp
@@ -9,6 +9,7 @@
 //   protocol.prepare_headers(outgoing, {.time_left = 900ms, .server = id});
 #pragma once
 
+#include "oleanderhinge/fleet/crash_quarantine.hpp"
 #include "oleanderhinge/fleet/paths.hpp"
 #include "oleanderhinge/net/http_client.hpp"
 #include "oleanderhinge/net/http_server.hpp"
@@ -37,6 +38,8 @@
     std::string key;
     // Id of the last event that the caller has received; empty: none.
     std::string last_event;
+    // Parts of the prompt; without shared parts if none are stated.
+    fleet::prompt prompt;
 };
 
 // Header fields that the gateway sends to a backend server.
--- a/oleanderhinge/wire/frame.cpp
+++ b/oleanderhinge/wire/frame.cpp
@@ -50,6 +50,7 @@
     "server_loads",
     "server_numbers",
     "server_refresh",
+    "crash_evidence",
 };
 
 using payload_decoder = base::result<message> (*)(std::string_view);
--- a/oleanderhinge/wire/messages.hpp
+++ b/oleanderhinge/wire/messages.hpp
@@ -839,6 +839,53 @@
     }
 };
 
+// A backend server crashed while a request waited there for its first event.
+struct crash_report {
+    // The part of the prompt that only this request or its session has.
+    base::prompt_part own;
+    // The parts that other requests may have, in the order of the prompt.
+    std::vector<base::prompt_part> shared;
+    endpoint server;
+    std::uint32_t age_ms = 0;
+
+    bool operator==(const crash_report&) const = default;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->own, this->shared, this->server, this->age_ms);
+    }
+};
+
+// A backend server has begun an answer on a part of a prompt.
+struct answered_part {
+    base::prompt_part part;
+    std::uint32_t age_ms = 0;
+
+    bool operator==(const answered_part&) const = default;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->part, this->age_ms);
+    }
+};
+
+// Between gateways, through control, and between control nodes: for and against
+// parts of prompts that may crash backend servers.
+struct crash_evidence {
+    std::vector<crash_report> crashes;
+    std::vector<answered_part> answered;
+
+    bool operator==(const crash_evidence&) const = default;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->crashes, this->answered);
+    }
+};
+
 // Control to gateway: link endpoints of all members, to subscribe to each.
 struct control_group {
     std::vector<endpoint> members;
@@ -904,6 +951,7 @@
     server_suspicion,
     server_loads,
     server_numbers,
-    server_refresh>;
+    server_refresh,
+    crash_evidence>;
 
 } // namespace oleanderhinge::wire
