gateway: repeat a failed path change after a second only

The interval came with "end no answer because its server is silent", but the line that sets it was lost in an edit, so that a stalled stream without another path had its path change tried with every state query, three times a second, each with an order and a log line.

Change: `change_path` sets the time of the next one. No test of its own; the test a_silent_stream_without_another_path_goes_on runs through it.

--- a/oleanderhinge/gateway/stall_watch.cpp
+++ b/oleanderhinge/gateway/stall_watch.cpp
@@ -233,6 +233,7 @@
     const bool changed = !parts.empty() &&
                          outcome.failure == net::http_failure::none &&
                          outcome.answer.status < 300;
+    request.next_path_change = steady_now() + path_change_interval;
     const bool cancelled = !changed && this->cancel_attempt(request, waits_for);
     spdlog::info(
         "event=path_changed request={} waits_for={}:{} parts={} outcome={} "
