--- a/oleanderhinge/fleet/crash_quarantine.cpp
+++ b/oleanderhinge/fleet/crash_quarantine.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <limits>
-#include <ranges>
 #include <span>
 #include <utility>
 
@@ -55,6 +54,12 @@
            count_crashes(of) >= quarantine_crashes;
 }
 
+template <class T>
+std::span<const T> first_elements(const std::vector<T>& all, std::size_t limit)
+{
+    return std::span(all).first(std::min(all.size(), limit));
+}
+
 // The parts that count.
 std::span<const base::prompt_part> considered_parts(const prompt& request)
 {
@@ -278,13 +283,13 @@
 {
     evidence_effect effect;
     for (const auto& item :
-         received.answered | std::views::take(max_answered_parts)) {
+         first_elements(received.answered, max_answered_parts)) {
         const auto at = now - milliseconds(item.age_ms);
         remember_answer(q, item.part, at, now);
         if (clear_crashes(q, item.part, at))
             effect.relay.answered.push_back(item);
     }
-    for (auto report : received.crashes | std::views::take(max_reports)) {
+    for (auto report : first_elements(received.crashes, max_reports)) {
         if (report.shared.size() > max_shared_parts)
             continue;
         auto cleared = take_answered_parts(q, report, now);
