replica: fill the disk in a test after the leader's first entry is stored

Trace: a leader answers reads only once it has committed an entry of its term (consensus/internal/leader.cpp, answer_reads). The test filled the disk as soon as there was a leader; if the first entry was not stored yet, reads have to wait until there is room, which is right. Unchanged test, 16 at a time: 1 of 960 runs failed. With the disk filled at the very moment of leadership: 21 of 40.

--- a/oleanderhinge/replica/node_test.cpp
+++ b/oleanderhinge/replica/node_test.cpp
@@ -381,6 +381,12 @@
 {
     cluster c(1);
     ASSERT_EQ(c.leader(), 1);
+    // Reads wait until the leader has stored the first entry of its term.
+    EXPECT_TRUE(c.eventually([&] {
+        const auto status = c.at(1)->status();
+        return status.committed != base::log_index{} &&
+               status.committed == status.last_index;
+    }));
     c.files(1).set_full(true);
     auto state = std::make_shared<std::promise<propose_state>>();
     auto answer = state->get_future();
