gateway: log what tells the causes of mixed answers apart

The logs could not tell bytes that an earlier attempt left behind from an answer to another request on a kept connection.

Change: attempt_failed also says whether its connection had served another request (reused) and how many bytes of an incomplete event were held (partial_bytes); stray_answer is new, for answers with another id that are skipped, within the limit on log lines.

No decision changes.

--- a/oleanderhinge/gateway/forwarder.cpp
+++ b/oleanderhinge/gateway/forwarder.cpp
@@ -259,8 +259,8 @@
         return;
     spdlog::warn(
         "event=attempt_failed request={} attempt={} runs={} to={} "
-        "execution={} code={} detail=\"{}\" at_fault={} after_ms={:.0f} "
-        "events={}",
+        "execution={} code={} detail=\"{}\" at_fault={} reused={} "
+        "after_ms={:.0f} events={} partial_bytes={}",
         request.metadata.id,
         request.attempts,
         request.possible_runs,
@@ -269,8 +269,10 @@
         base::to_string(result.why.code),
         result.why.detail,
         result.at_fault.address,
+        request.connection && !request.connection->fresh(),
         ms_since(request.arrived),
-        request.events.event_count);
+        request.events.event_count,
+        request.events.partial.size());
 }
 
 void forwarder::log_answer(const forwarding_request& request)
--- a/oleanderhinge/gateway/internal/forwarder_attempts.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_attempts.cpp
@@ -1,6 +1,8 @@
 #include "oleanderhinge/gateway/headers.hpp"
 #include "oleanderhinge/gateway/internal/attempt.hpp"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -102,6 +104,16 @@
                                                   : metadata.at_fault);
         }
         // An answer to another request: skip its body.
+        if (this->log.try_take(base::monotonic_now()))
+            spdlog::warn(
+                "event=stray_answer request={} answers={} status={} from={}:{} "
+                "reused={}",
+                request.metadata.id,
+                metadata.id,
+                request.connection->status(),
+                request.connection->server().address,
+                request.connection->server().port,
+                !request.connection->fresh());
         std::string skipped;
         while (stray < max_stray_answers && !request.connection->complete() &&
                skipped.size() < max_answer_bytes) {
