gateway: keep no bytes of a broken answer for the next one

What callers saw: a body that isn't the server's, with part of an event of one server in front of the first event of another.

Cause: the buffer of an incomplete event belonged to the request, and outlived the answer that it came from. It was cleared before a stream was continued, but not when the first server broke off before its first event was complete and the request was sent again from the start. Class: state of one attempt that outlives it.

Change: `event_buffer` holds what an answer has beyond its last event and lives as long as the answer is relayed; the request keeps the position alone. Nothing is left to clear between attempts.

--- a/oleanderhinge/gateway/event_stream.cpp
+++ b/oleanderhinge/gateway/event_stream.cpp
@@ -59,41 +59,36 @@
     return 0;
 }
 
-bool is_duplicate(const event_stream& stream, std::string_view id)
+bool is_duplicate(const event_position& position, std::string_view id)
 {
-    const auto last = parse_number(stream.last_id);
+    const auto last = parse_number(position.last_id);
     const auto next = parse_number(id);
     return last && next && *next <= *last;
 }
 
 } // namespace
 
-std::vector<std::string>
-take_events(event_stream& stream, std::string_view bytes)
+std::vector<std::string> take_events(
+    event_buffer& buffer, event_position& position, std::string_view bytes)
 {
     std::vector<std::string> events;
-    stream.partial.append(bytes);
+    buffer.partial.append(bytes);
     std::size_t begin = 0;
     while (const auto length = first_event_length(
-               std::string_view(stream.partial).substr(begin))) {
-        auto event = stream.partial.substr(begin, length);
+               std::string_view(buffer.partial).substr(begin))) {
+        auto event = buffer.partial.substr(begin, length);
         begin += length;
         const std::string id(event_id(event));
-        if (!id.empty() && is_duplicate(stream, id))
+        if (!id.empty() && is_duplicate(position, id))
             continue;
         if (!id.empty())
-            stream.last_id = id;
-        ++stream.event_count;
+            position.last_id = id;
+        ++position.event_count;
         events.push_back(std::move(event));
     }
-    stream.partial.erase(0, begin);
-    stream.oversized = stream.partial.size() > max_event_bytes;
+    buffer.partial.erase(0, begin);
+    buffer.oversized = buffer.partial.size() > max_event_bytes;
     return events;
 }
 
-void discard_partial_event(event_stream& stream)
-{
-    stream.partial.clear();
-}
-
 } // namespace oleanderhinge::gateway
--- a/oleanderhinge/gateway/forwarder.cpp
+++ b/oleanderhinge/gateway/forwarder.cpp
@@ -272,7 +272,7 @@
         request.connection && !request.connection->fresh(),
         ms_since(request.arrived),
         request.events.event_count,
-        request.events.partial.size());
+        result.partial_bytes);
 }
 
 void forwarder::log_answer(const forwarding_request& request)
--- a/oleanderhinge/gateway/forwarding_request.hpp
+++ b/oleanderhinge/gateway/forwarding_request.hpp
@@ -71,7 +71,7 @@
     bool caller_left = false;
     bool head_sent = false;
     steady_time last_event;
-    event_stream events;
+    event_position events;
     // For the log: servers of the last attempt, and how the request ended.
     std::string logged_path;
     std::string outcome;
--- a/oleanderhinge/gateway/internal/attempt.hpp
+++ b/oleanderhinge/gateway/internal/attempt.hpp
@@ -21,6 +21,8 @@
     base::verdict why;
     // The server at fault; empty address: unknown.
     wire::endpoint at_fault;
+    // Bytes of an event in which the answer broke off, for the log.
+    std::size_t partial_bytes = 0;
 };
 
 template <class Result>
--- a/oleanderhinge/gateway/internal/forwarder_streams.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_streams.cpp
@@ -72,10 +72,8 @@
         }
         if (!co_await this->may_continue(request, result.why))
             co_return co_await this->fail_request(request, result.why);
-        if (request.head_sent) {
-            discard_partial_event(request.events);
+        if (request.head_sent)
             this->stats.resumed_streams.Increment();
-        }
     }
 }
 
@@ -244,13 +242,19 @@
 forwarder::relay_events(forwarding_request& request)
 {
     const auto headers = end_to_end_fields(request.connection->fields());
+    event_buffer buffer;
+    const auto broken_off = [&](base::verdict why) {
+        auto result = failed_with<attempt_result>(std::move(why));
+        result.partial_bytes = buffer.partial.size();
+        return result;
+    };
     while (!request.connection->complete()) {
         std::string bytes;
         request.awaits_server = true;
         const error_code failed = co_await request.connection->read_body(
             bytes, first_event_limit(request));
         request.awaits_server = false;
-        const auto events = take_events(request.events, bytes);
+        const auto events = take_events(buffer, request.events, bytes);
         if (!events.empty() && !request.head_sent) {
             request.head_sent = true;
             this->share(fleet::note_answer(
@@ -268,15 +272,15 @@
         const bool written = co_await this->write_events(request, events);
         if (!written || request.caller_left)
             co_return attempt_result{attempt_end::caller_left, {}, {}};
-        if (failed || request.events.oversized)
-            co_return failed_with<attempt_result>(base::may_have_run(
+        if (failed || buffer.oversized)
+            co_return broken_off(base::may_have_run(
                 steady_now() >= first_event_limit(request)
                     ? failure_code::deadline_exceeded
                     : failure_code::server_failed,
                 "stream broke off: " + failed.message()));
     }
-    if (!request.events.partial.empty() || !request.head_sent)
-        co_return failed_with<attempt_result>(base::may_have_run(
+    if (!buffer.partial.empty() || !request.head_sent)
+        co_return broken_off(base::may_have_run(
             failure_code::server_failed, "stream ended inside an event"));
     this->pool.keep(std::exchange(request.connection, nullptr));
     request.outcome = "200";
