gateway: take no answer without an id for the next request's

What callers would see: another request's answer, "not run" for a request that its server runs (REFUSED), or a second run of it (TWICE).

Cause: an answer without an id counted as the answer to the present request on any connection. On a kept one it may be a late copy of an earlier answer. A request without an id of its own was sent on kept connections, too, where nothing tells the answers apart.

Ruled out: copies that carry their id were skipped before; requests that may run once at most never used a kept connection; a connection is closed after a failed attempt, so that no two attempts with one id share a connection.

Change: an answer without an id counts only as the first one on a new connection. Requests without an id get a new connection.

Tests: a_late_copy_on_a_kept_connection_answers_no_request failed for the three rows without an id (200 "copy", 503 and 502 in place of the own answer), and answers_that_no_id_tells_apart_need_a_new_connection for the request without an id. The tests of answers that end with their connection and of errors behind a broken stream passed before.

--- a/oleanderhinge/gateway/internal/attempt.hpp
+++ b/oleanderhinge/gateway/internal/attempt.hpp
@@ -50,4 +50,14 @@
     return route.repeat != wire::repeat_rule::at_most_once;
 }
 
+// Whether the request may follow another one on a connection. The server may
+// have closed a kept connection, and only an id tells an answer to the request
+// from a late one to an earlier request.
+inline net::reuse allowed_reuse(const forwarding_request& request)
+{
+    return is_repeatable(*request.route) && !request.metadata.id.empty()
+               ? net::reuse::allowed
+               : net::reuse::never;
+}
+
 } // namespace oleanderhinge::gateway
--- a/oleanderhinge/gateway/internal/forwarder_attempts.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_attempts.cpp
@@ -74,7 +74,8 @@
 }
 
 // Reads the head of the answer to this request, and skips answers that carry
-// the id of another one. Fails if the server refused the request, or if there
+// the id of another one, or none where an answer to an earlier request may come
+// first. Fails if the server refused the request, or if there
 // is no answer by `limit`.
 asio::awaitable<forwarder::attempt_result>
 forwarder::read_answer_head(forwarding_request& request, steady_time limit)
@@ -91,7 +92,10 @@
                 "answer: " + failed.message()));
         const auto metadata = this->protocol.read_answer(
             request.connection->status(), request.connection->fields());
-        if (metadata.id.empty() || metadata.id == request.metadata.id) {
+        const bool first_on_connection =
+            stray == 0 && request.connection->fresh();
+        if (metadata.id == request.metadata.id ||
+            (metadata.id.empty() && first_on_connection)) {
             if (!metadata.not_run)
                 co_return attempt_result{};
             --request.possible_runs;
--- a/oleanderhinge/gateway/internal/forwarder_calls.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_calls.cpp
@@ -62,8 +62,7 @@
 forwarder::call_once(forwarding_request& request, const chosen_server& to)
 {
     const bool repeatable = is_repeatable(*request.route);
-    const auto reuse = repeatable ? net::reuse::allowed : net::reuse::never;
-    request.connection = this->pool.take(to.address, reuse);
+    request.connection = this->pool.take(to.address, allowed_reuse(request));
     auto to_send = this->make_backend_request(request, {}, to.id);
     const auto sent = co_await this->send_request(request, std::move(to_send));
     if (sent.end != attempt_end::answered)
--- a/oleanderhinge/gateway/internal/forwarder_streams.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_streams.cpp
@@ -202,10 +202,8 @@
 asio::awaitable<forwarder::attempt_result>
 forwarder::stream_once(forwarding_request& request)
 {
-    request.connection = this->pool.take(
-        request.parts.front().address,
-        is_repeatable(*request.route) ? net::reuse::allowed
-                                      : net::reuse::never);
+    request.connection =
+        this->pool.take(request.parts.front().address, allowed_reuse(request));
     auto to_send = this->make_backend_request(
         request, request.parts, request.parts.front().server);
     const auto sent = co_await this->send_request(request, std::move(to_send));
--- a/oleanderhinge/gateway/mixed_answers_test.cpp
+++ b/oleanderhinge/gateway/mixed_answers_test.cpp
@@ -1,6 +1,15 @@
 // Guards against answers that hold bytes of another answer, of a server's error
 // or of no answer at all.
 #include "oleanderhinge/gateway/forwarder_fixture_test.hpp"
+#include "oleanderhinge/gateway/raw_backend_test.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <sstream>
 
 namespace oleanderhinge::gateway
 {
@@ -8,10 +17,40 @@
 {
 
 using namespace test;
+namespace http = boost::beast::http;
 
-class mixed_answers : public forwarder_fixture
+const std::string genuine = "Id: r1\r\nSeal: 1\r\n";
+const std::string event_2 = "id: 2\ndata: x\n\n";
+
+std::string with_length(
+    const std::string& status,
+    const std::string& fields,
+    const std::string& body)
 {
-};
+    return "HTTP/1.1 " + status +
+           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n" +
+           fields + "\r\n" + body;
+}
+
+std::string in_chunks(
+    const std::string& status,
+    const std::string& fields,
+    const std::string& body)
+{
+    std::ostringstream size;
+    size << std::hex << body.size();
+    return "HTTP/1.1 " + status + "\r\nTransfer-Encoding: chunked\r\n" +
+           fields + "\r\n" + size.str() + "\r\n" + body + "\r\n0\r\n\r\n";
+}
+
+// Neither a length nor chunks: the body ends with the connection.
+std::string unframed(
+    const std::string& status,
+    const std::string& fields,
+    const std::string& body)
+{
+    return "HTTP/1.1 " + status + "\r\n" + fields + "\r\n" + body;
+}
 
 // Breaks off inside the first event.
 asio::awaitable<void> break_off_in_first_event(
@@ -21,6 +60,74 @@
     co_await exchange.write_chunk("id: 1\nda");
 }
 
+struct caller_view {
+    unsigned status = 0;
+    std::string body;
+    // The answer ended as HTTP says, and not by a closed connection.
+    bool complete = false;
+};
+
+class mixed_answers : public forwarder_fixture
+{
+protected:
+    mixed_answers()
+        : raw(io)
+    {
+    }
+
+    // `raw` takes the place of the second server, or of both.
+    void use_raw_server(bool alone)
+    {
+        this->selector.servers = {};
+        this->selector.health.clear();
+        ++this->selector.generation;
+        if (!alone)
+            this->add_server("first", "near", this->first);
+        this->add_server("second", "far", this->raw.address());
+        if (!alone)
+            this->prefer_first_path();
+        this->raw.answers.clear();
+        this->raw.seen.clear();
+    }
+
+    // Shows also what came before the connection was closed.
+    caller_view watch(const std::string& target)
+    {
+        caller_view view;
+        bool done = false;
+        asio::co_spawn(
+            this->io,
+            [&]() -> asio::awaitable<void> {
+                constexpr auto as_pair = asio::as_tuple(asio::use_awaitable);
+                asio::ip::tcp::socket socket(this->io);
+                co_await socket.async_connect(
+                    {asio::ip::address_v4::loopback(), this->address.port},
+                    as_pair);
+                net::http_request request(http::verb::post, target, 11);
+                request.set(http::field::host, "127.0.0.1");
+                request.set("Id", this->request_id);
+                request.set("Key", this->key);
+                request.body() = "body";
+                request.prepare_payload();
+                co_await http::async_write(socket, request, as_pair);
+                boost::beast::flat_buffer buffer;
+                http::response_parser<http::string_body> parser;
+                co_await http::async_read(socket, buffer, parser, as_pair);
+                view = {
+                    parser.get().result_int(),
+                    parser.get().body(),
+                    parser.is_done()};
+                done = true;
+            },
+            asio::detached);
+        while (!done)
+            this->io.run_one();
+        return view;
+    }
+
+    raw_backend raw;
+};
+
 // Guards against a piece of the first server's answer in front of the second
 // one's, when the first breaks off inside its first event.
 TEST_F(mixed_answers, part_of_a_first_event_is_not_joined_to_the_next_answer)
@@ -34,5 +141,146 @@
     EXPECT_EQ(this->runs(), 2U);
 }
 
+// Guards against a piece of a stream in front of the error that the second
+// server answers with.
+TEST_F(mixed_answers, part_of_a_first_event_is_not_joined_to_an_error)
+{
+    this->use_raw_server(false);
+    this->first.behave = break_off_in_first_event;
+    this->raw.answers = {{with_length("500 Failed", genuine, "no memory")}};
+    const auto view = this->watch("/talk/x");
+    EXPECT_EQ(view.status, 500U);
+    EXPECT_EQ(view.body, "no memory");
+}
+
+// A stream has begun and breaks off; each row: what the next server sends.
+// Guards against the text or the head of a server's error in the middle of a
+// stream, and against a stream that then looks complete.
+TEST_F(mixed_answers, nothing_but_events_follows_a_stream_that_broke_off)
+{
+    struct row {
+        const char* what;
+        raw_answer next;
+    };
+    const std::vector<row> rows{
+        {"an error", {in_chunks("500 Failed", genuine, event_2)}},
+        {"an error that ends with its connection",
+         {unframed("500 Failed", genuine, event_2), after_answer::close}},
+        {"a refusal",
+         {with_length("503 Full", "Not-Run: 1\r\n" + genuine, "full")}},
+        {"a refusal with events",
+         {in_chunks("503 Full", "Not-Run: 1\r\n" + genuine, event_2)}},
+        {"no server's mark", {in_chunks("200 OK", "Id: r1\r\n", event_2)}},
+        {"another success", {in_chunks("202 Accepted", genuine, event_2)}},
+        {"another request's answer",
+         {in_chunks("200 OK", "Id: r0\r\nSeal: 1\r\n", event_2),
+          after_answer::close}},
+        {"no answer", {event_2, after_answer::close}},
+        {"a head in the place of the body",
+         {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + genuine +
+              "\r\n" + with_length("500 Failed", genuine, event_2),
+          after_answer::close}},
+        {"an end inside an event",
+         {unframed("200 OK", genuine, "id: 2\nda"), after_answer::close}},
+        {"a reset", {unframed("200 OK", genuine, ""), after_answer::reset}},
+    };
+    for (const auto& row : rows) {
+        this->use_raw_server(false);
+        this->first.behave = break_off;
+        this->raw.answers = {row.next};
+        const auto view = this->watch("/talk/x");
+        EXPECT_EQ(view.body, "id: 1\ndata: a\n\n") << row.what;
+        EXPECT_FALSE(view.complete) << row.what;
+        EXPECT_GE(this->raw.seen.size(), 1U) << row.what;
+    }
+}
+
+// Each row: what a server writes on a kept connection before its answer to the
+// next request. Guards against an answer to an earlier request, and against
+// "not run" for a request that its server runs.
+TEST_F(mixed_answers, a_late_copy_on_a_kept_connection_answers_no_request)
+{
+    const std::string own = with_length("200 OK", genuine, "own");
+    const std::string refusal = "Not-Run: 1\r\n";
+    struct row {
+        const char* what;
+        std::string late_copy;
+    };
+    const std::vector<row> rows{
+        {"none", ""},
+        {"an answer", with_length("200 OK", "Id: r0\r\nSeal: 1\r\n", "copy")},
+        {"an answer without an id",
+         with_length("200 OK", "Seal: 1\r\n", "copy")},
+        {"a refusal", with_length("503 Full", "Id: r0\r\n" + refusal, "full")},
+        {"a refusal without an id", with_length("503 Full", refusal, "full")},
+        {"an error without an id", with_length("500 Failed", "", "copy")},
+    };
+    for (const auto& row : rows) {
+        this->use_raw_server(true);
+        this->request_id = "r0";
+        this->raw.answers = {
+            {with_length("200 OK", "Id: r0\r\nSeal: 1\r\n", "first")},
+            {own, after_answer::keep, row.late_copy}};
+        EXPECT_EQ(this->watch("/read/x").body, "first") << row.what;
+        const auto connections = this->raw.connections;
+        this->request_id = "r1";
+        const auto view = this->watch("/read/x");
+        EXPECT_EQ(view.status, 200U) << row.what;
+        EXPECT_EQ(view.body, "own") << row.what;
+        EXPECT_EQ(this->raw.seen.size(), 2U) << row.what;
+        EXPECT_EQ(this->raw.connections, connections) << row.what;
+    }
+}
+
+// Guards against a late copy that is taken for the answer to a request which
+// may run once at most, or to one without an id.
+TEST_F(mixed_answers, answers_that_no_id_tells_apart_need_a_new_connection)
+{
+    const auto copy = with_length("503 Full", "Not-Run: 1\r\n", "full");
+    for (const auto* id : {"r1", ""}) {
+        this->use_raw_server(true);
+        this->request_id = "r0";
+        this->raw.answers = {
+            {with_length("200 OK", "Id: r0\r\nSeal: 1\r\n", "first")},
+            {with_length("200 OK", "Seal: 1\r\n", "own"),
+             after_answer::keep,
+             copy}};
+        EXPECT_EQ(this->watch("/read/x").body, "first");
+        const auto connections = this->raw.connections;
+        this->request_id = id;
+        const auto view =
+            this->watch(this->request_id.empty() ? "/read/x" : "/once/x");
+        EXPECT_EQ(view.body, "own") << id;
+        EXPECT_EQ(this->raw.connections, connections + 1) << id;
+    }
+}
+
+// Each row: an answer with neither a length nor chunks. Guards against one that
+// looks complete although its connection was reset.
+TEST_F(mixed_answers, an_answer_that_ends_with_its_connection)
+{
+    struct row {
+        const char* target;
+        std::string body;
+        after_answer then;
+        unsigned status;
+    };
+    const std::vector<row> rows{
+        {"/read/x", "done", after_answer::close, 200},
+        {"/once/x", "done", after_answer::close, 200},
+        {"/once/x", "do", after_answer::reset, 502},
+        {"/talk/x", three_events, after_answer::close, 200},
+        {"/talk/x", "id: 1\nda", after_answer::close, 502},
+    };
+    for (const auto& row : rows) {
+        this->use_raw_server(true);
+        this->raw.answers = {{unframed("200 OK", genuine, row.body), row.then}};
+        const auto view = this->watch(row.target);
+        EXPECT_EQ(view.status, row.status) << row.target << row.body;
+        EXPECT_EQ(view.body == row.body, row.status == 200)
+            << row.target << row.body;
+    }
+}
+
 } // namespace
 } // namespace oleanderhinge::gateway
--- a/oleanderhinge/gateway/raw_backend_test.hpp
+++ b/oleanderhinge/gateway/raw_backend_test.hpp
@@ -96,11 +96,14 @@
                 (answered ? answer.late_copy : std::string()) + answer.bytes;
             co_await boost::asio::async_write(
                 socket, boost::asio::buffer(bytes), as_pair);
+            if (answer.then == after_answer::keep)
+                continue;
             if (answer.then == after_answer::reset)
                 socket.set_option(
                     boost::asio::ip::tcp::socket::linger(true, 0));
-            if (answer.then != after_answer::keep)
-                co_return;
+            // The destructor would not reset the connection.
+            socket.close();
+            co_return;
         }
     }
 
