gateway: relay no stream with a content coding

What callers would see: coded bytes in their stream, or behind the events of another server.

Cause: the checks of a successful answer stood twice. The one of plain answers looked at the mark and the content coding, that of streams at the mark alone.

Change: has_servers_body is the one check of both.

The row "a content coding" of nothing_but_events_follows_a_stream_that_broke_off failed before: the caller had event 2 of the coded answer, and a complete stream. The other eleven rows passed before: an error, a refusal, an answer without the mark, to another request or that is no answer at all never reached a stream that had begun.

--- a/oleanderhinge/gateway/forwarder.hpp
+++ b/oleanderhinge/gateway/forwarder.hpp
@@ -105,6 +105,7 @@
     boost::asio::awaitable<attempt_result>
     read_answer_head(forwarding_request& request, steady_time limit);
     static steady_time first_event_limit(const forwarding_request& request);
+    bool has_servers_body(const upstream_connection& answer) const;
     boost::asio::awaitable<attempt_result>
     relay_events(forwarding_request& request);
     void note_first_event(const forwarding_request& request);
--- a/oleanderhinge/gateway/internal/forwarder_attempts.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_attempts.cpp
@@ -132,9 +132,15 @@
     }
 }
 
-// Reads the rest of an answer and sends it to the caller unchanged. A
-// successful answer is relayed only if it carries the server's mark and no
-// content coding.
+// Whether the body of a successful answer is the server's own, unchanged.
+bool forwarder::has_servers_body(const upstream_connection& answer) const
+{
+    return this->protocol.read_answer(answer.status(), answer.fields())
+               .sealed &&
+           answer.fields()[http::field::content_encoding].empty();
+}
+
+// Reads the rest of an answer and sends it to the caller unchanged.
 asio::awaitable<forwarder::attempt_result>
 forwarder::relay_whole_answer(forwarding_request& request)
 {
@@ -150,12 +156,8 @@
                 "answer broke off: " + failed.message()));
     }
     const auto status = request.connection->status();
-    const auto metadata =
-        this->protocol.read_answer(status, request.connection->fields());
     const bool success = status >= 200 && status < 300;
-    const bool encoded =
-        !request.connection->fields()[http::field::content_encoding].empty();
-    if (success && (!metadata.sealed || encoded))
+    if (success && !this->has_servers_body(*request.connection))
         co_return failed_with<attempt_result>(base::may_have_run(
             failure_code::server_failed, "answer without the server's mark"));
     auto headers = end_to_end_fields(request.connection->fields());
--- a/oleanderhinge/gateway/internal/forwarder_streams.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_streams.cpp
@@ -225,9 +225,7 @@
                     std::to_string(request.connection->status())));
         co_return co_await this->relay_whole_answer(request);
     }
-    const auto metadata = this->protocol.read_answer(
-        request.connection->status(), request.connection->fields());
-    if (!metadata.sealed)
+    if (!this->has_servers_body(*request.connection))
         co_return failed_with<attempt_result>(base::may_have_run(
             failure_code::server_failed, "answer without the server's mark"));
     co_return co_await this->relay_events(request);
--- a/oleanderhinge/gateway/mixed_answers_test.cpp
+++ b/oleanderhinge/gateway/mixed_answers_test.cpp
@@ -171,6 +171,9 @@
         {"a refusal with events",
          {in_chunks("503 Full", "Not-Run: 1\r\n" + genuine, event_2)}},
         {"no server's mark", {in_chunks("200 OK", "Id: r1\r\n", event_2)}},
+        {"a content coding",
+         {in_chunks(
+             "200 OK", "Content-Encoding: gzip\r\n" + genuine, event_2)}},
         {"another success", {in_chunks("202 Accepted", genuine, event_2)}},
         {"another request's answer",
          {in_chunks("200 OK", "Id: r0\r\nSeal: 1\r\n", event_2),
