gateway, platform: send orders to engines on new connections

What callers would see: a pause of 1.5 s or a stream that ends, since their gateway takes the second copy of a state answer for the consent to a path change that was refused.

Cause: state queries, path changes and orders of layers shared kept connections, and their answers carry no id. A late copy that arrives after the next call was sent is taken for its answer.

Ruled out: control's polls of engine states stay on kept connections; a late copy there is a state of the same engine, a second older, and the next poll replaces it. The agent sends orders and calls that may not be repeated on new connections already.

Change: these calls get a new connection each, and none is kept.

a_late_copy_is_not_the_answer_to_a_path_change failed before (changed_paths 1 for 0, the caller's stream ended after event 1 at its deadline) and passes now; gateway_test: 39 of 39. The order of layers has no test of its own; its answer is confirmed by the server's next report in any case.

--- a/oleanderhinge/gateway/forwarder_fixture_test.hpp
+++ b/oleanderhinge/gateway/forwarder_fixture_test.hpp
@@ -360,6 +360,12 @@
     // `other` the second half each. The path over `lost` is preferred, and
     // requests on it stall.
     void stall_behind_first(const std::string& lost)
+    {
+        this->stall_behind(this->first.address, lost);
+    }
+
+    // The same behind a server at `head`.
+    void stall_behind(const wire::endpoint& head, const std::string& lost)
     {
         this->protocol.parse_stalls = [lost](const std::string&) {
             return std::vector<stalled_request>{{"r1", {lost, 80}}};
@@ -384,7 +390,7 @@
                 base::layer_index{from}, base::layer_index{from + 2}};
             apply_record(this->selector, record, base::monotonic_now());
         };
-        add("head", this->first.address, 0, "near");
+        add("head", head, 0, "near");
         add("lost", {lost, 80}, 2, "near");
         add("other", {"other", 80}, 2, "far");
     }
--- a/oleanderhinge/gateway/mixed_answers_test.cpp
+++ b/oleanderhinge/gateway/mixed_answers_test.cpp
@@ -258,6 +258,26 @@
     }
 }
 
+// A server answers a state query twice and then refuses to change the path.
+// Guards against the second copy in the place of the refusal: the stream would
+// wait for a path that it doesn't have.
+TEST_F(mixed_answers, a_late_copy_is_not_the_answer_to_a_path_change)
+{
+    this->use_raw_server(true);
+    this->stall_behind(this->raw.address(), "lost");
+    const auto begin = "HTTP/1.1 200 OK\r\n" + genuine + "\r\n";
+    const auto state = with_length("200 OK", "", "{}");
+    this->raw.answers = {
+        {begin + "id: 1\ndata: x\n\n"},
+        {state},
+        {with_length("409 Conflict", "", ""), after_answer::keep, state},
+        {begin + "id: 2\ndata: x\n\nid: 3\ndata: x\n\n", after_answer::close}};
+    this->start_stall_checks();
+    EXPECT_EQ(this->watch("/talk/x").body, three_events);
+    EXPECT_EQ(this->stats.changed_paths.Value(), 0);
+    EXPECT_EQ(this->stats.attempts.Value(), 2);
+}
+
 // Each row: an answer with neither a length nor chunks. Guards against one that
 // looks complete although its connection was reset.
 TEST_F(mixed_answers, an_answer_that_ends_with_its_connection)
--- a/oleanderhinge/gateway/stall_watch.cpp
+++ b/oleanderhinge/gateway/stall_watch.cpp
@@ -23,7 +23,9 @@
 constexpr auto state_query_interval = milliseconds(300);
 // Timeout of state queries and path changes. Servers answer both at once.
 constexpr auto engine_call_timeout = milliseconds(200);
-constexpr std::size_t kept_connections = 1;
+// Answers to both carry no id, so that on a kept connection a late copy of one
+// could not be told from the next.
+constexpr std::size_t kept_connections = 0;
 // A stream that is silent for this many times the longest gap that its route
 // allows, and at least for `min_silence`, is resumed on another path if there
 // is one. Bytes that complete no event do not count.
@@ -120,10 +122,7 @@
     const auto started = steady_now();
     auto call = this->protocol.make_state_query();
     const auto outcome = co_await this->client.call(
-        first_server,
-        std::move(call),
-        engine_call_timeout,
-        net::reuse::allowed);
+        first_server, std::move(call), engine_call_timeout, net::reuse::never);
     if (outcome.failure == net::http_failure::none) {
         for (const auto& stalled :
              this->protocol.parse_stalls(outcome.answer.body))
@@ -224,7 +223,7 @@
             parts.front().address,
             std::move(call),
             engine_call_timeout,
-            net::reuse::allowed);
+            net::reuse::never);
     }
     request.path_change_pending = false;
     // The attempt may have ended during the call.
