--- a/oleanderhinge/gateway/forwarder_fixture_test.hpp
+++ b/oleanderhinge/gateway/forwarder_fixture_test.hpp
@@ -255,7 +255,9 @@
         wire::forwarding_table table;
         table.version = 1;
         table.needs_keys = true;
-        table.customers = {{base::customer_id{"hule"}, {"key"}, {}}};
+        table.customers = {
+            {base::customer_id{"hule"}, {"key"}, {}},
+            {base::customer_id{"mint"}, {"mint key"}, {}}};
         table.services = {{"desk", "", 0, {}}, {"chat", "", 0, {}}};
         auto& engine = table.services[1].engine.emplace();
         engine.layer_count = 4;
