fleet, gateway: quarantine requests that crash servers whenever they come

What callers saw: one request, sent again and again with the same path, customer and body, ended one server after the other, and each crash ended the other streams of the server.

Cause: crashes were counted by the parts of a prompt that requests share, and a request's own part counted once, so that the copies of one request never reached the limit. Plain calls were not watched at all.

Ruled out: crashes that are not noticed (174, 271 and 142 server_crashed lines); answers that clear the evidence (an answer on a shared part says nothing of the request, and there was no evidence on the request to clear).

Change: a request is one more suspect beside the parts of its prompt, under a key of customer, method, host, target and body. Each of its attempts counts. The module and its messages stay as they are, since such a suspect is a prompt of one part whose own part is the attempt. Plain calls note crashes and answers, and are refused and not repeated by the same rules. The key is computed only while there is a suspect. 512 suspects in place of 256, since each crash now suspects every request that waited there.

The test of the evidence expected one crash in a message; it now expects two, the one of the part as before and that of the request.

--- a/oleanderhinge/fleet/crash_quarantine.hpp
+++ b/oleanderhinge/fleet/crash_quarantine.hpp
@@ -1,9 +1,14 @@
-// Finds the part of a prompt that crashes backend servers, and quarantines the
-// requests that have it.
+// Finds the part of a prompt, or the request, that crashes backend servers, and
+// quarantines the requests that have it.
 //
-// Pattern: one part of a prompt crashes each server that begins an answer on
-// it. Every crash also ends the other requests of the server, and requests with
-// that part end servers faster than these restart.
+// Pattern: one part of a prompt, or one request that comes again and again,
+// crashes each server that begins an answer on it. Every crash also ends the
+// other requests of the server, and such requests end servers faster than these
+// restart.
+//
+// A request as a whole is treated as one more part, which its repetitions
+// share: `whole_request` gives it as a prompt of its own, in which each attempt
+// counts as a different request.
 //
 // When a server crashes, each request that waited there for its first event is
 // suspected, and so are the parts that it shares with others. An answer that
@@ -20,6 +25,7 @@
 // Example:
 //   // a gateway whose request lost its server
 //   publish(note_crash(q, prompt, server, now));
+//   publish(note_crash(q, whole_request(key, attempt), server, now));
 //   // a gateway that has received what another one published
 //   answer(apply(q, evidence, now).reply);
 //   // before each attempt
@@ -56,7 +62,7 @@
 // Limits on memory. Parts that are not quarantined are dropped first, and of
 // these the one whose last crash is the oldest. Of a longer prompt, the last
 // shared parts count.
-inline constexpr std::size_t max_suspects = 256;
+inline constexpr std::size_t max_suspects = 512;
 inline constexpr std::size_t max_crashes_per_part = 8;
 inline constexpr std::size_t max_shared_parts = 16;
 inline constexpr std::size_t max_answered_parts = 4096;
@@ -69,6 +75,13 @@
     std::vector<base::prompt_part> shared;
 };
 
+// The request as a whole. `key` is the same for all that ask for the same, and
+// `attempt` differs with each time that a server gets it.
+inline prompt whole_request(base::prompt_part key, base::prompt_part attempt)
+{
+    return {attempt, {key}};
+}
+
 struct crash_quarantine {
     struct crash {
         base::time_point at;
@@ -130,6 +143,13 @@
 // more.
 bool may_repeat_after_crash(const crash_quarantine& q, const prompt& request);
 
+// Whether there is any crash to weigh, so that it is worth identifying
+// requests.
+inline bool has_suspects(const crash_quarantine& q)
+{
+    return !q.suspects.empty();
+}
+
 // Number of quarantines in force.
 std::size_t quarantined_parts(const crash_quarantine& q, base::time_point now);
 
--- a/oleanderhinge/fleet/crash_quarantine_test.cpp
+++ b/oleanderhinge/fleet/crash_quarantine_test.cpp
@@ -52,6 +52,34 @@
             at(start + i * 400ms));
 }
 
+// Guards against a repeated request whose crashes count as one, and against
+// refusing the parts that it shares with sound requests.
+TEST(crash_quarantine, a_repeated_request_is_quarantined_without_its_parts)
+{
+    constexpr base::prompt_part key{7};
+    crash_quarantine q;
+    const auto crash_under = [&](std::uint64_t attempt) {
+        const auto time = at(std::int64_t(attempt) * 400ms);
+        note_crash(q, poisoned, server(attempt), time);
+        note_crash(
+            q,
+            whole_request(key, base::prompt_part{attempt}),
+            server(attempt),
+            time);
+    };
+    const auto next = whole_request(key, base::prompt_part{99});
+    crash_under(1);
+    EXPECT_TRUE(may_repeat_after_crash(q, next));
+    crash_under(2);
+    EXPECT_FALSE(may_repeat_after_crash(q, next));
+    EXPECT_FALSE(quarantined_until(q, next, at(1s)));
+    crash_under(3);
+    EXPECT_TRUE(quarantined_until(q, next, at(2s)));
+    EXPECT_FALSE(quarantined_until(q, poisoned, at(2s)));
+    note_answer(q, next, at(3s));
+    EXPECT_FALSE(quarantined_until(q, next, at(3s)));
+}
+
 // Guards against a quarantine that begins after more crashes than it needs, or
 // that covers parts which the crashes have in common with sound requests.
 TEST(crash_quarantine, the_part_that_all_crashes_share_is_quarantined)
--- a/oleanderhinge/gateway/forwarder.hpp
+++ b/oleanderhinge/gateway/forwarder.hpp
@@ -90,10 +90,15 @@
     boost::asio::awaitable<attempt_result>
     attempt_stream(forwarding_request& request, fleet::path parts);
     void note_fault(forwarding_request& request, const attempt_result& result);
-    boost::asio::awaitable<void>
-    note_crash(const forwarding_request& request, const attempt_result& result);
+    boost::asio::awaitable<void> note_crash(
+        forwarding_request& request,
+        const attempt_result& result,
+        const wire::endpoint& server);
+    void note_answer(forwarding_request& request);
     std::optional<base::verdict>
-    quarantine_verdict(const forwarding_request& request);
+    quarantine_verdict(forwarding_request& request);
+    bool may_repeat_after_crash(
+        forwarding_request& request, const base::verdict& why) const;
     void share(const wire::crash_evidence& news) const;
     boost::asio::awaitable<bool>
     may_continue(forwarding_request& request, base::verdict why);
--- a/oleanderhinge/gateway/forwarder_test.cpp
+++ b/oleanderhinge/gateway/forwarder_test.cpp
@@ -245,10 +245,14 @@
     this->second.behave = crash(this->second);
     EXPECT_EQ(this->ask("/talk/x").answer.status, 502U);
     ASSERT_FALSE(this->shared_evidence.empty());
-    ASSERT_EQ(this->shared_evidence[0].crashes.size(), 1U);
+    // One for the part of the prompt, and one for the request.
+    ASSERT_EQ(this->shared_evidence[0].crashes.size(), 2U);
     const auto& crash = this->shared_evidence[0].crashes[0];
     EXPECT_EQ(crash.own, part_of("r1"));
     EXPECT_EQ(crash.shared, std::vector{part_of("deadly")});
+    const auto& whole = this->shared_evidence[0].crashes[1];
+    EXPECT_EQ(whole.shared.size(), 1U);
+    EXPECT_NE(whole.shared, crash.shared);
 }
 
 // Guards against suspecting requests whose connection broke although their
--- a/oleanderhinge/gateway/forwarding_request.hpp
+++ b/oleanderhinge/gateway/forwarding_request.hpp
@@ -64,6 +64,8 @@
     bool path_change_pending = false;
     // No path change is tried before this time, since the last one failed.
     steady_time next_path_change;
+    // What identifies the request among its repetitions; set when first needed.
+    std::optional<base::prompt_part> repetition_key;
     // The retry for the next attempt has been taken from the budget.
     bool retry_reserved = false;
     // Set while the request is suspended in `wait_until`.
--- a/oleanderhinge/gateway/internal/forwarder_calls.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_calls.cpp
@@ -21,6 +21,8 @@
 asio::awaitable<void> forwarder::serve_call(forwarding_request& request)
 {
     while (true) {
+        if (const auto why = this->quarantine_verdict(request))
+            co_return co_await this->fail_request(request, *why);
         const auto now = base::monotonic_now();
         const auto to = choose_server(
             this->selector,
@@ -42,6 +44,7 @@
         this->log_attempt(request, result, now);
         if (result.end == attempt_end::answered) {
             note_success(this->selector, to->address, ms_since(started), now);
+            this->note_answer(request);
             co_return;
         }
         if (result.end == attempt_end::caller_left || request.caller_left) {
@@ -53,7 +56,9 @@
             note_error(this->selector, to->address, now);
         else
             note_failure(this->selector, to->address, base::monotonic_now());
-        if (!this->may_repeat(request, result.why, base::monotonic_now()))
+        co_await this->note_crash(request, result, to->address);
+        if (!this->may_repeat_after_crash(request, result.why) ||
+            !this->may_repeat(request, result.why, base::monotonic_now()))
             co_return co_await this->fail_request(request, result.why);
     }
 }
--- a/oleanderhinge/gateway/internal/forwarder_crashes.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_crashes.cpp
@@ -1,14 +1,19 @@
+#include "oleanderhinge/base/hash.hpp"
 #include "oleanderhinge/gateway/internal/attempt.hpp"
 
 #include <boost/asio/error.hpp>
+#include <boost/endian/conversion.hpp>
 #include <spdlog/spdlog.h>
 
+#include <cstring>
+#include <string_view>
 #include <utility>
 
 namespace oleanderhinge::gateway
 {
 
 namespace asio = boost::asio;
+namespace http = boost::beast::http;
 using base::failure_code;
 using std::chrono::milliseconds;
 
@@ -32,6 +37,39 @@
     co_return failed == asio::error::connection_refused;
 }
 
+// The same for requests of one customer with one target and body, in every
+// gateway. The customer is part of it, so that nobody can have the request of
+// another one refused; a cryptographic hash, so that nobody can find a body
+// with the key of another request.
+base::prompt_part repetition_key(forwarding_request& request)
+{
+    if (!request.repetition_key) {
+        std::string text;
+        const auto body = base::sha256(request.incoming.body());
+        for (const auto part :
+             {std::string_view(request.customer.value()),
+              std::string_view(request.incoming.method_string()),
+              std::string_view(request.incoming[http::field::host]),
+              std::string_view(request.incoming.target())})
+            text.append(std::to_string(part.size())).append(":").append(part);
+        text.append(body.begin(), body.end());
+        const auto digest = base::sha256(text);
+        std::uint64_t key = 0;
+        std::memcpy(&key, digest.data(), sizeof key);
+        request.repetition_key =
+            base::prompt_part{boost::endian::big_to_native(key)};
+    }
+    return *request.repetition_key;
+}
+
+fleet::prompt as_whole(forwarding_request& request)
+{
+    return fleet::whole_request(
+        repetition_key(request),
+        base::prompt_part{
+            base::stable_hash(request.metadata.id, request.attempts)});
+}
+
 } // namespace
 
 void forwarder::share(const wire::crash_evidence& news) const
@@ -44,52 +82,88 @@
 // first event, and the server's process is gone. A stream that the gateway
 // cancelled, or whose prompt servers have answered before, is no evidence.
 asio::awaitable<void> forwarder::note_crash(
-    const forwarding_request& request, const attempt_result& result)
+    forwarding_request& request,
+    const attempt_result& result,
+    const wire::endpoint& server)
 {
-    if (request.events.event_count != 0 ||
-        request.metadata.prompt.shared.empty() ||
-        !request.waits_for.address.empty() ||
+    if (request.events.event_count != 0 || !request.waits_for.address.empty() ||
         result.why.state != base::execution::may_have_run ||
         result.why.code == failure_code::deadline_exceeded)
         co_return;
-    const auto server = request.parts.front().address;
     const bool crashed = co_await is_process_gone(this->io, server);
     if (!crashed)
         co_return;
     const auto now = base::monotonic_now();
-    const auto news = fleet::note_crash(
+    auto news = fleet::note_crash(
         this->quarantine, request.metadata.prompt, server, now);
+    const auto suspected_parts =
+        news.crashes.empty() ? 0 : news.crashes.front().shared.size();
+    const auto whole =
+        fleet::note_crash(this->quarantine, as_whole(request), server, now);
+    news.crashes.insert(
+        news.crashes.end(), whole.crashes.begin(), whole.crashes.end());
     this->stats.crashes.Increment();
     spdlog::warn(
-        "event=server_crashed request={} server={}:{} suspected_parts={} "
-        "quarantined_parts={}",
+        "event=server_crashed request={} server={}:{} repetition_key={:x} "
+        "suspected_parts={} quarantined_parts={}",
         request.metadata.id,
         server.address,
         server.port,
-        news.crashes.empty() ? 0 : news.crashes.front().shared.size(),
+        repetition_key(request).value(),
+        suspected_parts,
         fleet::quarantined_parts(this->quarantine, now));
     this->share(news);
 }
 
-// The refusal of a request with a quarantined part.
+// An answer to the request has begun, which shows that it crashes no server.
+void forwarder::note_answer(forwarding_request& request)
+{
+    const auto now = base::monotonic_now();
+    // Taken before the answer clears the last suspect.
+    const bool suspects = fleet::has_suspects(this->quarantine);
+    this->share(
+        fleet::note_answer(this->quarantine, request.metadata.prompt, now));
+    if (suspects)
+        this->share(
+            fleet::note_answer(this->quarantine, as_whole(request), now));
+}
+
+// The refusal of a request that is in quarantine, as a whole or for one of its
+// parts.
 std::optional<base::verdict>
-forwarder::quarantine_verdict(const forwarding_request& request)
+forwarder::quarantine_verdict(forwarding_request& request)
 {
-    if (request.head_sent)
+    if (request.head_sent || !fleet::has_suspects(this->quarantine))
         return std::nullopt;
     const auto now = base::monotonic_now();
-    const auto end = fleet::quarantined_until(
+    auto end = fleet::quarantined_until(
         this->quarantine, request.metadata.prompt, now);
-    if (!end)
+    const auto whole_end =
+        fleet::quarantined_until(this->quarantine, as_whole(request), now);
+    if (!end && !whole_end)
         return std::nullopt;
+    end = std::max(end.value_or(now), whole_end.value_or(now));
     this->stats.quarantined.Increment();
     const std::chrono::duration<double> spread =
         quarantine_retry_spread * this->random.unit();
     return base::not_run(
         failure_code::quarantined,
-        "servers crashed on a part of this prompt",
+        whole_end ? "servers crashed on this request"
+                  : "servers crashed on a part of this prompt",
         std::chrono::ceil<milliseconds>(*end - now) +
             std::chrono::duration_cast<milliseconds>(spread));
 }
 
+// False if the last attempt may have crashed its server and another one is
+// likely to crash one more.
+bool forwarder::may_repeat_after_crash(
+    forwarding_request& request, const base::verdict& why) const
+{
+    return request.head_sent || why.state != base::execution::may_have_run ||
+           !fleet::has_suspects(this->quarantine) ||
+           (fleet::may_repeat_after_crash(
+                this->quarantine, request.metadata.prompt) &&
+            fleet::may_repeat_after_crash(this->quarantine, as_whole(request)));
+}
+
 } // namespace oleanderhinge::gateway
--- a/oleanderhinge/gateway/internal/forwarder_streams.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_streams.cpp
@@ -102,7 +102,7 @@
             this->selector.health[part.address].failures_in_a_row = 0;
     } else if (result.end == attempt_end::failed && !request.caller_left) {
         this->note_fault(request, result);
-        co_await this->note_crash(request, result);
+        co_await this->note_crash(request, result, first);
     }
     co_return result;
 }
@@ -130,9 +130,7 @@
 asio::awaitable<bool>
 forwarder::may_continue(forwarding_request& request, base::verdict why)
 {
-    if (!request.head_sent && why.state == base::execution::may_have_run &&
-        !fleet::may_repeat_after_crash(
-            this->quarantine, request.metadata.prompt))
+    if (!this->may_repeat_after_crash(request, why))
         co_return false;
     const bool refused_midway =
         request.head_sent && why.state == base::execution::not_run;
@@ -253,10 +251,7 @@
         const auto events = take_events(buffer, request.events, bytes);
         if (!events.empty() && !request.head_sent) {
             request.head_sent = true;
-            this->share(fleet::note_answer(
-                this->quarantine,
-                request.metadata.prompt,
-                base::monotonic_now()));
+            this->note_answer(request);
             this->note_first_event(request);
             this->stats.first_byte_seconds.Observe(
                 ms_since(request.arrived) / 1000);
