gateway: relay only bytes that are events

Change: each line of an event has to be a field or a comment. At other bytes the answer has broken off, and the stream is continued or ends incomplete.

The rows "a head in a body that ends with its connection", "a head inside an event" and "text", and the tests a_stream_ends_before_the_head_of_a_second_answer and takes_nothing_that_is_no_event guard against it; gateway_test passes.

--- a/oleanderhinge/gateway/event_stream.cpp
+++ b/oleanderhinge/gateway/event_stream.cpp
@@ -1,5 +1,6 @@
 #include "oleanderhinge/gateway/event_stream.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <optional>
 
@@ -66,17 +67,52 @@
     return last && next && *next <= *last;
 }
 
+// "name: value", ": comment", or the name of a field alone.
+bool is_field(std::string_view line)
+{
+    if (line.ends_with('\r'))
+        line.remove_suffix(1);
+    if (line.empty())
+        return true;
+    const auto name = line.substr(0, line.find(':'));
+    if (name.size() == line.size())
+        return name == "data" || name == "event" || name == "id" ||
+               name == "retry";
+    return std::ranges::all_of(name, [](char c) {
+        return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+               (c >= '0' && c <= '9') || c == '-' || c == '_';
+    });
+}
+
+// Whether all lines are fields.
+bool is_event(std::string_view text)
+{
+    while (!text.empty()) {
+        const auto end = std::min(text.find('\n'), text.size());
+        if (!is_field(text.substr(0, end)))
+            return false;
+        text.remove_prefix(std::min(end + 1, text.size()));
+    }
+    return true;
+}
+
 } // namespace
 
 std::vector<std::string> take_events(
     event_buffer& buffer, event_position& position, std::string_view bytes)
 {
     std::vector<std::string> events;
+    if (buffer.malformed)
+        return events;
     buffer.partial.append(bytes);
     std::size_t begin = 0;
     while (const auto length = first_event_length(
                std::string_view(buffer.partial).substr(begin))) {
         auto event = buffer.partial.substr(begin, length);
+        if (!is_event(event)) {
+            buffer.malformed = true;
+            break;
+        }
         begin += length;
         const std::string id(event_id(event));
         if (!id.empty() && is_duplicate(position, id))
@@ -87,7 +123,7 @@
         events.push_back(std::move(event));
     }
     buffer.partial.erase(0, begin);
-    buffer.oversized = buffer.partial.size() > max_event_bytes;
+    buffer.malformed |= buffer.partial.size() > max_event_bytes;
     return events;
 }
 
--- a/oleanderhinge/gateway/event_stream.hpp
+++ b/oleanderhinge/gateway/event_stream.hpp
@@ -33,14 +33,16 @@
 struct event_buffer {
     // Bytes of an event whose end has not arrived.
     std::string partial;
-    // The incomplete event is longer than `max_event_bytes`.
-    bool oversized = false;
+    // What follows is no event: a line that is no field, such as the head or
+    // the text of another answer, or more than `max_event_bytes` without an
+    // end.
+    bool malformed = false;
 };
 
 // Appends bytes of an answer and returns the events that are complete, each
 // with its empty last line. Drops an event whose numeric id is not above
 // `last_id`: a server that resumes a stream may begin with an event that the
-// caller has received.
+// caller has received. Takes nothing more once the buffer is malformed.
 std::vector<std::string> take_events(
     event_buffer& buffer, event_position& position, std::string_view bytes);
 
--- a/oleanderhinge/gateway/event_stream_test.cpp
+++ b/oleanderhinge/gateway/event_stream_test.cpp
@@ -51,13 +51,45 @@
     EXPECT_EQ(position.last_id, "1");
 }
 
+// Each row: bytes behind the first event. Guards against the text or the head
+// of another answer that is relayed as an event.
+TEST(event_stream, takes_nothing_that_is_no_event)
+{
+    struct row {
+        const char* bytes;
+        bool taken;
+    };
+    for (const auto& [bytes, taken] : {
+             row{"id: 2\ndata: b\n\n", true},
+             row{"weight_version: 3\nid: 2\ndata:b\n\n", true},
+             row{": comment\n\n", true},
+             row{"data\n\n", true},
+             row{"HTTP/1.1 200 OK\r\nId: r0\r\n\r\n", false},
+             row{"id: 2\ndaHTTP/1.1 503 Full\r\nId: r0\r\n\r\n", false},
+             row{"0\r\n\r\n", false},
+             row{"out of memory\n\n", false},
+             row{"{\"error\": \"x\"}\n\n", false},
+         }) {
+        event_position position;
+        event_buffer buffer;
+        const auto events = take_events(
+            buffer, position, "id: 1\ndata: a\n\n" + std::string(bytes));
+        EXPECT_EQ(events.size(), taken ? 2U : 1U) << bytes;
+        EXPECT_EQ(buffer.malformed, !taken) << bytes;
+        EXPECT_EQ(
+            take_events(buffer, position, "id: 3\ndata: c\n\n").size(),
+            taken ? 1U : 0U)
+            << bytes;
+    }
+}
+
 // Guards against unlimited buffering of an event that never ends.
 TEST(event_stream, reports_oversized_events)
 {
     event_position position;
     event_buffer buffer;
     take_events(buffer, position, std::string(max_event_bytes + 1, 'x'));
-    EXPECT_TRUE(buffer.oversized);
+    EXPECT_TRUE(buffer.malformed);
 }
 
 } // namespace
--- a/oleanderhinge/gateway/internal/forwarder_streams.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_streams.cpp
@@ -263,12 +263,13 @@
         const bool written = co_await this->write_events(request, events);
         if (!written || request.caller_left)
             co_return attempt_result{attempt_end::caller_left, {}, {}};
-        if (failed || buffer.oversized)
+        if (failed || buffer.malformed)
             co_return broken_off(base::may_have_run(
                 steady_now() >= first_event_limit(request)
                     ? failure_code::deadline_exceeded
                     : failure_code::server_failed,
-                "stream broke off: " + failed.message()));
+                buffer.malformed ? "bytes that are no event"
+                                 : "stream broke off: " + failed.message()));
     }
     if (!buffer.partial.empty() || !request.head_sent)
         co_return broken_off(base::may_have_run(
--- a/oleanderhinge/gateway/mixed_answers_test.cpp
+++ b/oleanderhinge/gateway/mixed_answers_test.cpp
@@ -183,6 +183,16 @@
          {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + genuine +
               "\r\n" + with_length("500 Failed", genuine, event_2),
           after_answer::close}},
+        {"a head in a body that ends with its connection",
+         {unframed("200 OK", genuine, with_length("503 Full", genuine, "")),
+          after_answer::close}},
+        {"a head inside an event",
+         {unframed(
+              "200 OK",
+              genuine,
+              "id: 2\nda" + with_length("503 Full", genuine, "")),
+          after_answer::close}},
+        {"text", {in_chunks("200 OK", genuine, "out of memory\n\n")}},
         {"an end inside an event",
          {unframed("200 OK", genuine, "id: 2\nda"), after_answer::close}},
         {"a reset", {unframed("200 OK", genuine, ""), after_answer::reset}},
@@ -198,6 +208,17 @@
     }
 }
 
+// Guards against a second answer behind a stream that ends with its connection.
+TEST_F(mixed_answers, a_stream_ends_before_the_head_of_a_second_answer)
+{
+    this->use_raw_server(true);
+    const auto copy = with_length("200 OK", "Id: r0\r\nSeal: 1\r\n", "copy");
+    this->raw.answers = {
+        {unframed("200 OK", genuine, three_events + copy),
+         after_answer::close}};
+    EXPECT_EQ(this->watch("/talk/x").body, three_events);
+}
+
 // Each row: what a server writes on a kept connection before its answer to the
 // next request. Guards against an answer to an earlier request, and against
 // "not run" for a request that its server runs.
