gateway: complete no stream by a closed connection alone

What callers would see: a stream that ends as complete before its last event.

Cause: a stream that had begun and was continued counted as complete at the end of any answer. A server that dies behind the head of an answer without a length or chunks closes the connection just as one that is done.

Change: an answer that ends with its connection and brings no event has broken off. One in chunks, with a length, or with events may still say that there is nothing left.

--- a/oleanderhinge/gateway/internal/forwarder_streams.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_streams.cpp
@@ -237,6 +237,7 @@
 {
     const auto headers = end_to_end_fields(request.connection->fields());
     event_buffer buffer;
+    const auto events_before = request.events.event_count;
     const auto broken_off = [&](base::verdict why) {
         auto result = failed_with<attempt_result>(std::move(why));
         result.partial_bytes = buffer.partial.size();
@@ -271,6 +272,12 @@
                 buffer.malformed ? "bytes that are no event"
                                  : "stream broke off: " + failed.message()));
     }
+    // Whether a stream that ends with its connection is complete shows only in
+    // its events, and one that brings none shows nothing.
+    const bool empty = request.events.event_count == events_before;
+    if (empty && request.connection->ends_with_connection())
+        co_return broken_off(base::may_have_run(
+            failure_code::server_failed, "stream ended without an event"));
     if (!buffer.partial.empty() || !request.head_sent)
         co_return broken_off(base::may_have_run(
             failure_code::server_failed, "stream ended inside an event"));
--- a/oleanderhinge/gateway/upstream.cpp
+++ b/oleanderhinge/gateway/upstream.cpp
@@ -121,6 +121,11 @@
     return this->answer && this->answer->is_done();
 }
 
+bool upstream_connection::ends_with_connection() const
+{
+    return this->answer->need_eof();
+}
+
 bool upstream_connection::reusable()
 {
     // Bytes after a complete answer belong to no request.
--- a/oleanderhinge/gateway/upstream.hpp
+++ b/oleanderhinge/gateway/upstream.hpp
@@ -70,6 +70,9 @@
     const http_fields& fields() const;
     // True once the whole answer has arrived.
     bool complete() const;
+    // Neither a length nor chunks tell where the answer ends; it ends with its
+    // connection.
+    bool ends_with_connection() const;
     // True if another request may follow on this connection.
     bool reusable();
     // False for a connection that has served a request before.
