gateway: act on a stall report only for the reporting server's attempt

What callers would see: a path change, or the end, of a sound second attempt, since the server of the first one still reports the request as stalled. Reports are some hundred milliseconds old.

Cause: reports were matched to requests by the id alone, which all attempts of a request share.

Change: a report counts only for the attempt at the server that made it.

a_report_of_the_earlier_server_is_ignored failed without this change (one path change was sent to the second server) and passes now.

--- a/oleanderhinge/gateway/mixed_answers_test.cpp
+++ b/oleanderhinge/gateway/mixed_answers_test.cpp
@@ -221,6 +221,77 @@
     EXPECT_EQ(this->watch("/talk/x").body, three_events);
 }
 
+// The server of the first attempt still reports the request as stalled. Guards
+// against a path change, or the end, of the second attempt at another server.
+TEST_F(mixed_answers, a_report_of_the_earlier_server_is_ignored)
+{
+    this->prefer_first_path();
+    this->patience = 20s;
+    this->protocol.parse_stalls = [](const std::string& body) {
+        std::vector<stalled_request> found;
+        if (body == "stalled")
+            found.push_back({"r1", {"lost", 80}});
+        return found;
+    };
+    int reports = 0;
+    int orders = 0;
+    this->first.behave =
+        [&](const net::http_request& request,
+            net::http_exchange& exchange) -> asio::awaitable<void> {
+        if (request.target() == "/state") {
+            ++reports;
+            co_return (void) co_await exchange.respond(200, "", "stalled", {});
+        }
+        if (request["Id"] == "r1")
+            co_return co_await break_off(request, exchange);
+        co_await exchange.begin_stream(200, "", server_headers(request));
+        co_await exchange.write_chunk("id: 1\ndata: x\n\n");
+        asio::steady_timer timer(this->io);
+        while (reports < 4) {
+            timer.expires_after(5ms);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+        co_await exchange.end_stream();
+    };
+    this->second.behave =
+        [&](const net::http_request& request,
+            net::http_exchange& exchange) -> asio::awaitable<void> {
+        if (request.target() == "/state")
+            co_return (void) co_await exchange.respond(200, "", "", {});
+        if (request.target() == "/order/r1") {
+            ++orders;
+            co_return (void) co_await exchange.respond(409, "", "", {});
+        }
+        co_await exchange.begin_stream(200, "", server_headers(request));
+        co_await exchange.write_chunk("id: 2\ndata: x\n\n");
+        asio::steady_timer timer(this->io);
+        while (reports < 4) {
+            timer.expires_after(5ms);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+        co_await exchange.write_chunk("id: 3\ndata: x\n\n");
+        co_await exchange.end_stream();
+    };
+    // Another request stalls at the first server, which is therefore asked.
+    bool over = false;
+    const auto stall = [&]() -> asio::awaitable<void> {
+        net::http_client other(this->io, 0);
+        net::http_call call{
+            "POST", "/talk/x", {{"Id", "r2"}, {"Key", this->key}}, "body"};
+        co_await other.call(
+            this->address, std::move(call), 10s, net::reuse::never);
+        over = true;
+    };
+    asio::co_spawn(this->io, stall(), asio::detached);
+    this->start_stall_checks();
+    EXPECT_EQ(
+        this->watch("/talk/x").body,
+        "id: 1\ndata: a\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n");
+    EXPECT_EQ(orders, 0);
+    while (!over)
+        this->io.run_one();
+}
+
 // Each row: what a server writes on a kept connection before its answer to the
 // next request. Guards against an answer to an earlier request, and against
 // "not run" for a request that its server runs.
--- a/oleanderhinge/gateway/stall_watch.cpp
+++ b/oleanderhinge/gateway/stall_watch.cpp
@@ -126,7 +126,7 @@
     if (outcome.failure == net::http_failure::none) {
         for (const auto& stalled :
              this->protocol.parse_stalls(outcome.answer.body))
-            this->on_stall(stalled, started);
+            this->on_stall(stalled, first_server, started);
         co_return;
     }
     // The first server does not answer, so its requests wait for it. Cancel the
@@ -134,7 +134,7 @@
     for (const auto& [id, request] : this->requests)
         if (is_stalled(*request, started) &&
             request->connection->server() == first_server) {
-            this->on_stall({id, first_server}, started);
+            this->on_stall({id, first_server}, first_server, started);
             break;
         }
 }
@@ -176,15 +176,19 @@
 }
 
 void stall_watch::on_stall(
-    const stalled_request& stalled, steady_time queried_at)
+    const stalled_request& stalled,
+    const wire::endpoint& reported_by,
+    steady_time queried_at)
 {
     if (stalled.waits_for.address.empty())
         return;
     this->note_suspicion(stalled);
     const auto [begin, end] = this->requests.equal_range(stalled.request);
     for (auto found = begin; found != end; ++found)
-        // Skips a request that has made progress since the query.
-        if (is_stalled(*found->second, queried_at))
+        // Skips a request that has made progress since the query, or whose
+        // attempt at that server has ended.
+        if (is_stalled(*found->second, queried_at) &&
+            found->second->connection->server() == reported_by)
             this->handle_stall(found->second, stalled.waits_for);
 }
 
--- a/oleanderhinge/gateway/stall_watch.hpp
+++ b/oleanderhinge/gateway/stall_watch.hpp
@@ -64,7 +64,11 @@
     using request_pointer = std::shared_ptr<forwarding_request>;
 
     boost::asio::awaitable<void> query_state(wire::endpoint first_server);
-    void on_stall(const stalled_request& stalled, steady_time queried_at);
+    // Acts on what a first server reported to a query of `queried_at`.
+    void on_stall(
+        const stalled_request& stalled,
+        const wire::endpoint& reported_by,
+        steady_time queried_at);
     void
     handle_stall(const request_pointer& held, const wire::endpoint& waits_for);
     void note_suspicion(const stalled_request& stalled);
