gateway: start a resumed stream at the caller's own position

Cause: the position of a stream began empty. The caller's own position was passed on to servers but not used to drop events.

Change: the position begins with the one that the caller names.

a_resuming_caller_gets_no_event_twice failed without this change (event 1 again) and passes now.

--- a/oleanderhinge/gateway/forwarder.cpp
+++ b/oleanderhinge/gateway/forwarder.cpp
@@ -117,6 +117,7 @@
     request.index = this->index;
     request.arrived = steady_now();
     request.metadata = this->protocol.read_request(request.incoming.base());
+    request.events.last_id = request.metadata.last_event;
     exchange.watch_client([weak = std::weak_ptr(held)] {
         const auto left = weak.lock();
         if (!left)
--- a/oleanderhinge/gateway/forwarder_fixture_test.hpp
+++ b/oleanderhinge/gateway/forwarder_fixture_test.hpp
@@ -38,6 +38,7 @@
         request_metadata metadata;
         metadata.id = std::string(fields["Id"]);
         metadata.key = std::string(fields["Key"]);
+        metadata.last_event = std::string(fields["After"]);
         metadata.caller_timeout = 2000ms;
         metadata.prompt.own = part_of(metadata.id);
         if (!fields["Part"].empty())
--- a/oleanderhinge/gateway/mixed_answers_test.cpp
+++ b/oleanderhinge/gateway/mixed_answers_test.cpp
@@ -107,6 +107,8 @@
                 request.set(http::field::host, "127.0.0.1");
                 request.set("Id", this->request_id);
                 request.set("Key", this->key);
+                if (!this->last_event.empty())
+                    request.set("After", this->last_event);
                 request.body() = "body";
                 request.prepare_payload();
                 co_await http::async_write(socket, request, as_pair);
@@ -126,6 +128,7 @@
     }
 
     raw_backend raw;
+    std::string last_event;
 };
 
 // Guards against a piece of the first server's answer in front of the second
@@ -221,6 +224,17 @@
     EXPECT_EQ(this->watch("/talk/x").body, three_events);
 }
 
+// Guards against events that a caller has already, which it names when it
+// resumes a stream by itself.
+TEST_F(mixed_answers, a_resuming_caller_gets_no_event_twice)
+{
+    this->use_raw_server(true);
+    this->raw.answers = {{in_chunks("200 OK", genuine, three_events)}};
+    this->last_event = "1";
+    EXPECT_EQ(
+        this->watch("/talk/x").body, "id: 2\ndata: x\n\nid: 3\ndata: x\n\n");
+}
+
 // The server of the first attempt still reports the request as stalled. Guards
 // against a path change, or the end, of the second attempt at another server.
 TEST_F(mixed_answers, a_report_of_the_earlier_server_is_ignored)
