net: read past informational answers

What would happen: a 103 in front of a refusal counts as consent to an order or a path change, and the refusal stays on the connection for the next call.

Cause: the HTTP client took the first head for the answer; the gateway's own connections skip those below 200.

Change: the client does so, too, within the call's time.

--- a/oleanderhinge/net/http_client.cpp
+++ b/oleanderhinge/net/http_client.cpp
@@ -13,6 +13,7 @@
 #include <algorithm>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <utility>
 
 namespace oleanderhinge::net
@@ -165,17 +166,21 @@
         co_return failed_with(http_failure::unknown, write_failed);
     }
     beast::flat_buffer buffer;
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(max_answer);
-    const auto [read_failed, size] =
-        co_await http::async_read(*stream, buffer, parser, as_pair);
-    if (read_failed) {
-        stream.reset();
-        co_return failed_with(http_failure::unknown, read_failed);
-    }
+    std::optional<http::response_parser<http::string_body>> parser;
+    do {
+        parser.emplace();
+        parser->body_limit(max_answer);
+        const auto [read_failed, size] =
+            co_await http::async_read(*stream, buffer, *parser, as_pair);
+        if (read_failed) {
+            stream.reset();
+            co_return failed_with(http_failure::unknown, read_failed);
+        }
+    } while (http::to_status_class(parser->get().result_int()) ==
+             http::status_class::informational);
     // Bytes after a complete answer belong to no request.
-    const bool keep = parser.get().keep_alive() && buffer.size() == 0;
-    auto outcome = to_outcome(parser.release());
+    const bool keep = parser->get().keep_alive() && buffer.size() == 0;
+    auto outcome = to_outcome(parser->release());
     if (!keep)
         stream.reset();
     co_return outcome;
--- a/oleanderhinge/net/http_client_test.cpp
+++ b/oleanderhinge/net/http_client_test.cpp
@@ -24,6 +24,9 @@
 
 enum class second_copy : std::uint8_t { none, with_the_answer, later };
 
+// Sent before each answer.
+constexpr const char* informational = "HTTP/1.1 103 Early Hints\r\n\r\n";
+
 // Answers each request with its number, and may send a copy of the answer.
 class copying_server
 {
@@ -50,6 +53,7 @@
     void stop() { this->acceptor.close(); }
 
     int connections = 0;
+    std::string before_answers;
 
 private:
     asio::awaitable<void> accept()
@@ -79,7 +83,7 @@
             this->last_socket = socket;
             this->last_answer = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" +
                                 std::to_string(++this->requests);
-            auto sent = this->last_answer;
+            auto sent = this->before_answers + this->last_answer;
             if (this->when == second_copy::with_the_answer)
                 sent += this->last_answer;
             co_await asio::async_write(*socket, asio::buffer(sent), as_pair);
@@ -130,5 +134,29 @@
     }
 }
 
+// Guards against an informational answer that is taken for the final one, such
+// as for the consent to an order that is refused.
+TEST(http_client, an_informational_answer_is_not_the_answer)
+{
+    asio::io_context io;
+    copying_server server(io, second_copy::none);
+    server.before_answers = informational;
+    http_client client(io, 1);
+    http_outcome outcome;
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void> {
+            http_call call{"GET", "/", {}, ""};
+            outcome = co_await client.call(
+                server.address(), std::move(call), 5s, reuse::allowed);
+            server.stop();
+            io.stop();
+        },
+        asio::detached);
+    io.run();
+    EXPECT_EQ(outcome.answer.status, 200U);
+    EXPECT_EQ(outcome.answer.body, "1");
+}
+
 } // namespace
 } // namespace oleanderhinge::net
