net: keep no connection of a call that needs a new one

What would happen: a late second answer to an order is taken for the answer to a later call on the same connection.

Cause: a call that asked for a new connection left it to the pool.

Change: only connections of calls that allow reuse are kept.

a_connection_of_a_call_that_needs_a_new_one_is_not_kept passes; without the change the second call uses the connection of the first, by reading: it was not run on the code before.

--- a/oleanderhinge/net/http_client.cpp
+++ b/oleanderhinge/net/http_client.cpp
@@ -208,7 +208,7 @@
         executor,
         exchange(stream, fresh, server, std::move(request), deadline),
         asio::use_awaitable);
-    if (stream)
+    if (stream && connection == reuse::allowed)
         held->keep(server, std::move(stream));
     co_return outcome;
 }
--- a/oleanderhinge/net/http_client_test.cpp
+++ b/oleanderhinge/net/http_client_test.cpp
@@ -158,5 +158,28 @@
     EXPECT_EQ(outcome.answer.body, "1");
 }
 
+// Guards against an answer to a call that needs a new connection and is taken
+// for the answer to a later one.
+TEST(http_client, a_connection_of_a_call_that_needs_a_new_one_is_not_kept)
+{
+    asio::io_context io;
+    copying_server server(io, second_copy::none);
+    http_client client(io, 1);
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void> {
+            for (const auto connection : {reuse::never, reuse::allowed}) {
+                http_call call{"GET", "/", {}, ""};
+                co_await client.call(
+                    server.address(), std::move(call), 5s, connection);
+            }
+            server.stop();
+            io.stop();
+        },
+        asio::detached);
+    io.run();
+    EXPECT_EQ(server.connections, 2);
+}
+
 } // namespace
 } // namespace oleanderhinge::net
