gateway: send no requests to servers that leave or ask for a pause

A server that says in its answers that it leaves went on getting requests until its report reached this gateway, and one that refuses with 503 and a Retry-After was asked again 200 ms later, or at once if it is one of a plain service.

Cause: the gateway read neither field. Ejection does not serve for them: it is by address, ends with any changed report, and ejected servers are the last resort. Marking the server in the directory was ruled out, since the next report of "ready" undoes it.

Change: gateway/server_signals keeps, for each process of a server, whether it leaves and until when it is in back-off. The choices of a server, a path and a continuation leave such servers out, and the forwarder asks again after the connect. A request that is withheld then takes nothing from the retry budget. signal_recorder reads the signals of every answer head, also those of state queries and path changes, counts and logs. When all servers are in back-off, callers are refused at once with the end of the first back-off as Retry-After. A Retry-After in a 503 that is passed on is replaced by the gateway's own.

--- a/oleanderhinge/gateway/forwarder.cpp
+++ b/oleanderhinge/gateway/forwarder.cpp
@@ -1,5 +1,6 @@
 #include "oleanderhinge/gateway/forwarder.hpp"
 
+#include "oleanderhinge/gateway/headers.hpp"
 #include "oleanderhinge/gateway/internal/attempt.hpp"
 
 #include <spdlog/spdlog.h>
@@ -62,11 +63,16 @@
     , stats(stats_in)
     , pool(context)
     , options(std::move(options_in))
+    , signals(
+          selector_in,
+          stats_in,
+          {.max_backoff = options.max_backoff, .seed = options.seed})
     , stalls(
           context,
           protocol_in,
           selector_in,
           stats_in,
+          signals,
           options.report_suspect,
           [this](auto& request, const auto& avoided) {
               return this->reserve_attempt(request, avoided);
@@ -75,6 +81,12 @@
 {
 }
 
+void forwarder::tick()
+{
+    this->signals.tick(base::monotonic_now());
+    this->stalls.tick();
+}
+
 void forwarder::note_gateways(std::uint32_t count, base::time_point now)
 {
     retry::note(this->gateways, count, now);
@@ -220,9 +232,7 @@
         overall = base::may_have_run(why.code, why.detail);
     if (overall.state == base::execution::not_run &&
         overall.retry_after.count() == 0)
-        overall.retry_after = milliseconds(std::int64_t(
-            1000 *
-            (min_retry_after_s + retry_after_spread_s * this->random.unit())));
+        overall.retry_after = this->retry_after(request, base::monotonic_now());
     if (request.head_sent) {
         // The exchange closes the connection without ending the stream, which
         // shows the caller that the answer is incomplete.
@@ -232,16 +242,39 @@
     co_await this->send_error(request, overall);
 }
 
+// Ends a request for which there is no server or path.
+asio::awaitable<void>
+forwarder::fail_without_server(forwarding_request& request, const char* detail)
+{
+    auto why = base::not_run(failure_code::no_server, detail);
+    if (backoff_end(this->selector, *request.service, base::monotonic_now()))
+        why = base::not_run(
+            failure_code::overloaded,
+            "all servers of the service asked for a pause");
+    co_await this->fail_request(request, why);
+}
+
+// The Retry-After of a refused request: the end of the first back-off if all
+// servers are in one.
+milliseconds
+forwarder::retry_after(const forwarding_request& request, base::time_point now)
+{
+    const auto end = backoff_end(this->selector, *request.service, now);
+    const std::chrono::duration<double> wait =
+        end ? std::chrono::duration<double>(*end - now)
+            : std::chrono::duration<double>(min_retry_after_s);
+    const std::chrono::duration<double> spread(
+        retry_after_spread_s * this->random.unit());
+    return std::chrono::ceil<milliseconds>(wait + spread);
+}
+
 asio::awaitable<void>
 forwarder::send_error(forwarding_request& request, const base::verdict& why)
 {
     const auto status = status_of(why);
     std::vector<wire::header> headers;
-    if (why.retry_after.count() > 0) {
-        auto seconds = std::to_string(double(why.retry_after.count()) / 1000);
-        seconds.resize(seconds.find('.') + 3);
-        headers.push_back({"Retry-After", std::move(seconds)});
-    }
+    if (why.retry_after.count() > 0)
+        headers.push_back(make_retry_after(why.retry_after));
     request.outcome = std::to_string(status) + "/" + base::to_string(why.code);
     auto body = net::problem_json(why);
     co_await request.exchange.respond(
--- a/oleanderhinge/gateway/forwarder.hpp
+++ b/oleanderhinge/gateway/forwarder.hpp
@@ -18,6 +18,7 @@
 #include "oleanderhinge/gateway/request_log.hpp"
 #include "oleanderhinge/gateway/route_index.hpp"
 #include "oleanderhinge/gateway/server_choice.hpp"
+#include "oleanderhinge/gateway/signal_recorder.hpp"
 #include "oleanderhinge/gateway/stall_watch.hpp"
 #include "oleanderhinge/gateway/stream_times.hpp"
 #include "oleanderhinge/gateway/upstream.hpp"
@@ -38,6 +39,8 @@
     // For each service.
     retry::shared_budget_options retries;
     std::uint64_t seed = 1;
+    // Limit on the time for which a server gets no requests at its own wish.
+    base::duration max_backoff = default_max_backoff;
     // Called when requests that depend on this server make no progress.
     std::function<void(const wire::endpoint&)> report_suspect;
     // Called with news about crashes, for the other gateways.
@@ -58,8 +61,8 @@
     // Uses a table for new requests and for those that wait for the first one.
     void set_table(std::shared_ptr<const route_index> index);
 
-    // Detects stalled streams. Call it ten times a second.
-    void tick() { this->stalls.tick(); }
+    // Detects stalled streams and ends back-offs. Call it ten times a second.
+    void tick();
     // Notes how many gateways share the retry budgets, as a member of control
     // counts them.
     void note_gateways(std::uint32_t count, base::time_point now);
@@ -105,8 +108,14 @@
     boost::asio::awaitable<bool> wait_to_resume(forwarding_request& request);
     bool reserve_attempt(
         forwarding_request& request, const std::set<wire::endpoint>& avoided);
-    boost::asio::awaitable<attempt_result>
-    send_request(forwarding_request& request, net::http_request to_send);
+    boost::asio::awaitable<attempt_result> send_request(
+        forwarding_request& request,
+        const base::backend_server_id& server,
+        net::http_request to_send);
+    bool may_send(
+        const forwarding_request& request,
+        const base::backend_server_id& server,
+        base::time_point now) const;
     boost::asio::awaitable<attempt_result>
     read_answer_head(forwarding_request& request, steady_time limit);
     static steady_time first_event_limit(const forwarding_request& request);
@@ -122,6 +131,10 @@
     send_error(forwarding_request& request, const base::verdict& why);
     boost::asio::awaitable<void>
     fail_request(forwarding_request& request, const base::verdict& why);
+    boost::asio::awaitable<void>
+    fail_without_server(forwarding_request& request, const char* detail);
+    std::chrono::milliseconds
+    retry_after(const forwarding_request& request, base::time_point now);
 
     net::http_request make_backend_request(
         const forwarding_request& request,
@@ -145,6 +158,7 @@
     metrics& stats;
     upstream_pool pool;
     const forwarder_options options;
+    signal_recorder signals;
     stall_watch stalls;
     std::shared_ptr<const route_index> index;
     // By service.
--- a/oleanderhinge/gateway/forwarder_fixture_test.hpp
+++ b/oleanderhinge/gateway/forwarder_fixture_test.hpp
@@ -12,6 +12,7 @@
 #include "oleanderhinge/gateway/forwarder.hpp"
 
 #include "oleanderhinge/base/hash.hpp"
+#include "oleanderhinge/gateway/headers.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -62,6 +63,9 @@
         metadata.id = std::string(fields["Id"]);
         metadata.not_run = !fields["Not-Run"].empty();
         metadata.sealed = !fields["Seal"].empty();
+        metadata.leaving = !fields["Leaving"].empty();
+        metadata.retry_after =
+            joined_values(fields, boost::beast::http::field::retry_after);
         return metadata;
     };
     protocol.make_state_query = [] {
--- a/oleanderhinge/gateway/forwarding_request.hpp
+++ b/oleanderhinge/gateway/forwarding_request.hpp
@@ -8,6 +8,7 @@
 #include "oleanderhinge/gateway/event_stream.hpp"
 #include "oleanderhinge/gateway/protocol_adapter.hpp"
 #include "oleanderhinge/gateway/route_index.hpp"
+#include "oleanderhinge/gateway/server_signals.hpp"
 #include "oleanderhinge/gateway/upstream.hpp"
 #include "oleanderhinge/net/http_server.hpp"
 
@@ -49,8 +50,10 @@
     std::uint32_t possible_runs = 0;
     // Connection of the present attempt; cancelled when the caller leaves.
     upstream_pointer connection;
-    // Path of the present attempt.
+    // Path of the present attempt; empty for plain services.
     fleet::path parts;
+    // The process that the present attempt was sent to.
+    server_incarnation sent_to;
     steady_time attempt_started;
     // Time of the last event, path change or start of an attempt.
     steady_time last_progress;
--- a/oleanderhinge/gateway/gateway_node.cpp
+++ b/oleanderhinge/gateway/gateway_node.cpp
@@ -40,6 +40,7 @@
           this->stats,
           {.retries = this->options.retries,
            .seed = base::entropy_seed(),
+           .max_backoff = this->options.max_backoff,
            .report_suspect =
                [this](const wire::endpoint& server) {
                    this->control.report_suspicion(server);
@@ -172,6 +173,8 @@
             [this] {
                 this->stats.servers.Set(
                     double(this->selector.servers.servers.size()));
+                this->stats.excluded_servers.Set(double(
+                    count_excluded(this->selector, base::monotonic_now())));
                 this->stats.quarantined_parts.Set(
                     double(fleet::quarantined_parts(
                         this->quarantine, base::monotonic_now())));
--- a/oleanderhinge/gateway/headers.cpp
+++ b/oleanderhinge/gateway/headers.cpp
@@ -42,4 +42,21 @@
     return kept;
 }
 
+std::string joined_values(const http_fields& fields, http::field name)
+{
+    std::string joined;
+    const auto [begin, end] = fields.equal_range(name);
+    for (auto found = begin; found != end; ++found)
+        joined += (found == begin ? "" : ", ") + std::string(found->value());
+    return joined;
+}
+
+wire::header make_retry_after(std::chrono::milliseconds time)
+{
+    const auto hundredths = (time.count() + 9) / 10;
+    auto decimals = std::to_string(hundredths % 100);
+    decimals.insert(0, 2 - decimals.size(), '0');
+    return {"Retry-After", std::to_string(hundredths / 100) + '.' + decimals};
+}
+
 } // namespace oleanderhinge::gateway
--- a/oleanderhinge/gateway/headers.hpp
+++ b/oleanderhinge/gateway/headers.hpp
@@ -1,4 +1,4 @@
-// Removes hop-by-hop header fields, which apply to one connection only.
+// Helpers for header fields that HTTP itself defines.
 //
 // Example:
 //   remove_connection_fields(request.base());
@@ -6,6 +6,8 @@
 
 #include "oleanderhinge/gateway/protocol_adapter.hpp"
 
+#include <chrono>
+#include <string>
 #include <vector>
 
 namespace oleanderhinge::gateway
@@ -19,4 +21,11 @@
 // fields and Content-Length.
 std::vector<wire::header> end_to_end_fields(const http_fields& fields);
 
+// The values of all fields of this name, joined by ", ".
+std::string
+joined_values(const http_fields& fields, boost::beast::http::field name);
+
+// Retry-After in seconds with two decimals, rounded up.
+wire::header make_retry_after(std::chrono::milliseconds time);
+
 } // namespace oleanderhinge::gateway
--- a/oleanderhinge/gateway/internal/attempt.hpp
+++ b/oleanderhinge/gateway/internal/attempt.hpp
@@ -14,7 +14,13 @@
 namespace oleanderhinge::gateway
 {
 
-enum class attempt_end : std::uint8_t { answered, failed, caller_left };
+enum class attempt_end : std::uint8_t {
+    answered,
+    failed,
+    caller_left,
+    // A server of the attempt stopped accepting requests before it was sent.
+    withheld,
+};
 
 struct forwarder::attempt_result {
     attempt_end end = attempt_end::answered;
--- a/oleanderhinge/gateway/internal/forwarder_attempts.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_attempts.cpp
@@ -46,11 +46,28 @@
     return to_send;
 }
 
+// Whether all servers of the attempt still accept requests.
+bool forwarder::may_send(
+    const forwarding_request& request,
+    const base::backend_server_id& server,
+    base::time_point now) const
+{
+    const auto accepts = [&](const base::backend_server_id& id) {
+        return accepts_requests(this->selector, id, now);
+    };
+    return accepts(server) &&
+           std::ranges::all_of(
+               request.parts, accepts, &fleet::path_part::server);
+}
+
 // Connects if needed and sends the request over `request.connection`. Success
 // has the result `answered`, although no answer has been read yet.
-asio::awaitable<forwarder::attempt_result>
-forwarder::send_request(forwarding_request& request, net::http_request to_send)
+asio::awaitable<forwarder::attempt_result> forwarder::send_request(
+    forwarding_request& request,
+    const base::backend_server_id& server,
+    net::http_request to_send)
 {
+    request.sent_to = incarnation_of(this->selector, server);
     ++request.attempts;
     this->stats.attempts.Increment();
     if (request.attempts > 1)
@@ -62,6 +79,12 @@
             base::not_run(
                 failure_code::link_lost, "connect: " + refused.message()),
             request.connection->server());
+    // Another request may have got a signal during the connect.
+    if (!this->may_send(request, server, base::monotonic_now())) {
+        --request.attempts;
+        this->stats.withheld.Increment();
+        co_return attempt_result{attempt_end::withheld, {}, {}};
+    }
     ++request.possible_runs;
     const error_code failed =
         co_await request.connection->send(to_send, request.deadline);
@@ -90,12 +113,22 @@
                 steady_now() >= last ? failure_code::deadline_exceeded
                                      : failure_code::link_lost,
                 "answer: " + failed.message()));
-        const auto metadata = this->protocol.read_answer(
+        auto metadata = this->protocol.read_answer(
             request.connection->status(), request.connection->fields());
         const bool first_on_connection =
             stray == 0 && request.connection->fresh();
-        if (metadata.id == request.metadata.id ||
-            (metadata.id.empty() && first_on_connection)) {
+        const bool is_own = metadata.id == request.metadata.id ||
+                            (metadata.id.empty() && first_on_connection);
+        // Whenever the server wrote the answer, it still leaves, but the time
+        // that it asked for may be over.
+        if (!is_own)
+            metadata.retry_after.clear();
+        this->signals.record(
+            request.sent_to,
+            request.connection->status(),
+            metadata,
+            base::monotonic_now());
+        if (is_own) {
             if (!metadata.not_run)
                 co_return attempt_result{};
             --request.possible_runs;
@@ -161,6 +194,12 @@
         co_return failed_with<attempt_result>(base::may_have_run(
             failure_code::server_failed, "answer without the server's mark"));
     auto headers = end_to_end_fields(request.connection->fields());
+    if (status == 503)
+        // The server's own value is meant for this gateway.
+        for (auto& item : headers)
+            if (boost::beast::iequals(item.name, "Retry-After"))
+                item = make_retry_after(
+                    this->retry_after(request, base::monotonic_now()));
     this->pool.keep(std::exchange(request.connection, nullptr));
     if (request.caller_left)
         co_return attempt_result{attempt_end::caller_left, {}, {}};
--- a/oleanderhinge/gateway/internal/forwarder_calls.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_calls.cpp
@@ -30,11 +30,9 @@
             request.tried,
             this->random,
             now);
-        if (!to) {
-            const auto why = base::not_run(
-                failure_code::no_server, "no server of the service is usable");
-            co_return co_await this->fail_request(request, why);
-        }
+        if (!to)
+            co_return co_await this->fail_without_server(
+                request, "no server of the service is usable");
         request.logged_path = to->id.value();
         request.tried.insert(to->address);
         note_started(this->selector, to->address);
@@ -47,6 +45,8 @@
             this->note_answer(request);
             co_return;
         }
+        if (result.end == attempt_end::withheld && !request.caller_left)
+            continue;
         if (result.end == attempt_end::caller_left || request.caller_left) {
             request.outcome = "caller_left";
             co_return;
@@ -69,7 +69,8 @@
     const bool repeatable = is_repeatable(*request.route);
     request.connection = this->pool.take(to.address, allowed_reuse(request));
     auto to_send = this->make_backend_request(request, {}, to.id);
-    const auto sent = co_await this->send_request(request, std::move(to_send));
+    const auto sent =
+        co_await this->send_request(request, to.id, std::move(to_send));
     if (sent.end != attempt_end::answered)
         co_return sent;
     auto limit = request.deadline;
--- a/oleanderhinge/gateway/internal/forwarder_streams.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_streams.cpp
@@ -53,19 +53,20 @@
         if (found.parts.empty()) {
             if (co_await this->wait_to_resume(request))
                 continue;
-            const auto why =
-                found.overloaded
-                    ? base::not_run(
-                          failure_code::overloaded,
-                          "all paths are full or wait too long")
-                    : base::not_run(
-                          failure_code::no_server, "no path runs all layers");
+            if (!found.overloaded)
+                co_return co_await this->fail_without_server(
+                    request, "no path runs all layers");
+            const auto why = base::not_run(
+                failure_code::overloaded,
+                "all paths are full or wait too long");
             co_return co_await this->fail_request(request, why);
         }
         const auto result =
             co_await this->attempt_stream(request, std::move(found.parts));
         if (result.end == attempt_end::answered)
             co_return;
+        if (result.end == attempt_end::withheld && !request.caller_left)
+            continue;
         if (result.end == attempt_end::caller_left || request.caller_left) {
             request.outcome = "caller_left";
             co_return;
@@ -204,7 +205,8 @@
         this->pool.take(request.parts.front().address, allowed_reuse(request));
     auto to_send = this->make_backend_request(
         request, request.parts, request.parts.front().server);
-    const auto sent = co_await this->send_request(request, std::move(to_send));
+    const auto sent = co_await this->send_request(
+        request, request.parts.front().server, std::move(to_send));
     if (sent.end != attempt_end::answered)
         co_return sent;
     request.awaits_server = true;
--- a/oleanderhinge/gateway/metrics.cpp
+++ b/oleanderhinge/gateway/metrics.cpp
@@ -44,6 +44,23 @@
           registry,
           "oleanderhinge_gateway_quarantined_total",
           "Requests refused because servers crashed on a part of their prompt"))
+    , servers_leaving(net::add_counter(
+          registry,
+          "oleanderhinge_gateway_servers_leaving_total",
+          "Servers that said in an answer that they leave"))
+    , backoffs(net::add_counter(
+          registry,
+          "oleanderhinge_gateway_backoffs_total",
+          "Answers in which a server asked for no requests for a time"))
+    , ignored_retry_after(net::add_counter(
+          registry,
+          "oleanderhinge_gateway_ignored_retry_after_total",
+          "Answers of servers with a Retry-After that cannot be read"))
+    , withheld(net::add_counter(
+          registry,
+          "oleanderhinge_gateway_withheld_total",
+          "Requests not sent to the chosen server, since it left or asked for "
+          "a pause while the connection was opened"))
     , events(net::add_counter(
           registry,
           "oleanderhinge_gateway_events_total",
@@ -76,6 +93,11 @@
           registry,
           "oleanderhinge_gateway_quarantined_parts",
           "Parts of prompts in quarantine"))
+    , excluded_servers(net::add_gauge(
+          registry,
+          "oleanderhinge_gateway_excluded_servers",
+          "Ready servers that get no requests, since they leave or asked for "
+          "a pause"))
 {
 }
 
--- a/oleanderhinge/gateway/metrics.hpp
+++ b/oleanderhinge/gateway/metrics.hpp
@@ -29,6 +29,10 @@
     prometheus::Counter& changed_paths;
     prometheus::Counter& crashes;
     prometheus::Counter& quarantined;
+    prometheus::Counter& servers_leaving;
+    prometheus::Counter& backoffs;
+    prometheus::Counter& ignored_retry_after;
+    prometheus::Counter& withheld;
     prometheus::Counter& events;
     prometheus::Counter& log_lines_dropped;
     prometheus::Histogram& first_byte_seconds;
@@ -37,6 +41,7 @@
     prometheus::Gauge& table_version;
     prometheus::Gauge& servers;
     prometheus::Gauge& quarantined_parts;
+    prometheus::Gauge& excluded_servers;
 };
 
 } // namespace oleanderhinge::gateway
--- a/oleanderhinge/gateway/protocol_adapter.hpp
+++ b/oleanderhinge/gateway/protocol_adapter.hpp
@@ -68,6 +68,11 @@
     bool sealed = false;
     // The server of the path that was at fault; empty address: not stated.
     wire::endpoint at_fault;
+    // The answering server leaves and wants no further requests.
+    bool leaving = false;
+    // How long the answering server wants no requests from this gateway, as
+    // stated; several values are joined by commas. Empty: not stated.
+    std::string retry_after;
 };
 
 // A request that makes no progress, as its first server reports it, and the
--- a/oleanderhinge/gateway/server_choice.cpp
+++ b/oleanderhinge/gateway/server_choice.cpp
@@ -78,12 +78,24 @@
            (1 - std::min(cache_use(record), max_priced_cache_use));
 }
 
+bool accepts_requests(
+    const server_selector& selector,
+    const wire::server_record& record,
+    base::time_point now)
+{
+    return accepts_requests(
+        selector.signals, {record.id, record.started_ms}, now);
+}
+
+// `running_at` is the server of a running request, which its signals do not
+// concern; null: none.
 std::vector<fleet::path_server> path_servers(
     const server_selector& selector,
     const wire::forwarding_service& service,
     const std::set<wire::endpoint>& tried,
     bool include_ejected,
-    base::time_point now)
+    base::time_point now,
+    const base::backend_server_id* running_at)
 {
     std::vector<fleet::path_server> found;
     const auto add = [&](const wire::server_record& record) {
@@ -91,6 +103,8 @@
         const auto* kind = fleet::find_kind(*service.engine, record.kind);
         if (kind == nullptr || record.layers == base::layer_range{} ||
             tried.contains(address) ||
+            (!accepts_requests(selector, record, now) &&
+             (running_at == nullptr || record.id != *running_at)) ||
             (!include_ejected && is_ejected(selector, address, now)))
             return;
         found.push_back(
@@ -121,10 +135,11 @@
     const wire::forwarding_service& service,
     const std::set<wire::endpoint>& tried,
     bool include_ejected,
-    base::time_point now)
+    base::time_point now,
+    const base::backend_server_id* running_at = nullptr)
 {
-    const auto servers =
-        path_servers(selector, service, tried, include_ejected, now);
+    const auto servers = path_servers(
+        selector, service, tried, include_ejected, now, running_at);
     std::vector<server_selector::candidate> found;
     for (auto& item : fleet::find_paths(
              servers,
@@ -194,6 +209,7 @@
         auto& health = selector.health[{record.address, record.port}];
         health.ejected_until = {};
         health.failures_in_a_row = 0;
+        forget_others(selector.signals, incarnation_of(selector, record.id));
     }
     return outcome;
 }
@@ -257,6 +273,60 @@
     update_failure_rate(selector.health[server], true, now);
 }
 
+server_incarnation incarnation_of(
+    const server_selector& selector, const base::backend_server_id& id)
+{
+    const auto found = selector.servers.servers.find(id);
+    return {
+        id,
+        found == selector.servers.servers.end()
+            ? 0
+            : found->second.record.started_ms};
+}
+
+bool accepts_requests(
+    const server_selector& selector,
+    const base::backend_server_id& id,
+    base::time_point now)
+{
+    return accepts_requests(
+        selector.signals, incarnation_of(selector, id), now);
+}
+
+std::optional<base::time_point> backoff_end(
+    const server_selector& selector,
+    const wire::forwarding_service& service,
+    base::time_point now)
+{
+    std::optional<base::time_point> first;
+    bool any_accepts = false;
+    const auto consider = [&](const wire::server_record& record) {
+        any_accepts |= accepts_requests(selector, record, now);
+        const auto end =
+            backoff_end(selector.signals, {record.id, record.started_ms}, now);
+        if (end && (!first || *end < *first))
+            first = end;
+    };
+    fleet::visit_usable(selector.servers, service.name, consider);
+    const bool usable =
+        service.engine && first
+            ? !find_candidates(selector, service, {}, now).empty()
+            : any_accepts;
+    return usable ? std::nullopt : first;
+}
+
+std::size_t
+count_excluded(const server_selector& selector, base::time_point now)
+{
+    std::size_t count = 0;
+    for (const auto& [id, server] : selector.servers.servers)
+        if (server.record.state == wire::reported_state::ready &&
+            fleet::is_alive(selector.servers, server) &&
+            !accepts_requests(selector, server.record, now))
+            ++count;
+    return count;
+}
+
 std::optional<chosen_server> choose_server(
     const server_selector& selector,
     const std::string& service,
@@ -269,7 +339,7 @@
     bool best_ejected = true;
     const auto consider = [&](const wire::server_record& record) {
         const wire::endpoint address{record.address, record.port};
-        if (tried.contains(address))
+        if (tried.contains(address) || !accepts_requests(selector, record, now))
             return;
         const bool ejected = is_ejected(selector, address, now);
         // Up to 10 % of random noise, so that gateways do not all choose the
@@ -346,7 +416,8 @@
     const std::set<wire::endpoint>& avoided,
     base::time_point now)
 {
-    auto candidates = find_candidates(selector, service, avoided, false, now);
+    auto candidates =
+        find_candidates(selector, service, avoided, false, now, &first.server);
     const auto found =
         std::find_if(candidates.begin(), candidates.end(), [&](auto& item) {
             return item.parts.front() == first;
--- a/oleanderhinge/gateway/server_choice.hpp
+++ b/oleanderhinge/gateway/server_choice.hpp
@@ -1,7 +1,9 @@
 // Selects the backend server of a request, or its path through model engines.
 //
 // Selection uses the server records that control publishes and what this
-// gateway has observed itself: latencies, failures and requests in progress.
+// gateway has observed itself: latencies, failures, requests in progress and
+// the signals of servers. A server that leaves or is in back-off is chosen by
+// none of the functions.
 //
 // Example:
 //   server_selector selector;
@@ -16,6 +18,7 @@
 #include "oleanderhinge/fleet/directory.hpp"
 #include "oleanderhinge/fleet/paths.hpp"
 #include "oleanderhinge/gateway/congestion.hpp"
+#include "oleanderhinge/gateway/server_signals.hpp"
 
 #include <map>
 #include <optional>
@@ -78,6 +81,8 @@
 struct server_selector {
     fleet::directory servers;
     std::map<wire::endpoint, server_health> health;
+    // Changes are followed by a change of `generation`.
+    server_signals signals;
     // Data centre of this gateway.
     base::data_centre_id home;
     // Incremented by each change that makes cached paths invalid.
@@ -140,6 +145,28 @@
     const wire::endpoint& server,
     base::time_point now);
 
+// The process that is known under this id; start time 0 if none is.
+server_incarnation incarnation_of(
+    const server_selector& selector, const base::backend_server_id& id);
+
+// Whether this server accepts requests, as far as its signals say.
+bool accepts_requests(
+    const server_selector& selector,
+    const base::backend_server_id& id,
+    base::time_point now);
+
+// For a service that no request can use because its servers are in back-off:
+// when the first of the back-offs ends. Empty for any other service.
+std::optional<base::time_point> backoff_end(
+    const server_selector& selector,
+    const wire::forwarding_service& service,
+    base::time_point now);
+
+// The number of ready servers, of all services, that this gateway does not use
+// because of their signals.
+std::size_t
+count_excluded(const server_selector& selector, base::time_point now);
+
 // The server of a plain service with the least cost that is not in `tried`,
 // with some random noise in the costs. Ejected servers are chosen only if no
 // other is left. Empty if there is none.
@@ -174,8 +201,9 @@
     base::time_point now,
     base::duration target = base::duration(0));
 
-// The cheapest path for a running request that keeps its first part and uses no
-// server that is in `avoided` or ejected. Empty if there is none.
+// The cheapest path for a running request that keeps its first part, whatever
+// the signals of its server, and uses no server that is in `avoided` or
+// ejected. Empty if there is none.
 fleet::path choose_continuation(
     const server_selector& selector,
     const wire::forwarding_service& service,
--- a/oleanderhinge/gateway/server_choice_test.cpp
+++ b/oleanderhinge/gateway/server_choice_test.cpp
@@ -172,6 +172,56 @@
     EXPECT_EQ(this->count_first_servers(0, start + milliseconds(1100))[""], 0);
 }
 
+// Guards against new parts of a path on a server that leaves, and against a
+// running request that is begun again because its first server leaves.
+TEST_F(choice_fixture, a_continuation_keeps_only_the_first_server_that_leaves)
+{
+    this->selector.servers = {};
+    apply_record(this->selector, make_record("first", "a", 2), start);
+    for (const auto* id : {"near", "far"}) {
+        auto rest = make_record(id, *id == 'n' ? "a" : "b");
+        rest.layers = {base::layer_index{2}, base::layer_index{4}};
+        apply_record(this->selector, rest, start);
+    }
+    for (const auto* id : {"first", "near"})
+        note_leaving(this->selector.signals, {base::backend_server_id{id}, 1});
+    const fleet::path_part first{
+        base::backend_server_id{"first"},
+        {"first", 80},
+        base::data_centre_id{"a"},
+        {base::layer_index{0}, base::layer_index{2}}};
+    const auto found =
+        choose_continuation(this->selector, this->service, first, {}, start);
+    ASSERT_EQ(found.size(), 2U);
+    EXPECT_EQ(found[1].server.value(), "far");
+    EXPECT_EQ(this->count_first_servers(0)["first"], 0);
+}
+
+// Guards against callers that are told to return before any server is usable,
+// or later than needed.
+TEST_F(choice_fixture, a_service_is_in_backoff_if_no_path_is_left)
+{
+    const auto end = [this] {
+        return backoff_end(this->selector, this->service, start);
+    };
+    EXPECT_EQ(end(), std::nullopt);
+    auto pause = seconds(9);
+    for (const auto* id : {"a", "b", "c"}) {
+        EXPECT_EQ(end(), std::nullopt);
+        note_backoff(
+            this->selector.signals,
+            {base::backend_server_id{id}, 1},
+            start + pause,
+            start);
+        pause -= seconds(2);
+    }
+    EXPECT_EQ(end(), start + seconds(5));
+    note_leaving(this->selector.signals, {base::backend_server_id{"c"}, 1});
+    EXPECT_EQ(end(), start + seconds(7));
+    EXPECT_EQ(count_excluded(this->selector, start), 3U);
+    EXPECT_EQ(count_excluded(this->selector, start + seconds(8)), 2U);
+}
+
 // Grey failure: a server of a plain service answers with errors while it
 // reports itself healthy. Guards against an equal share of requests for it.
 TEST_F(choice_fixture, grey_servers_get_less)
--- /dev/null
+++ b/oleanderhinge/gateway/server_signals_test.cpp
@@ -0,0 +1,173 @@
+#include "oleanderhinge/gateway/server_signals.hpp"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <set>
+#include <string>
+
+namespace oleanderhinge::gateway
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const base::time_point start{seconds(100)};
+const base::backend_server_id server{"a"};
+
+// Guards against signals that get lost, that a report or a later answer clears,
+// and that outlive the process which sent them.
+TEST(server_signals, decide_which_process_accepts_requests)
+{
+    using signal = std::function<void(server_signals&)>;
+    const auto leaves = [](std::uint64_t started_ms) -> signal {
+        return [started_ms](server_signals& signals) {
+            note_leaving(signals, {server, started_ms});
+        };
+    };
+    const auto backs_off = [](std::uint64_t started_ms,
+                              milliseconds time) -> signal {
+        return [started_ms, time](server_signals& signals) {
+            note_backoff(signals, {server, started_ms}, start + time, start);
+        };
+    };
+    const auto restarts = [](std::uint64_t started_ms) -> signal {
+        return [started_ms](server_signals& signals) {
+            forget_others(signals, {server, started_ms});
+        };
+    };
+    struct row {
+        const char* what;
+        std::vector<signal> sent;
+        std::uint64_t started_ms;
+        milliseconds at;
+        bool accepts;
+    };
+    const std::vector<row> rows{
+        {"no signal", {}, 1, milliseconds(0), true},
+        {"leaving", {leaves(1)}, 1, milliseconds(0), false},
+        {"leaving, much later", {leaves(1)}, 1, seconds(600), false},
+        {"leaving, reported again",
+         {leaves(1), restarts(1)},
+         1,
+         milliseconds(0),
+         false},
+        {"another process left", {leaves(1)}, 2, milliseconds(0), true},
+        {"restarted", {leaves(1), restarts(2)}, 2, milliseconds(0), true},
+        {"an old answer after the restart",
+         {leaves(2), leaves(1)},
+         2,
+         milliseconds(0),
+         false},
+        {"in back-off",
+         {backs_off(1, seconds(2))},
+         1,
+         milliseconds(1999),
+         false},
+        {"after the back-off", {backs_off(1, seconds(2))}, 1, seconds(2), true},
+        {"a shorter back-off follows",
+         {backs_off(1, seconds(2)), backs_off(1, milliseconds(400))},
+         1,
+         seconds(1),
+         false},
+        {"a longer back-off follows",
+         {backs_off(1, milliseconds(400)), backs_off(1, seconds(2))},
+         1,
+         seconds(1),
+         false},
+        {"back-off of another process",
+         {backs_off(1, seconds(2))},
+         2,
+         milliseconds(0),
+         true},
+        {"leaving and back-off",
+         {backs_off(1, seconds(2)), leaves(1)},
+         1,
+         seconds(3),
+         false},
+    };
+    for (const auto& row : rows) {
+        server_signals signals;
+        for (const auto& send : row.sent)
+            send(signals);
+        const server_incarnation process{server, row.started_ms};
+        EXPECT_EQ(
+            accepts_requests(signals, process, start + row.at), row.accepts)
+            << row.what;
+        end_backoffs(signals, start + row.at);
+        EXPECT_EQ(
+            accepts_requests(signals, process, start + row.at), row.accepts)
+            << row.what << ", after ended back-offs were removed";
+    }
+}
+
+// Guards against log lines for signals that change nothing, against missing
+// ones, and against memory that grows with each server that was in back-off.
+TEST(server_signals, changes_are_reported_once)
+{
+    server_signals signals;
+    EXPECT_TRUE(note_leaving(signals, {server, 1}));
+    EXPECT_FALSE(note_leaving(signals, {server, 1}));
+    const server_incarnation other{base::backend_server_id{"b"}, 1};
+    EXPECT_TRUE(note_backoff(signals, other, start + seconds(1), start));
+    EXPECT_FALSE(note_backoff(signals, other, start + seconds(2), start));
+    EXPECT_TRUE(end_backoffs(signals, start + seconds(1)).empty());
+    EXPECT_EQ(end_backoffs(signals, start + seconds(2)), std::vector{other.id});
+    EXPECT_TRUE(end_backoffs(signals, start + seconds(3)).empty());
+    EXPECT_EQ(signals.servers.size(), 1U);
+}
+
+// Guards against a server that a malformed field excludes.
+TEST(server_signals, only_plain_seconds_are_a_retry_after)
+{
+    struct row {
+        const char* value;
+        std::optional<base::duration> time;
+    };
+    const std::vector<row> rows{
+        {"2", seconds(2)},
+        {"0.4", milliseconds(400)},
+        {"0", seconds(0)},
+        {"120.25", milliseconds(120250)},
+        {"99999999999999999999", seconds(1000000000)},
+        {"1e9", {}},
+        {"-1", {}},
+        {"+1", {}},
+        {".5", {}},
+        {"5.", {}},
+        {"1.2.3", {}},
+        {"1 2", {}},
+        {"2, 2", {}},
+        {"0x10", {}},
+        {"inf", {}},
+        {"nan", {}},
+        {"", {}},
+        {"Wed, 21 Oct", {}},
+        {"Wed, 21 Oct 2026 07:28:00 GMT", {}},
+    };
+    for (const auto& row : rows)
+        EXPECT_EQ(parse_retry_after(row.value), row.time) << row.value;
+    const std::string digits(400, '9');
+    EXPECT_EQ(parse_retry_after(digits), seconds(1000000000));
+}
+
+// Guards against servers that are tried again at the same moment, before the
+// requested time, or after the limit only.
+TEST(server_signals, backoffs_are_limited_and_spread)
+{
+    base::random_source random{1};
+    std::set<base::duration> times;
+    for (int i = 0; i < 100; ++i) {
+        const auto time = backoff_time(seconds(2), seconds(60), random);
+        EXPECT_GE(time, seconds(2));
+        EXPECT_LE(time, milliseconds(2200));
+        times.insert(time);
+    }
+    EXPECT_GT(times.size(), 90U);
+    EXPECT_LE(backoff_time(seconds(3600), seconds(60), random), seconds(66));
+}
+
+} // namespace
+} // namespace oleanderhinge::gateway
--- a/oleanderhinge/gateway/settings.cpp
+++ b/oleanderhinge/gateway/settings.cpp
@@ -81,6 +81,14 @@
          "100ms",
          "10min",
          "window of retries.slack"},
+        {"servers",
+         "max_backoff",
+         value_type::duration,
+         "1min",
+         "1s",
+         "10min",
+         "longest time for which a server gets no requests because of a "
+         "Retry-After in its answer"},
         {"management",
          "listen",
          value_type::endpoint,
@@ -133,6 +141,7 @@
     for (const auto& seed : checked.endpoint_list("control.seeds"))
         chosen.seeds.push_back({seed.address, port});
     chosen.retries = read_retries(checked);
+    chosen.max_backoff = checked.duration("servers.max_backoff");
     chosen.times = settings::load_timing(checked);
     if (checked.has("gateway.kill_delay")) {
         const auto delay = checked.duration("gateway.kill_delay");
--- /dev/null
+++ b/oleanderhinge/gateway/signal_recorder.hpp
@@ -0,0 +1,55 @@
+// Records the signals in the answers of backend servers: reads them, updates
+// the selector, counts and logs.
+//
+// Used on the gateway's thread only.
+//
+// Example:
+//   signal_recorder recorder(selector, stats, {});
+//   recorder.record(server, status, protocol.read_answer(status, fields));
+//   recorder.tick(now); // ten times a second
+#pragma once
+
+#include "oleanderhinge/gateway/metrics.hpp"
+#include "oleanderhinge/gateway/protocol_adapter.hpp"
+#include "oleanderhinge/gateway/request_log.hpp"
+#include "oleanderhinge/gateway/server_choice.hpp"
+
+namespace oleanderhinge::gateway
+{
+
+struct signal_options {
+    // Longest back-off that a server gets, whatever it asks for.
+    base::duration max_backoff = default_max_backoff;
+    std::uint64_t seed = 1;
+};
+
+class signal_recorder
+{
+public:
+    signal_recorder(
+        server_selector& selector, metrics& stats, signal_options options);
+
+    // Records the signals of one answer from this server.
+    void record(
+        const server_incarnation& server,
+        unsigned status,
+        const answer_metadata& answer,
+        base::time_point now);
+    // Logs the back-offs that have ended.
+    void tick(base::time_point now);
+
+private:
+    void record_backoff(
+        const server_incarnation& server,
+        const std::string& retry_after,
+        base::time_point now);
+
+    server_selector& selector;
+    metrics& stats;
+    const signal_options options;
+    base::random_source random;
+    // Limits the lines about fields that cannot be read.
+    request_log log;
+};
+
+} // namespace oleanderhinge::gateway
--- a/oleanderhinge/gateway/stall_watch.cpp
+++ b/oleanderhinge/gateway/stall_watch.cpp
@@ -58,12 +58,14 @@
     const protocol_adapter& protocol_in,
     server_selector& selector_in,
     metrics& stats_in,
+    signal_recorder& signals_in,
     std::function<void(const wire::endpoint&)> report_suspect_in,
     attempt_reservation reserve_attempt_in)
     : io(context)
     , protocol(protocol_in)
     , selector(selector_in)
     , stats(stats_in)
+    , signals(signals_in)
     , report_suspect(std::move(report_suspect_in))
     , reserve_attempt(std::move(reserve_attempt_in))
     , client(context, kept_connections)
@@ -112,18 +114,33 @@
         last = now;
         asio::co_spawn(
             this->io,
-            this->query_state(request->connection->server()),
+            this->query_state(request->connection->server(), request->sent_to),
             asio::detached);
     }
 }
 
-asio::awaitable<void> stall_watch::query_state(wire::endpoint first_server)
+void stall_watch::record_signals(
+    const server_incarnation& process, const wire::response& answer)
+{
+    http_fields fields;
+    for (const auto& item : answer.headers)
+        fields.insert(item.name, item.value);
+    this->signals.record(
+        process,
+        answer.status,
+        this->protocol.read_answer(answer.status, fields),
+        base::monotonic_now());
+}
+
+asio::awaitable<void> stall_watch::query_state(
+    wire::endpoint first_server, server_incarnation process)
 {
     const auto started = steady_now();
     auto call = this->protocol.make_state_query();
     const auto outcome = co_await this->client.call(
         first_server, std::move(call), engine_call_timeout, net::reuse::never);
     if (outcome.failure == net::http_failure::none) {
+        this->record_signals(process, outcome.answer);
         for (const auto& stalled :
              this->protocol.parse_stalls(outcome.answer.body))
             this->on_stall(stalled, first_server, started);
@@ -212,6 +229,7 @@
 {
     auto& request = *held;
     const auto connection = request.connection;
+    const auto process = request.sent_to;
     auto avoided = request.tried;
     avoided.insert(waits_for);
     auto parts = choose_continuation(
@@ -228,6 +246,8 @@
             std::move(call),
             engine_call_timeout,
             net::reuse::never);
+        if (outcome.failure == net::http_failure::none)
+            this->record_signals(process, outcome.answer);
     }
     request.path_change_pending = false;
     // The attempt may have ended during the call.
--- a/oleanderhinge/gateway/stall_watch.hpp
+++ b/oleanderhinge/gateway/stall_watch.hpp
@@ -8,6 +8,10 @@
 // server is known to be at fault, the attempt is cancelled, and the forwarder
 // makes another one.
 //
+// State queries and path changes concern requests that run already and are no
+// requests of callers, so a server that leaves or is in back-off still gets
+// them. New parts of a path are never on such a server.
+//
 // An answer that has begun is cancelled only if another attempt can continue it
 // now. Its server is slow or silent but has not failed, and it may go on.
 //
@@ -15,7 +19,8 @@
 //
 // Example:
 //   stall_watch stalls(
-//       io, protocol, selector, stats, report_suspect, reserve_attempt);
+//       io, protocol, selector, stats, signals, report_suspect,
+//       reserve_attempt);
 //   stalls.add(request); ... stalls.remove(request);
 //   stalls.tick(); // ten times a second
 #pragma once
@@ -23,6 +28,7 @@
 #include "oleanderhinge/gateway/forwarding_request.hpp"
 #include "oleanderhinge/gateway/metrics.hpp"
 #include "oleanderhinge/gateway/server_choice.hpp"
+#include "oleanderhinge/gateway/signal_recorder.hpp"
 #include "oleanderhinge/net/http_client.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -52,6 +58,7 @@
         const protocol_adapter& protocol,
         server_selector& selector,
         metrics& stats,
+        signal_recorder& signals,
         std::function<void(const wire::endpoint&)> report_suspect,
         attempt_reservation reserve_attempt);
 
@@ -63,7 +70,10 @@
 private:
     using request_pointer = std::shared_ptr<forwarding_request>;
 
-    boost::asio::awaitable<void> query_state(wire::endpoint first_server);
+    boost::asio::awaitable<void>
+    query_state(wire::endpoint first_server, server_incarnation process);
+    void record_signals(
+        const server_incarnation& process, const wire::response& answer);
     // Acts on what a first server reported to a query of `queried_at`.
     void on_stall(
         const stalled_request& stalled,
@@ -82,6 +92,7 @@
     const protocol_adapter& protocol;
     server_selector& selector;
     metrics& stats;
+    signal_recorder& signals;
     const std::function<void(const wire::endpoint&)> report_suspect;
     const attempt_reservation reserve_attempt;
     net::http_client client;
