control: send the list of servers in messages of bounded size

All records went into one message. If they exceed 4 MiB together, each gateway or member that connects closes its link on that message, connects again and gets it again. Some 4,000 odd reports with long names within the 120 s of the tombstone suffice; a fleet of some 20,000 servers would do the same (both by the size of a record, not run).

Change: lists and changes are divided over messages of at most 256 KiB, between which heartbeats are sent. A record that is larger by itself is left out; the platform's reports cannot be.

--- a/oleanderhinge/control/fleet_watch.cpp
+++ b/oleanderhinge/control/fleet_watch.cpp
@@ -1,5 +1,7 @@
 #include "oleanderhinge/control/fleet_watch.hpp"
 
+#include "oleanderhinge/wire/archive.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -120,6 +122,24 @@
     return batch;
 }
 
+std::vector<wire::server_batch> split(const wire::server_batch& all)
+{
+    std::vector<wire::server_batch> batches(1);
+    std::size_t bytes = 0;
+    for (const auto& record : all.records) {
+        const auto size = wire::to_bytes(record).size();
+        if (size > max_batch_bytes)
+            continue;
+        if (bytes + size > max_batch_bytes) {
+            batches.emplace_back();
+            bytes = 0;
+        }
+        batches.back().records.push_back(record);
+        bytes += size;
+    }
+    return batches;
+}
+
 std::vector<wire::server_record> due_for_load(
     fleet_watch& fleet,
     const wire::forwarding_table& table,
--- a/oleanderhinge/control/fleet_watch.hpp
+++ b/oleanderhinge/control/fleet_watch.hpp
@@ -41,6 +41,10 @@
 inline constexpr base::duration load_interval = std::chrono::seconds(1);
 inline constexpr std::size_t load_rounds = 4;
 
+// Largest size of the records in one message. Other messages, such as
+// heartbeats, are sent between two of them.
+inline constexpr std::size_t max_batch_bytes = std::size_t(256) << 10;
+
 struct fleet_watch {
     fleet::directory servers;
     // Servers whose records are to be sent at once. Those in `changed_here`
@@ -104,6 +108,10 @@
 // Returns the records of all servers, for a new subscriber.
 wire::server_batch all_servers(const fleet_watch& fleet, base::time_point now);
 
+// Divides the records over batches that each fit into one message, at least
+// one. A record that does not fit into one by itself is left out.
+std::vector<wire::server_batch> split(const wire::server_batch& all);
+
 // The engines that this node asks for their load.
 struct load_duty {
     // Those of its data centre, divided among the members there.
--- a/oleanderhinge/control/fleet_watch_test.cpp
+++ b/oleanderhinge/control/fleet_watch_test.cpp
@@ -100,6 +100,20 @@
     EXPECT_EQ(usable_count(second), 2U);
 }
 
+// Guards against a record that no message can carry and that keeps the others
+// from being sent.
+TEST(fleet_watch, a_record_larger_than_a_message_is_left_out)
+{
+    auto large = make_record("large", 1);
+    large.service = std::string(5'000'000, 'n');
+    const auto batches =
+        split({{make_record("a", 1), large, make_record("b", 1)}});
+    ASSERT_EQ(batches.size(), 1U);
+    ASSERT_EQ(batches[0].records.size(), 2U);
+    EXPECT_EQ(batches[0].records[1].id.value(), "b");
+    EXPECT_EQ(split({}).size(), 1U);
+}
+
 // Pattern: thousands of engines are asked for their load each second. Guards
 // against a leader that has connections to all of them, and against engines
 // that nobody or several members ask.
--- a/oleanderhinge/control/internal/service_configuration.cpp
+++ b/oleanderhinge/control/internal/service_configuration.cpp
@@ -55,7 +55,8 @@
     }));
     if (this->options.self_managed && is_new) {
         this->links.send(link, this->group());
-        this->links.send(link, all_servers(this->fleet, base::monotonic_now()));
+        this->send_records(
+            {link}, all_servers(this->fleet, base::monotonic_now()));
     }
     this->confirm_if_newest();
 }
--- a/oleanderhinge/control/internal/service_fleet.cpp
+++ b/oleanderhinge/control/internal/service_fleet.cpp
@@ -197,6 +197,13 @@
         this->links.send(to, std::move(crashes));
 }
 
+void service::impl::send_records(
+    const std::vector<net::link_id>& to, const wire::server_batch& records)
+{
+    for (const auto& batch : split(records))
+        this->links.send(to, batch);
+}
+
 void service::impl::send_servers()
 {
     const auto changes = take_changes(this->fleet, base::monotonic_now());
@@ -205,7 +212,7 @@
     const auto send_common = [&](const std::vector<net::link_id>& to,
                                  const wire::server_batch& changed) {
         if (!changed.records.empty())
-            this->links.send(to, changed);
+            this->send_records(to, changed);
         if (!changes.numbers.servers.empty())
             this->links.send(to, changes.numbers);
         if (changes.refreshed_here)
--- a/oleanderhinge/control/internal/service_impl.hpp
+++ b/oleanderhinge/control/internal/service_impl.hpp
@@ -142,6 +142,8 @@
     on_crash_evidence(net::link_id from, const wire::crash_evidence& received);
     // Sends all crashes to a peer that has connected.
     void send_crashes(net::link_id to);
+    void send_records(
+        const std::vector<net::link_id>& to, const wire::server_batch& records);
     void send_servers();
     void place_layers(const replica::log_status& status, base::time_point now);
     load_duty duty_for_loads(const replica::log_status& status) const;
--- a/oleanderhinge/control/internal/service_links.cpp
+++ b/oleanderhinge/control/internal/service_links.cpp
@@ -93,7 +93,8 @@
     // Refreshes do not carry what has changed while there was no link. Gateways
     // get all records when they subscribe.
     if (peer.sender == wire::role::control)
-        this->links.send(link, all_servers(this->fleet, base::monotonic_now()));
+        this->send_records(
+            {link}, all_servers(this->fleet, base::monotonic_now()));
     this->send_crashes(link);
     this->events.record(event_kind::link_opened, peer.vm.value());
     spdlog::info("event=link_opened peer={}", peer.vm.value());
--- a/oleanderhinge/control/service_test.cpp
+++ b/oleanderhinge/control/service_test.cpp
@@ -15,6 +15,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <mutex>
+#include <set>
 #include <sstream>
 #include <thread>
 
@@ -551,6 +552,46 @@
     }
 }
 
+// Names of other writers make the records of all servers larger than a message
+// may be. Guards against a list that closes the link of each gateway that asks
+// for it, again and again.
+TEST(feed, a_list_larger_than_a_message_reaches_gateways_and_members)
+{
+    cluster group(1, 8, true);
+    entry_link reporter(group.io, group.member(0).link, wire::role::control);
+    constexpr std::size_t count = 5000;
+    const std::string name(256, 'n');
+    for (std::size_t i = 0; i < count;) {
+        wire::server_batch batch;
+        for (; batch.records.size() < 500; ++i) {
+            wire::server_record record;
+            record.id =
+                base::backend_server_id{name.substr(8) + std::to_string(i)};
+            record.service = record.kind = name;
+            record.data_centre = base::data_centre_id{name};
+            batch.records.push_back(std::move(record));
+        }
+        reporter.send(batch);
+    }
+    entry_link witness(group.io, group.member(0).link);
+    witness.send(wire::subscribe{});
+    std::set<base::backend_server_id> known;
+    while (known.size() < count && !testing::Test::HasFailure())
+        for (const auto& record : witness.next<wire::server_batch>().records)
+            known.insert(record.id);
+    // Both get the whole list when they connect.
+    for (const auto role : {wire::role::entry, wire::role::control}) {
+        entry_link late(group.io, group.member(0).link, role);
+        if (role == wire::role::entry)
+            late.send(wire::subscribe{});
+        known.clear();
+        while (known.size() < count && !testing::Test::HasFailure())
+            for (const auto& record : late.next<wire::server_batch>().records)
+                known.insert(record.id);
+        EXPECT_EQ(known.size(), count);
+    }
+}
+
 // Servers crash on a prompt while control has no leader. Guards against crashes
 // that stay with the gateway that saw them, and against a gateway that connects
 // later and does not learn of them.
