fleet: ignore layers that a server cannot hold

No caller has reported it here.

Ruled out: loops over the range.

Change: can_hold says whether the model has the layers and the memory of the kind holds their weights; other layers are not adopted and not used on paths.

--- a/oleanderhinge/fleet/placement.cpp
+++ b/oleanderhinge/fleet/placement.cpp
@@ -56,13 +56,17 @@
 }
 
 // Adopts the layers that servers report as the plan, for a new leader without a
-// recorded one. False if none reports any.
+// recorded one. False if none reports any that it can hold.
 bool adopt_reported_layers(
-    placement& plan, const std::vector<wire::server_record>& ready)
+    placement& plan,
+    const wire::engine_profile& profile,
+    const std::vector<wire::server_record>& ready)
 {
     bool any = false;
     for (const auto& record : ready) {
-        if (record.layers == base::layer_range{})
+        const auto* kind = find_kind(profile, record.kind);
+        if (kind == nullptr || record.layers == base::layer_range{} ||
+            !can_hold(profile, *kind, record.layers))
             continue;
         const auto found = plan.servers.find(address_of(record));
         if (found == plan.servers.end())
@@ -256,6 +260,16 @@
         profile.layer_count, std::uint32_t(memory_mb / profile.layer_mb));
 }
 
+bool can_hold(
+    const wire::engine_profile& profile,
+    const wire::accelerator_kind& kind,
+    const base::layer_range& layers)
+{
+    return layers.end.value() <= profile.layer_count &&
+           layers.end.value() - layers.first.value() <=
+               largest_range(profile, kind.memory_mb);
+}
+
 void update(
     placement& plan,
     const wire::engine_profile& profile,
@@ -273,7 +287,8 @@
         server.memory_mb = kind->memory_mb;
         server.last_seen = now;
     }
-    const bool first = !has_plan(plan) && !adopt_reported_layers(plan, ready);
+    const bool first =
+        !has_plan(plan) && !adopt_reported_layers(plan, profile, ready);
     if (first || (plan.first_divided_at &&
                   now < *plan.first_divided_at + late_report_window))
         divide_initially(plan, profile, now);
--- a/oleanderhinge/fleet/placement.hpp
+++ b/oleanderhinge/fleet/placement.hpp
@@ -153,4 +153,11 @@
 std::uint32_t
 largest_range(const wire::engine_profile& profile, double memory_mb);
 
+// True if the model has the layers and a server of the kind has the memory for
+// their weights. Reports that claim others are not those of a server.
+bool can_hold(
+    const wire::engine_profile& profile,
+    const wire::accelerator_kind& kind,
+    const base::layer_range& layers);
+
 } // namespace oleanderhinge::fleet
--- a/oleanderhinge/fleet/placement_test.cpp
+++ b/oleanderhinge/fleet/placement_test.cpp
@@ -349,6 +349,29 @@
             successor.servers.at({server.address, 80}).layers, server.layers);
 }
 
+// One odd report, among those of servers that hold no layers yet, claims layers
+// that the model does not have or that its memory cannot hold. Guards against a
+// plan that relies on them and gives the other servers nothing.
+TEST_F(fleet_fixture, impossible_layers_are_not_adopted)
+{
+    const auto real_servers = this->servers;
+    for (const auto& [first, end] :
+         std::vector<std::pair<std::uint32_t, std::uint32_t>>{
+             {0, 4294967295}, {0, 80}, {4294967294, 4294967295}, {70, 81}}) {
+        this->servers = real_servers;
+        this->plan = {};
+        wire::server_record odd = real_servers.back();
+        odd.id = base::backend_server_id{"odd"};
+        odd.address = "odd";
+        odd.layers = {base::layer_index{first}, base::layer_index{end}};
+        this->servers.push_back(odd);
+        this->settle(start);
+        for (const auto& server : this->servers)
+            EXPECT_NE(server.layers, base::layer_range{})
+                << server.id.value() << ", odd: " << first << '-' << end;
+    }
+}
+
 // Pattern: many servers are replaced at the same time, and each takes a few
 // layers. Guards against orders that wait for the reports of loads that ended
 // long before.
--- a/oleanderhinge/gateway/server_choice.cpp
+++ b/oleanderhinge/gateway/server_choice.cpp
@@ -102,6 +102,7 @@
         const wire::endpoint address{record.address, record.port};
         const auto* kind = fleet::find_kind(*service.engine, record.kind);
         if (kind == nullptr || record.layers == base::layer_range{} ||
+            !fleet::can_hold(*service.engine, *kind, record.layers) ||
             tried.contains(address) ||
             (!accepts_requests(selector, record, now) &&
              (running_at == nullptr || record.id != *running_at)) ||
--- a/oleanderhinge/gateway/server_choice_test.cpp
+++ b/oleanderhinge/gateway/server_choice_test.cpp
@@ -103,6 +103,28 @@
     EXPECT_EQ(counts[""], 0);
 }
 
+// An odd report claims layers that the model does not have, or that the memory
+// of its kind cannot hold. Guards against requests that are sent there.
+TEST_F(choice_fixture, servers_with_impossible_layers_get_nothing)
+{
+    auto& engine = *this->service.engine;
+    engine.layer_mb = 100;
+    engine.kinds.push_back({"small", 300, 1, 1});
+    for (const auto layers : {5U, 4294967295U})
+        apply_record(
+            this->selector,
+            make_record("odd" + std::to_string(layers), "a", layers),
+            start);
+    auto small = make_record("small", "a", 4);
+    small.kind = "small";
+    apply_record(this->selector, small, start);
+    auto counts = this->count_first_servers(0);
+    EXPECT_EQ(counts["odd5"], 0);
+    EXPECT_EQ(counts["odd4294967295"], 0);
+    EXPECT_EQ(counts["small"], 0);
+    EXPECT_GT(counts["a"], 0);
+}
+
 // More requests arrive than the servers can run, of any priority. Guards
 // against requests that are run although their callers will have left by then:
 // they are refused at once, the least urgent ones first.
