fleet: bound the division of layers for any sizes in a manifest

With an engine that has layers and kinds but no layerMb, or a tiny one, the leader never got out of planning: the number of chains to try is the memory divided by the model's size, which is infinite then. Counts of layers for negative or very large memory were conversions that are undefined.

Change: at most as many chains as servers are tried, since a chain without servers is never chosen, and counts of layers are limited before they are converted. Plans for usual sizes are the same.

--- a/oleanderhinge/fleet/division.cpp
+++ b/oleanderhinge/fleet/division.cpp
@@ -40,9 +40,13 @@
     for (const auto& part : parts) {
         const double cache_mb =
             request_mb(profile) * requests / double(part.servers);
-        layers_per_part.push_back(std::min(
-            profile.layer_count,
-            std::uint32_t(part.memory_mb / (profile.layer_mb + cache_mb))));
+        const double layer_mb = profile.layer_mb + cache_mb;
+        layers_per_part.push_back(
+            layer_mb <= 0 ? profile.layer_count
+                          : std::uint32_t(std::clamp(
+                                part.memory_mb / layer_mb,
+                                0.0,
+                                double(profile.layer_count))));
     }
     return layers_per_part;
 }
--- a/oleanderhinge/fleet/internal/chains.cpp
+++ b/oleanderhinge/fleet/internal/chains.cpp
@@ -172,7 +172,9 @@
     rate_cache cache;
     std::vector<server_group> best;
     double best_rate = 0;
-    for (std::size_t count = 1; double(count) <= copies; ++count) {
+    for (std::size_t count = 1;
+         count <= members.size() && double(count) <= copies;
+         ++count) {
         auto chains = distribute_to_chains(members, count);
         double rate = 0;
         bool all_fit = true;
--- a/oleanderhinge/fleet/placement.cpp
+++ b/oleanderhinge/fleet/placement.cpp
@@ -256,8 +256,8 @@
 {
     if (profile.layer_mb <= 0)
         return profile.layer_count;
-    return std::min(
-        profile.layer_count, std::uint32_t(memory_mb / profile.layer_mb));
+    return std::uint32_t(std::clamp(
+        memory_mb / profile.layer_mb, 0.0, double(profile.layer_count)));
 }
 
 bool can_hold(
--- a/oleanderhinge/fleet/placement_test.cpp
+++ b/oleanderhinge/fleet/placement_test.cpp
@@ -372,6 +372,27 @@
     }
 }
 
+// Guards against a leader that never gets out of planning, or plans layers that
+// do not fit, because a manifest has sizes that no engine has.
+TEST_F(fleet_fixture, absurd_sizes_end_in_a_plan_within_memory)
+{
+    const auto real = this->profile;
+    for (const double layer_mb : {0.0, 1e-300, 1e300})
+        for (const double memory_mb : {-1e300, 0.0, 72000.0, 1e300}) {
+            this->plan = {};
+            this->profile = real;
+            this->profile.layer_mb = layer_mb;
+            this->profile.cache_bytes_per_token = 0;
+            this->profile.kinds[0].memory_mb = memory_mb;
+            update(this->plan, this->profile, this->servers, start);
+            for (const auto& [address, server] : this->plan.servers)
+                EXPECT_LE(server.target.end.value(), 80U)
+                    << layer_mb << ' ' << memory_mb;
+        }
+    EXPECT_EQ(largest_range(real, -1), 0U);
+    EXPECT_EQ(largest_range(real, 1e300), 80U);
+}
+
 // Pattern: many servers are replaced at the same time, and each takes a few
 // layers. Guards against orders that wait for the reports of loads that ended
 // long before.
