fleet: keep data centres apart beside a single server elsewhere

One report, odd only in that it names a data centre where no other server is, led the leader to divide the model over all data centres, and no data centre got a copy of its own, also after the odd server was gone.

Cause: if any data centre lacks the memory for a copy, all are one group.

Change: a data centre with a single server does not count for this while another can hold a copy. It is a group of its own, which holds what its memory allows. A real data centre with a single server is no longer part of the others' chains.

Evidence: fleet_fixture.a_single_server_elsewhere_does_not_join_the_data_centres failed before in all 87 assertions and passes now; fleet_test passes (58).

--- a/oleanderhinge/fleet/internal/chains.cpp
+++ b/oleanderhinge/fleet/internal/chains.cpp
@@ -203,12 +203,20 @@
         all_servers.push_back(&server);
     }
     std::vector<server_group> groups;
+    bool any_holds_a_copy = false;
     for (auto& [data_centre, members] : by_data_centre) {
-        if (memory_of(members) <
-            profile.layer_mb * profile.layer_count * min_copy_memory_factor)
+        const bool holds_a_copy =
+            memory_of(members) >=
+            profile.layer_mb * profile.layer_count * min_copy_memory_factor;
+        // A single server may be an odd report with the name of a data centre
+        // that does not exist.
+        if (!holds_a_copy && members.size() > 1)
             return {all_servers};
+        any_holds_a_copy = any_holds_a_copy || holds_a_copy;
         groups.push_back(std::move(members));
     }
+    if (!any_holds_a_copy)
+        return {all_servers};
     return groups;
 }
 
--- a/oleanderhinge/fleet/internal/chains.hpp
+++ b/oleanderhinge/fleet/internal/chains.hpp
@@ -17,8 +17,9 @@
 
 // Groups of servers that each hold their own copies of the model: one group
 // for each data centre, or one for the whole fleet if some data centre has less
-// memory than `min_copy_memory_factor` copies need. The pointers are into
-// `plan`.
+// memory than `min_copy_memory_factor` copies need. A data centre with a single
+// server does not count for this while another has the memory. The pointers are
+// into `plan`.
 std::vector<server_group>
 replica_groups(placement& plan, const wire::engine_profile& profile);
 
--- a/oleanderhinge/fleet/placement_test.cpp
+++ b/oleanderhinge/fleet/placement_test.cpp
@@ -372,6 +372,27 @@
     }
 }
 
+// One odd report names a data centre that no other server is in. Guards against
+// a model that is divided over all data centres because this one cannot hold a
+// copy.
+TEST_F(fleet_fixture, a_single_server_elsewhere_does_not_join_the_data_centres)
+{
+    auto odd = this->servers.back();
+    odd.id = base::backend_server_id{"odd"};
+    odd.address = "odd";
+    odd.data_centre = base::data_centre_id{"nowhere"};
+    this->servers.push_back(odd);
+    this->settle(start);
+    for (int second = 1; second < 30; ++second) {
+        if (second == 5)
+            this->remove_server("odd");
+        this->settle(start + seconds(second));
+        for (const auto* data_centre : {"glasgow", "edinburgh", "inverness"})
+            EXPECT_TRUE(is_complete(this->path_inside(data_centre), 80))
+                << data_centre << ' ' << second;
+    }
+}
+
 // Guards against a leader that never gets out of planning, or plans layers that
 // do not fit, because a manifest has sizes that no engine has.
 TEST_F(fleet_fixture, absurd_sizes_end_in_a_plan_within_memory)
