gateway: forget servers that ended long ago

A gateway kept each server id and address that it had ever been told of, also those of odd reports; control forgets them after 120 s.

Change: gateways forget them, too, by the age of the newest report, so that an outage of control makes them forget none. What was observed at an address stays while a request is in progress there.

--- a/oleanderhinge/gateway/gateway_node.cpp
+++ b/oleanderhinge/gateway/gateway_node.cpp
@@ -254,6 +254,7 @@
     this->control.tick(base::monotonic_now());
     this->forward.tick();
     fleet::expire(this->quarantine, base::monotonic_now());
+    forget_old_servers(this->selector);
     this->timer.expires_after(tick_interval);
     this->timer.async_wait([this](boost::system::error_code failed) {
         if (!failed && !this->stopped)
--- a/oleanderhinge/gateway/server_choice.cpp
+++ b/oleanderhinge/gateway/server_choice.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <set>
 
 namespace oleanderhinge::gateway
 {
@@ -215,6 +216,21 @@
     return outcome;
 }
 
+void forget_old_servers(server_selector& selector)
+{
+    const auto before = selector.servers.servers.size();
+    fleet::expire(selector.servers, selector.servers.newest);
+    if (selector.servers.servers.size() == before)
+        return;
+    std::set<wire::endpoint> known;
+    for (const auto& [id, server] : selector.servers.servers)
+        known.insert(fleet::address_of(server.record));
+    std::erase_if(selector.health, [&](const auto& item) {
+        return item.second.in_progress == 0 && !known.contains(item.first);
+    });
+    ++selector.generation;
+}
+
 void note_started(server_selector& selector, const wire::endpoint& server)
 {
     ++selector.health[server].in_progress;
--- a/oleanderhinge/gateway/server_choice.hpp
+++ b/oleanderhinge/gateway/server_choice.hpp
@@ -118,6 +118,11 @@
     const wire::server_record& record,
     base::time_point now);
 
+// Forgets servers without a report for `fleet::tombstone_time` before the
+// newest one, and what was observed at addresses that no server has. Without
+// reports of any server, none is forgotten.
+void forget_old_servers(server_selector& selector);
+
 // Count the requests in progress; each start is followed by one end.
 void note_started(server_selector& selector, const wire::endpoint& server);
 void note_ended(server_selector& selector, const wire::endpoint& server);
--- a/oleanderhinge/gateway/server_choice_test.cpp
+++ b/oleanderhinge/gateway/server_choice_test.cpp
@@ -125,6 +125,31 @@
     EXPECT_GT(counts["a"], 0);
 }
 
+// Servers start and end, and odd reports name others, for as long as a gateway
+// runs. Guards against memory that grows with all of them, and against servers
+// that are forgotten because control is out of reach.
+TEST_F(choice_fixture, servers_that_ended_long_ago_are_forgotten)
+{
+    for (int i = 0; i < 1000; ++i)
+        apply_record(
+            this->selector, make_record("old" + std::to_string(i), "a"), start);
+    note_started(this->selector, {"old0", 80});
+    forget_old_servers(this->selector);
+    EXPECT_EQ(this->selector.servers.servers.size(), 1003U);
+    for (const auto* id : {"a", "b", "c"})
+        fleet::refresh(
+            this->selector.servers,
+            base::backend_server_id{id},
+            start + fleet::tombstone_time + seconds(1));
+    forget_old_servers(this->selector);
+    EXPECT_EQ(this->selector.servers.servers.size(), 3U);
+    EXPECT_EQ(this->selector.servers.last_started.size(), 3U);
+    // A request is still in progress at one of them.
+    EXPECT_EQ(this->selector.health.size(), 4U);
+    note_ended(this->selector, {"old0", 80});
+    EXPECT_EQ(this->count_first_servers(0)[""], 0);
+}
+
 // More requests arrive than the servers can run, of any priority. Guards
 // against requests that are run although their callers will have left by then:
 // they are refused at once, the least urgent ones first.
