gateway: forget the signals of servers that ended long ago

A server that has said that it leaves was kept under its id for good, unless another process started under it.

Change: signals go with the servers that the gateway forgets. The test of the servers that ended long ago covers a signal, too; that line was not run without the change. The comment of read_answer_head says its rule plainly.

--- a/oleanderhinge/gateway/internal/forwarder_attempts.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_attempts.cpp
@@ -96,10 +96,9 @@
     co_return attempt_result{};
 }
 
-// Reads the head of the answer to this request, and skips answers that carry
-// the id of another one, or none where an answer to an earlier request may come
-// first. Fails if the server refused the request, or if there
-// is no answer by `limit`.
+// Reads the head of the answer to this request, and skips answers to others. An
+// answer without an id counts only as the first one on a new connection. Fails
+// if the server refused the request, or if there is no answer by `limit`.
 asio::awaitable<forwarder::attempt_result>
 forwarder::read_answer_head(forwarding_request& request, steady_time limit)
 {
--- a/oleanderhinge/gateway/server_choice.cpp
+++ b/oleanderhinge/gateway/server_choice.cpp
@@ -228,6 +228,9 @@
     std::erase_if(selector.health, [&](const auto& item) {
         return item.second.in_progress == 0 && !known.contains(item.first);
     });
+    std::erase_if(selector.signals.servers, [&](const auto& item) {
+        return !selector.servers.servers.contains(item.first);
+    });
     ++selector.generation;
 }
 
--- a/oleanderhinge/gateway/server_choice_test.cpp
+++ b/oleanderhinge/gateway/server_choice_test.cpp
@@ -134,6 +134,8 @@
         apply_record(
             this->selector, make_record("old" + std::to_string(i), "a"), start);
     note_started(this->selector, {"old0", 80});
+    const base::backend_server_id left{"old1"};
+    note_leaving(this->selector.signals, incarnation_of(this->selector, left));
     forget_old_servers(this->selector);
     EXPECT_EQ(this->selector.servers.servers.size(), 1003U);
     for (const auto* id : {"a", "b", "c"})
@@ -144,6 +146,7 @@
     forget_old_servers(this->selector);
     EXPECT_EQ(this->selector.servers.servers.size(), 3U);
     EXPECT_EQ(this->selector.servers.last_started.size(), 3U);
+    EXPECT_TRUE(this->selector.signals.servers.empty());
     // A request is still in progress at one of them.
     EXPECT_EQ(this->selector.health.size(), 4U);
     note_ended(this->selector, {"old0", 80});
