--- a/oleanderhinge/gateway/settings.cpp
+++ b/oleanderhinge/gateway/settings.cpp
@@ -59,6 +59,27 @@
          "1",
          "65535",
          "port for links of the control nodes"},
+        {"management",
+         "listen",
+         value_type::endpoint,
+         "",
+         "",
+         "",
+         "HTTP endpoint for health, metrics and events"},
+        {"management",
+         "metrics",
+         value_type::endpoint_list,
+         "",
+         "",
+         "",
+         "a second endpoint for the same",
+         true}};
+}
+
+// Limits on what is sent to backend servers.
+settings::schema limit_keys()
+{
+    return {
         {"retries",
          "share",
          value_type::number,
@@ -88,22 +109,7 @@
          "1s",
          "10min",
          "longest time for which a server gets no requests because of a "
-         "Retry-After in its answer"},
-        {"management",
-         "listen",
-         value_type::endpoint,
-         "",
-         "",
-         "",
-         "HTTP endpoint for health, metrics and events"},
-        {"management",
-         "metrics",
-         value_type::endpoint_list,
-         "",
-         "",
-         "",
-         "a second endpoint for the same",
-         true}};
+         "Retry-After in its answer"}};
 }
 
 retry::shared_budget_options read_retries(const settings::values& checked)
@@ -120,7 +126,7 @@
 settings::schema gateway_keys()
 {
     auto keys = settings::node_keys();
-    for (const auto& part : {own_keys(), settings::timing_keys()})
+    for (const auto& part : {own_keys(), limit_keys(), settings::timing_keys()})
         keys.insert(keys.end(), part.begin(), part.end());
     return keys;
 }
