gateway: take no time from the next attempt at a call that timed out

What callers would see: a call whose server goes dark, and which has attempts left, fails for lack of time: looking for a crash takes up to 0.3 s, while some calls have 0.6 s in all.

Cause: since plain calls are watched for crashes, an attempt that reached its limit counted as a broken connection and was followed by the new connection that shows whether the server's process has ended.

Change: an attempt that timed out is no evidence and is not looked into. Connections that break still are.

--- a/oleanderhinge/gateway/deadly_requests_test.cpp
+++ b/oleanderhinge/gateway/deadly_requests_test.cpp
@@ -74,6 +74,26 @@
     EXPECT_EQ(this->runs(), 2U);
 }
 
+// A server stops to accept connections and leaves a call without an answer.
+// Guards against evidence from a call that timed out, and against the time that
+// looking for it would take from the next attempt.
+TEST_F(deadly_requests, a_call_that_timed_out_is_no_evidence)
+{
+    this->first.behave = [this](
+                             const net::http_request&,
+                             net::http_exchange&) -> asio::awaitable<void> {
+        this->first.server.drain();
+        asio::steady_timer timer(this->io);
+        while (this->second.seen.empty()) {
+            timer.expires_after(5ms);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+    };
+    this->second.behave = answer;
+    EXPECT_EQ(this->ask("/read/x").answer.status, 200U);
+    EXPECT_TRUE(this->shared_evidence.empty());
+}
+
 // Guards against refusing a sound request that was present at three crashes.
 TEST_F(deadly_requests, an_answer_clears_the_request)
 {
--- a/oleanderhinge/gateway/internal/attempt.hpp
+++ b/oleanderhinge/gateway/internal/attempt.hpp
@@ -29,6 +29,8 @@
     wire::endpoint at_fault;
     // Bytes of an event in which the answer broke off, for the log.
     std::size_t partial_bytes = 0;
+    // The time for the answer ended; the connection had not broken.
+    bool timed_out = false;
 };
 
 template <class Result>
--- a/oleanderhinge/gateway/internal/forwarder_attempts.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_attempts.cpp
@@ -107,11 +107,14 @@
         // The caller of a stream leaves soon after `limit`, so the deadline
         // counts as passed. A plain call has part of its time left.
         const auto last = request.route->streaming ? limit : request.deadline;
-        if (failed)
-            co_return failed_with<attempt_result>(base::may_have_run(
+        if (failed) {
+            auto result = failed_with<attempt_result>(base::may_have_run(
                 steady_now() >= last ? failure_code::deadline_exceeded
                                      : failure_code::link_lost,
                 "answer: " + failed.message()));
+            result.timed_out = failed == boost::beast::error::timeout;
+            co_return result;
+        }
         auto metadata = this->protocol.read_answer(
             request.connection->status(), request.connection->fields());
         const bool first_on_connection =
--- a/oleanderhinge/gateway/internal/forwarder_crashes.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_crashes.cpp
@@ -88,7 +88,7 @@
 {
     if (request.events.event_count != 0 || !request.waits_for.address.empty() ||
         result.why.state != base::execution::may_have_run ||
-        result.why.code == failure_code::deadline_exceeded)
+        result.why.code == failure_code::deadline_exceeded || result.timed_out)
         co_return;
     const bool crashed = co_await is_process_gone(this->io, server);
     if (!crashed)
