gateway: plainer comments, one wait loop in a test

No behaviour changes: two comments are reworded, `as_whole` gets one, and the loop that two servers of a_report_of_the_earlier_server_is_ignored had each is a function of the test, with its assertions as they were.

--- a/oleanderhinge/gateway/internal/forwarder_attempts.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_attempts.cpp
@@ -121,8 +121,8 @@
             stray == 0 && request.connection->fresh();
         const bool is_own = metadata.id == request.metadata.id ||
                             (metadata.id.empty() && first_on_connection);
-        // Whenever the server wrote the answer, it still leaves, but the time
-        // that it asked for may be over.
+        // A late answer still shows that the server leaves, but the time that
+        // it asked for may be over.
         if (!is_own)
             metadata.retry_after.clear();
         this->signals.record(
--- a/oleanderhinge/gateway/internal/forwarder_crashes.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_crashes.cpp
@@ -37,10 +37,11 @@
     co_return failed == asio::error::connection_refused;
 }
 
-// The same for requests of one customer with one target and body, in every
-// gateway. The customer is part of it, so that nobody can have the request of
-// another one refused; a cryptographic hash, so that nobody can find a body
-// with the key of another request.
+// Identifies a request among its repetitions: the key is equal, in every
+// gateway, for requests of one customer with the same target and body. The
+// customer is part of it, so that nobody can have another customer's request
+// refused. The hash is cryptographic, so that nobody can find a body with the
+// key of another request.
 base::prompt_part repetition_key(forwarding_request& request)
 {
     if (!request.repetition_key) {
@@ -62,6 +63,7 @@
     return *request.repetition_key;
 }
 
+// The present attempt at the request, as evidence about the request itself.
 fleet::prompt as_whole(forwarding_request& request)
 {
     return fleet::whole_request(
--- a/oleanderhinge/gateway/mixed_answers_test.cpp
+++ b/oleanderhinge/gateway/mixed_answers_test.cpp
@@ -249,6 +249,13 @@
     };
     int reports = 0;
     int orders = 0;
+    const auto await_reports = [&]() -> asio::awaitable<void> {
+        asio::steady_timer timer(this->io);
+        while (reports < 4) {
+            timer.expires_after(5ms);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+    };
     this->first.behave =
         [&](const net::http_request& request,
             net::http_exchange& exchange) -> asio::awaitable<void> {
@@ -260,11 +267,7 @@
             co_return co_await break_off(request, exchange);
         co_await exchange.begin_stream(200, "", server_headers(request));
         co_await exchange.write_chunk("id: 1\ndata: x\n\n");
-        asio::steady_timer timer(this->io);
-        while (reports < 4) {
-            timer.expires_after(5ms);
-            co_await timer.async_wait(asio::use_awaitable);
-        }
+        co_await await_reports();
         co_await exchange.end_stream();
     };
     this->second.behave =
@@ -278,11 +281,7 @@
         }
         co_await exchange.begin_stream(200, "", server_headers(request));
         co_await exchange.write_chunk("id: 2\ndata: x\n\n");
-        asio::steady_timer timer(this->io);
-        while (reports < 4) {
-            timer.expires_after(5ms);
-            co_await timer.async_wait(asio::use_awaitable);
-        }
+        co_await await_reports();
         co_await exchange.write_chunk("id: 3\ndata: x\n\n");
         co_await exchange.end_stream();
     };
