gateway: log how answers are framed

The log lines of an answer do not tell a body that took in the bytes of a second answer from an answer that came on a kept connection: they name neither the framing nor the size of the body. The line `answer` has both now.

--- a/oleanderhinge/gateway/forwarder.cpp
+++ b/oleanderhinge/gateway/forwarder.cpp
@@ -320,7 +320,8 @@
     }
     spdlog::info(
         "event=answer request={} route={} customer={} version={} outcome={} "
-        "attempts={} to={} events={} last_event={} took_ms={:.0f}",
+        "attempts={} to={} framing={} body_bytes={} events={} last_event={} "
+        "took_ms={:.0f}",
         request.metadata.id,
         request.route == nullptr ? "" : request.route->name,
         request.customer.value(),
@@ -328,6 +329,8 @@
         request.outcome,
         request.attempts,
         request.logged_path,
+        request.framing,
+        request.body_bytes,
         request.events.event_count,
         request.events.last_id,
         ms_since(request.arrived));
--- a/oleanderhinge/gateway/forwarding_request.hpp
+++ b/oleanderhinge/gateway/forwarding_request.hpp
@@ -18,6 +18,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace oleanderhinge::gateway
 {
@@ -77,8 +78,11 @@
     bool head_sent = false;
     steady_time last_event;
     event_position events;
-    // For the log: servers of the last attempt, and how the request ended.
+    // For the log: servers of the last attempt, how its answer was framed, the
+    // size of a plain answer, and how the request ended.
     std::string logged_path;
+    std::string_view framing;
+    std::size_t body_bytes = 0;
     std::string outcome;
 };
 
--- a/oleanderhinge/gateway/internal/forwarder_attempts.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_attempts.cpp
@@ -131,6 +131,7 @@
             metadata,
             base::monotonic_now());
         if (is_own) {
+            request.framing = request.connection->framing();
             if (!metadata.not_run)
                 co_return attempt_result{};
             --request.possible_runs;
@@ -190,6 +191,7 @@
                     : failure_code::server_failed,
                 "answer broke off: " + failed.message()));
     }
+    request.body_bytes = body.size();
     const auto status = request.connection->status();
     const bool success = status >= 200 && status < 300;
     if (success && !this->has_servers_body(*request.connection))
--- a/oleanderhinge/gateway/upstream.cpp
+++ b/oleanderhinge/gateway/upstream.cpp
@@ -126,6 +126,13 @@
     return this->answer->need_eof();
 }
 
+std::string_view upstream_connection::framing() const
+{
+    if (this->ends_with_connection())
+        return "connection";
+    return this->answer->chunked() ? "chunks" : "length";
+}
+
 bool upstream_connection::reusable()
 {
     // Bytes after a complete answer belong to no request.
--- a/oleanderhinge/gateway/upstream.hpp
+++ b/oleanderhinge/gateway/upstream.hpp
@@ -29,6 +29,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace oleanderhinge::gateway
@@ -73,6 +74,8 @@
     // Neither a length nor chunks tell where the answer ends; it ends with its
     // connection.
     bool ends_with_connection() const;
+    // "length", "chunks" or "connection".
+    std::string_view framing() const;
     // True if another request may follow on this connection.
     bool reusable();
     // False for a connection that has served a request before.
