gateway: take no second answer for part of a body without a length

What callers saw: 200 with a length and the body "doneHTTP/1.1 200 OK...", the server's body with the head and the body of its second answer behind it (MIXED).

Cause: an answer with neither a length nor chunks ends with its connection, and relay_whole_answer took all bytes up to there. Ruled out: a late answer on a kept connection (there was one connection, fresh, and one attempt).

A plain answer of this kind now fails if a status line begins in its body, or if the body ends in a beginning of one of five bytes or more: 502, as it may have run, or an attempt at another server where the route allows it. The bytes before the second head are not passed on as a success, since a server that breaks off and then writes an error looks the same as one that answers twice.

Evidence: on the code before, all 20 rows of the test had 200 and the second head in the body (40 failed checks); now 502 in each.

--- /dev/null
+++ b/oleanderhinge/gateway/answer_framing_test.cpp
@@ -0,0 +1,53 @@
+// Guards against answers whose end is not where the gateway takes it to be:
+// callers get the server's whole body or no success.
+#include "oleanderhinge/gateway/raw_answers_fixture_test.hpp"
+
+namespace oleanderhinge::gateway
+{
+namespace
+{
+
+using namespace test;
+
+struct further_answer {
+    const char* what;
+    std::string bytes;
+};
+
+// What a server may write behind its answer with the body "done".
+std::vector<further_answer> further_answers()
+{
+    const std::string other = "Id: r0\r\nSeal: 1\r\n";
+    const std::string refusal = "Not-Run: 1\r\n" + genuine;
+    return {
+        {"a copy", unframed("200 OK", genuine, "done")},
+        {"another request's answer", with_length("200 OK", other, "other")},
+        {"a refusal", with_length("503 Full", refusal, "full")},
+        {"an error", in_chunks("500 Failed", genuine, "no memory")},
+        {"a head alone", unframed("200 OK", genuine, "")}};
+}
+
+class answer_framing : public raw_answers_fixture
+{
+};
+
+// Guards against the head and the body of a second answer in the body of an
+// answer that has neither a length nor chunks.
+TEST_F(answer_framing, a_second_answer_is_no_part_of_one_without_a_length)
+{
+    const auto answered = unframed("200 OK", genuine, "done");
+    for (const auto* target : {"/once/x", "/read/x"})
+        for (const auto& further : further_answers())
+            for (const auto pause : {std::size_t(0), answered.size() + 9}) {
+                this->use_raw_server(true);
+                this->raw.answers = {
+                    {answered + further.bytes, after_answer::close, {}, pause}};
+                const auto view = this->watch(target);
+                EXPECT_EQ(view.status, 502U) << target << further.what;
+                EXPECT_EQ(view.body.find("HTTP/"), view.body.npos)
+                    << target << further.what;
+            }
+}
+
+} // namespace
+} // namespace oleanderhinge::gateway
--- a/oleanderhinge/gateway/internal/forwarder_attempts.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_attempts.cpp
@@ -191,6 +191,10 @@
                     : failure_code::server_failed,
                 "answer broke off: " + failed.message()));
     }
+    if (request.connection->holds_second_answer(body))
+        co_return failed_with<attempt_result>(base::may_have_run(
+            failure_code::server_failed,
+            "another answer begins inside the body"));
     request.body_bytes = body.size();
     const auto status = request.connection->status();
     const bool success = status >= 200 && status < 300;
--- a/oleanderhinge/gateway/raw_backend_test.hpp
+++ b/oleanderhinge/gateway/raw_backend_test.hpp
@@ -13,12 +13,15 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <algorithm>
+#include <chrono>
 #include <deque>
 #include <string>
 #include <vector>
@@ -35,6 +38,9 @@
     // Written before `bytes` on a connection that has carried an answer: a late
     // second copy of that one.
     std::string late_copy = {};
+    // The server pauses after so many bytes, so that they are read by
+    // themselves; 0: it does not pause.
+    std::size_t pause_after = 0;
 };
 
 class raw_backend
@@ -94,8 +100,16 @@
             this->answers.pop_front();
             const auto bytes =
                 (answered ? answer.late_copy : std::string()) + answer.bytes;
+            const auto part = std::min(answer.pause_after, bytes.size());
+            if (part != 0) {
+                co_await boost::asio::async_write(
+                    socket, boost::asio::buffer(bytes, part), as_pair);
+                boost::asio::steady_timer pause(
+                    this->io, std::chrono::milliseconds(1));
+                co_await pause.async_wait(as_pair);
+            }
             co_await boost::asio::async_write(
-                socket, boost::asio::buffer(bytes), as_pair);
+                socket, boost::asio::buffer(bytes) + part, as_pair);
             if (answer.then == after_answer::keep)
                 continue;
             if (answer.then == after_answer::reset)
--- a/oleanderhinge/gateway/upstream.cpp
+++ b/oleanderhinge/gateway/upstream.cpp
@@ -1,6 +1,7 @@
 #include "oleanderhinge/gateway/upstream.hpp"
 
 #include "oleanderhinge/net/idle_connection.hpp"
+#include "oleanderhinge/net/second_answer.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -133,6 +134,12 @@
     return this->answer->chunked() ? "chunks" : "length";
 }
 
+bool upstream_connection::holds_second_answer(std::string_view body) const
+{
+    return this->ends_with_connection() &&
+           net::find_status_line(body) != body.npos;
+}
+
 bool upstream_connection::reusable()
 {
     // Bytes after a complete answer belong to no request.
--- a/oleanderhinge/gateway/upstream.hpp
+++ b/oleanderhinge/gateway/upstream.hpp
@@ -76,6 +76,9 @@
     bool ends_with_connection() const;
     // "length", "chunks" or "connection".
     std::string_view framing() const;
+    // True if another answer begins inside this body, which then is not known
+    // to be whole. Valid once the answer is complete.
+    bool holds_second_answer(std::string_view body) const;
     // True if another request may follow on this connection.
     bool reusable();
     // False for a connection that has served a request before.
--- /dev/null
+++ b/oleanderhinge/net/second_answer.cpp
@@ -0,0 +1,35 @@
+#include "oleanderhinge/net/second_answer.hpp"
+
+#include <algorithm>
+
+namespace oleanderhinge::net
+{
+
+namespace
+{
+
+// Each 'd' stands for a digit.
+constexpr std::string_view status_line = "HTTP/d.d ddd";
+constexpr auto first_part = status_line.substr(0, min_status_line_bytes);
+
+bool matches(char actual, char expected)
+{
+    return expected == 'd' ? actual >= '0' && actual <= '9'
+                           : actual == expected;
+}
+
+} // namespace
+
+std::size_t find_status_line(std::string_view text)
+{
+    for (auto at = text.find(first_part); at != text.npos;
+         at = text.find(first_part, at + 1)) {
+        const auto found = text.substr(at, status_line.size());
+        if (std::equal(
+                found.begin(), found.end(), status_line.begin(), matches))
+            return at;
+    }
+    return text.npos;
+}
+
+} // namespace oleanderhinge::net
--- /dev/null
+++ b/oleanderhinge/net/second_answer.hpp
@@ -0,0 +1,25 @@
+// Detects the head of another HTTP answer inside the body of one.
+//
+// A faulty server writes a second answer, or an error after its answer broke
+// off, on the same connection. Where neither a length nor chunks tell the end
+// of the first body, the bytes of the second one would count as part of it.
+//
+// Example:
+//   if (parser.need_eof() && find_status_line(body) != body.npos) fail();
+#pragma once
+
+#include <cstddef>
+#include <string_view>
+
+namespace oleanderhinge::net
+{
+
+// A beginning of a status line that is shorter, at the end of a text, may well
+// belong to the text.
+inline constexpr std::size_t min_status_line_bytes = 5;
+
+// Position of the first text of the form "HTTP/1.1 200", or of a beginning of
+// one, at least `min_status_line_bytes` long, that ends the text. npos: none.
+std::size_t find_status_line(std::string_view text);
+
+} // namespace oleanderhinge::net
--- /dev/null
+++ b/oleanderhinge/net/second_answer_test.cpp
@@ -0,0 +1,39 @@
+// Guards against a second answer that counts as part of the first one, and
+// against texts about HTTP that are taken for one.
+#include "oleanderhinge/net/second_answer.hpp"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace oleanderhinge::net
+{
+namespace
+{
+
+TEST(second_answer, status_lines_are_found)
+{
+    struct row {
+        std::string text;
+        std::size_t position;
+    };
+    const auto none = std::string::npos;
+    for (const auto& [text, position] : {
+             row{"", none},
+             row{"done", none},
+             row{"HTTP/1.1 200 OK\r\n", 0},
+             row{"doneHTTP/1.0 503 Full\r\nId: r1\r\n\r\n", 4},
+             row{"HTTP/ and HTTP/2, then HTTP/1.1 200", 23},
+             row{"doneHTTP/", 4},
+             row{"doneHTTP/1.1 20", 4},
+             row{"doneHTTP", none},
+             row{"HTTP/1.1 is a protocol", none},
+             row{"GET / HTTP/1.1\r\nHost: x\r\n", none},
+             row{"http/1.1 200 OK\r\n", none},
+             row{"HTTP/1.1 2x0 OK\r\n", none},
+         })
+        EXPECT_EQ(find_status_line(text), position) << text;
+}
+
+} // namespace
+} // namespace oleanderhinge::net
