gateway: take two heads that run into each other for no answer

What callers saw where it then wrote another answer: 200 with the body of a server's error, or 503 as "not run" for a request whose server had begun a success.

Cause: a head that breaks off inside the value of a field goes on with the next head, whose status line becomes part of the value; its other fields and its body count as those of the first. A head with a status line in a field is an error now, before its status, marks and refusal are read.

Ruled out: a head that breaks off inside a name or before the value is malformed to the parser as well.

--- a/oleanderhinge/gateway/upstream.cpp
+++ b/oleanderhinge/gateway/upstream.cpp
@@ -78,7 +78,9 @@
         if (failed)
             co_return failed;
     } while (this->answer->get().result_int() < 200);
-    co_return error_code{};
+    co_return net::holds_second_answer(this->fields())
+        ? error_code(http::error::bad_value)
+        : error_code{};
 }
 
 asio::awaitable<error_code>
--- a/oleanderhinge/net/second_answer.cpp
+++ b/oleanderhinge/net/second_answer.cpp
@@ -33,6 +33,15 @@
     return text.npos;
 }
 
+bool holds_second_answer(const boost::beast::http::fields& head)
+{
+    return std::ranges::any_of(head, [](const auto& field) {
+        const std::string_view value = field.value();
+        const auto at = find_status_line(value);
+        return at != value.npos && value.size() - at >= status_line.size();
+    });
+}
+
 bool holds_second_answer(
     std::string_view body,
     bool ends_with_connection,
--- a/oleanderhinge/net/second_answer_test.cpp
+++ b/oleanderhinge/net/second_answer_test.cpp
@@ -59,5 +59,25 @@
             << body << '|' << following;
 }
 
+// Guards against two heads that are taken for one, and against a sound head
+// with the name of the protocol in a field.
+TEST(second_answer, a_status_line_in_a_field_is_found)
+{
+    struct row {
+        const char* value;
+        bool holds;
+    };
+    for (const auto& [value, holds] : {
+             row{"a", false},
+             row{"HTTP/2.0", false},
+             row{"HTTP/1.1 proxy", false},
+             row{"aHTTP/1.1 200 OK", true},
+         }) {
+        boost::beast::http::fields head;
+        head.set("Note", value);
+        EXPECT_EQ(holds_second_answer(head), holds) << value;
+    }
+}
+
 } // namespace
 } // namespace oleanderhinge::net
