gateway: take no head of another answer for the text of an event

What callers saw: a stream that ends as complete with an event "data: xHTTP/1.1 503 Full / Content-Length: 0 / Id: r1".

Cause: a server breaks off inside a line of an event and writes another answer. The status line becomes the text of that line, the fields of the head look like fields of an event, and its empty line ends the event.

A line with a status line may be the text of a sound event, as an answer about HTTP may quote one. It is refused if the next line is a field that events do not have, which the head of an answer always has. The stream then breaks off before this event and is continued after the last one.

Evidence: the new row of the table of broken streams failed before: the body had the second event, and the answer was complete.

--- a/oleanderhinge/gateway/event_stream.cpp
+++ b/oleanderhinge/gateway/event_stream.cpp
@@ -1,5 +1,7 @@
 #include "oleanderhinge/gateway/event_stream.hpp"
 
+#include "oleanderhinge/net/second_answer.hpp"
+
 #include <algorithm>
 #include <charconv>
 #include <optional>
@@ -67,6 +69,12 @@
     return last && next && *next <= *last;
 }
 
+bool is_field_of_events(std::string_view name)
+{
+    return name.empty() || name == "data" || name == "event" || name == "id" ||
+           name == "retry";
+}
+
 // "name: value", ": comment", or the name of a field alone.
 bool is_field(std::string_view line)
 {
@@ -76,21 +84,26 @@
         return true;
     const auto name = line.substr(0, line.find(':'));
     if (name.size() == line.size())
-        return name == "data" || name == "event" || name == "id" ||
-               name == "retry";
+        return is_field_of_events(name);
     return std::ranges::all_of(name, [](char c) {
         return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
                (c >= '0' && c <= '9') || c == '-' || c == '_';
     });
 }
 
-// Whether all lines are fields.
+// Whether all lines are fields. A status line inside a field may be the text of
+// the event; followed by a field that events do not have, it is the head of
+// another answer behind a line that broke off.
 bool is_event(std::string_view text)
 {
+    bool after_status_line = false;
     while (!text.empty()) {
         const auto end = std::min(text.find('\n'), text.size());
-        if (!is_field(text.substr(0, end)))
+        const auto line = text.substr(0, end);
+        const auto name = line.substr(0, line.find_first_of(":\r"));
+        if (!is_field(line) || (after_status_line && !is_field_of_events(name)))
             return false;
+        after_status_line = net::find_status_line(line) != line.npos;
         text.remove_prefix(std::min(end + 1, text.size()));
     }
     return true;
--- a/oleanderhinge/gateway/mixed_answers_test.cpp
+++ b/oleanderhinge/gateway/mixed_answers_test.cpp
@@ -85,6 +85,12 @@
               genuine,
               "id: 2\nda" + with_length("503 Full", genuine, "")),
           after_answer::close}},
+        {"a head inside the text of an event",
+         {in_chunks(
+              "200 OK",
+              genuine,
+              "id: 2\ndata: x" + with_length("503 Full", genuine, "")),
+          after_answer::close}},
         {"text", {in_chunks("200 OK", genuine, "out of memory\n\n")}},
         {"no event before the end of the connection",
          {unframed("200 OK", genuine, ""), after_answer::close}},
