gateway: take no answer with a transfer coding for the server's body

What callers saw: 200 with coded bytes as the body, for Transfer-Encoding: gzip, chunked.

Cause: the parser undoes the chunks alone, and Transfer-Encoding is not passed on, so that nothing tells the caller of the coding. An answer with any other coding than chunked is an error now, whatever its status.

Evidence: a list of codings, two fields, and a coding without chunks had 200 on /once/ and /read/ before (6 of 9 rows; the streams had none); now 502.

--- a/oleanderhinge/gateway/answer_framing_test.cpp
+++ b/oleanderhinge/gateway/answer_framing_test.cpp
@@ -81,5 +81,31 @@
         }
 }
 
+// Guards against coded bytes that callers take for the body.
+TEST_F(answer_framing, an_answer_with_a_transfer_coding_is_no_success)
+{
+    struct row {
+        const char* what;
+        std::string answer;
+    };
+    const std::vector<row> rows{
+        {"a transfer coding",
+         "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n" + genuine +
+             "\r\n4\r\ndone\r\n0\r\n\r\n"},
+        {"two fields with transfer codings",
+         "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n"
+         "Transfer-Encoding: chunked\r\n" +
+             genuine + "\r\n4\r\ndone\r\n0\r\n\r\n"},
+        {"a transfer coding alone",
+         unframed("200 OK", "Transfer-Encoding: gzip\r\n" + genuine, "done")},
+    };
+    for (const auto* target : {"/once/x", "/read/x", "/talk/x"})
+        for (const auto& row : rows) {
+            this->use_raw_server(true);
+            this->raw.answers = {{row.answer, after_answer::close}};
+            EXPECT_EQ(this->watch(target).status, 502U) << target << row.what;
+        }
+}
+
 } // namespace
 } // namespace oleanderhinge::gateway
--- a/oleanderhinge/gateway/headers.cpp
+++ b/oleanderhinge/gateway/headers.cpp
@@ -51,6 +51,12 @@
     return joined;
 }
 
+bool has_transfer_coding(const http_fields& fields)
+{
+    const auto codings = joined_values(fields, http::field::transfer_encoding);
+    return !codings.empty() && !boost::beast::iequals(codings, "chunked");
+}
+
 wire::header make_retry_after(std::chrono::milliseconds time)
 {
     const auto hundredths = (time.count() + 9) / 10;
--- a/oleanderhinge/gateway/upstream.cpp
+++ b/oleanderhinge/gateway/upstream.cpp
@@ -1,5 +1,6 @@
 #include "oleanderhinge/gateway/upstream.hpp"
 
+#include "oleanderhinge/gateway/headers.hpp"
 #include "oleanderhinge/net/idle_connection.hpp"
 #include "oleanderhinge/net/second_answer.hpp"
 
@@ -78,9 +79,11 @@
         if (failed)
             co_return failed;
     } while (this->answer->get().result_int() < 200);
-    co_return net::holds_second_answer(this->fields())
-        ? error_code(http::error::bad_value)
-        : error_code{};
+    if (net::holds_second_answer(this->fields()))
+        co_return http::error::bad_value;
+    if (has_transfer_coding(this->fields()))
+        co_return http::error::bad_transfer_encoding;
+    co_return error_code{};
 }
 
 asio::awaitable<error_code>
