gateway: take an answer with two ids for that of no request

What callers saw: 200 with the body of an answer whose head names this request and another one.

Cause: only the first field with the id was read. Different values are joined now, so that they are no request's id and the answer is skipped as a stray one; fields that agree count as one.

--- a/oleanderhinge/gateway/answer_framing_test.cpp
+++ b/oleanderhinge/gateway/answer_framing_test.cpp
@@ -107,5 +107,23 @@
         }
 }
 
+// Guards against an answer to another request whose head names this one too.
+TEST_F(answer_framing, an_answer_with_two_ids_is_no_success)
+{
+    for (const auto* target : {"/once/x", "/read/x", "/talk/x"})
+        for (const auto& [second_id, status] :
+             {std::pair{"r0", 502U}, std::pair{"r1", 200U}}) {
+            this->use_raw_server(true);
+            this->raw.answers = {
+                {with_length(
+                     "200 OK",
+                     genuine + "Id: " + second_id + "\r\n",
+                     three_events),
+                 after_answer::close}};
+            EXPECT_EQ(this->watch(target).status, status)
+                << target << second_id;
+        }
+}
+
 } // namespace
 } // namespace oleanderhinge::gateway
--- a/oleanderhinge/gateway/forwarder_fixture_test.hpp
+++ b/oleanderhinge/gateway/forwarder_fixture_test.hpp
@@ -60,7 +60,7 @@
     };
     protocol.read_answer = [](unsigned, const http_fields& fields) {
         answer_metadata metadata;
-        metadata.id = std::string(fields["Id"]);
+        metadata.id = distinct_values(fields, "Id");
         metadata.not_run = !fields["Not-Run"].empty();
         metadata.sealed = !fields["Seal"].empty();
         metadata.leaving = !fields["Leaving"].empty();
--- a/oleanderhinge/gateway/headers.cpp
+++ b/oleanderhinge/gateway/headers.cpp
@@ -1,8 +1,10 @@
 #include "oleanderhinge/gateway/headers.hpp"
 
+#include <boost/algorithm/string/join.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 
 #include <array>
+#include <set>
 
 namespace oleanderhinge::gateway
 {
@@ -51,6 +53,15 @@
     return joined;
 }
 
+std::string distinct_values(const http_fields& fields, std::string_view name)
+{
+    std::set<std::string> values;
+    const auto [begin, end] = fields.equal_range(name);
+    for (auto found = begin; found != end; ++found)
+        values.emplace(found->value());
+    return boost::algorithm::join(values, ", ");
+}
+
 bool has_transfer_coding(const http_fields& fields)
 {
     const auto codings = joined_values(fields, http::field::transfer_encoding);
--- a/oleanderhinge/gateway/headers.hpp
+++ b/oleanderhinge/gateway/headers.hpp
@@ -8,6 +8,7 @@
 
 #include <chrono>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace oleanderhinge::gateway
@@ -25,6 +26,10 @@
 std::string
 joined_values(const http_fields& fields, boost::beast::http::field name);
 
+// The value of the fields of this name, or their distinct values joined by ", "
+// if they differ.
+std::string distinct_values(const http_fields& fields, std::string_view name);
+
 // Whether the body has a transfer coding other than chunked, which would be
 // lost on the way to the caller.
 bool has_transfer_coding(const http_fields& fields);
--- a/oleanderhinge/gateway/protocol_adapter.hpp
+++ b/oleanderhinge/gateway/protocol_adapter.hpp
@@ -60,7 +60,8 @@
 
 // Header fields of a backend server's answer.
 struct answer_metadata {
-    // Id of the request that it answers; empty: not stated.
+    // Id of the request that it answers; empty: not stated. Several ids are
+    // joined, so that they are that of no request.
     std::string id;
     // The server states that it has not run the request and will not.
     bool not_run = false;
