--- a/oleanderhinge/net/http_client.cpp
+++ b/oleanderhinge/net/http_client.cpp
@@ -1,6 +1,7 @@
 #include "oleanderhinge/net/http_client.hpp"
 
 #include "oleanderhinge/net/idle_connection.hpp"
+#include "oleanderhinge/net/second_answer.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -178,6 +179,15 @@
         }
     } while (http::to_status_class(parser->get().result_int()) ==
              http::status_class::informational);
+    if (holds_second_answer(parser->get()) ||
+        holds_second_answer(
+            parser->get().body(),
+            parser->need_eof(),
+            beast::buffers_to_string(buffer.data()))) {
+        stream.reset();
+        co_return failed_with(
+            http_failure::unknown, http::error::unexpected_body);
+    }
     // Bytes after a complete answer belong to no request.
     const bool keep = parser->get().keep_alive() && buffer.size() == 0;
     auto outcome = to_outcome(parser->release());
--- a/oleanderhinge/net/http_client_test.cpp
+++ b/oleanderhinge/net/http_client_test.cpp
@@ -54,6 +54,8 @@
 
     int connections = 0;
     std::string before_answers;
+    // Written in place of the numbered answers, before the connection closes.
+    std::string only_answer;
 
 private:
     asio::awaitable<void> accept()
@@ -80,6 +82,11 @@
             if (failed)
                 co_return;
             received.erase(0, size);
+            if (!this->only_answer.empty()) {
+                co_await asio::async_write(
+                    *socket, asio::buffer(this->only_answer), as_pair);
+                co_return;
+            }
             this->last_socket = socket;
             this->last_answer = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" +
                                 std::to_string(++this->requests);
@@ -134,6 +141,37 @@
     }
 }
 
+// Each row: an answer with another one inside. Guards against bytes of the
+// second one in the outcome of a call or an order.
+TEST(http_client, an_answer_with_another_one_inside_is_a_failure)
+{
+    const std::string second = "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n";
+    for (const auto& bytes : {
+             "HTTP/1.1 200 OK\r\n\r\ndone" + second,
+             "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\ndone" + second,
+             "HTTP/1.1 200 OK\r\nNote: a" + second,
+         }) {
+        asio::io_context io;
+        copying_server server(io, second_copy::none);
+        server.only_answer = bytes;
+        http_client client(io, 1);
+        http_outcome outcome;
+        asio::co_spawn(
+            io,
+            [&]() -> asio::awaitable<void> {
+                http_call call{"GET", "/", {}, ""};
+                outcome = co_await client.call(
+                    server.address(), std::move(call), 5s, reuse::allowed);
+                server.stop();
+                io.stop();
+            },
+            asio::detached);
+        io.run();
+        EXPECT_EQ(outcome.failure, http_failure::unknown) << bytes;
+        EXPECT_EQ(outcome.answer.body, "") << bytes;
+    }
+}
+
 // Guards against an informational answer that is taken for the final one, such
 // as for the consent to an order that is refused.
 TEST(http_client, an_informational_answer_is_not_the_answer)
