gateway: test answers that are cut after each byte

Three framings, five further answers behind them, each cut after every byte, closed or reset, on new and on kept connections.

--- a/oleanderhinge/gateway/answer_framing_test.cpp
+++ b/oleanderhinge/gateway/answer_framing_test.cpp
@@ -125,5 +125,65 @@
         }
 }
 
+enum class framing : std::uint8_t { length, chunks, connection };
+
+std::string frame(framing kind, const std::string& body)
+{
+    switch (kind) {
+    case framing::length:
+        return with_length("200 OK", genuine, body);
+    case framing::chunks:
+        return in_chunks("200 OK", genuine, body);
+    case framing::connection:
+        break;
+    }
+    return unframed("200 OK", genuine, body);
+}
+
+// An answer and a further one, cut after each byte. Guards against a success
+// with anything but the server's whole body, on new and on kept connections.
+TEST_F(answer_framing, an_answer_cut_anywhere_is_whole_or_no_success)
+{
+    const auto earlier = with_length("200 OK", "Id: r0\r\nSeal: 1\r\n", "r0");
+    // Shorter beginnings of a status line may belong to the body.
+    constexpr std::size_t recognized = 5;
+    const auto check = [&](framing kind,
+                           const further_answer& further,
+                           std::size_t cut,
+                           after_answer then,
+                           bool kept) {
+        const auto answered = frame(kind, "done");
+        const auto bytes = (answered + further.bytes).substr(0, cut);
+        this->use_raw_server(true);
+        if (kept) {
+            this->raw.answers = {{earlier}};
+            this->request_id = "r0";
+            EXPECT_EQ(this->watch("/read/x").body, "r0");
+            this->request_id = "r1";
+        }
+        this->raw.answers = {{bytes, then}};
+        const auto view = this->watch("/read/x");
+        // The end of its connection is all that shows where such an answer
+        // ends.
+        const bool looks_whole = kind == framing::connection &&
+                                 then == after_answer::close &&
+                                 cut < answered.size() + recognized;
+        if (view.status == 200 && !looks_whole) {
+            EXPECT_EQ(view.body, "done")
+                << int(kind) << further.what << cut << int(then) << kept;
+        }
+    };
+    for (const auto kind :
+         {framing::length, framing::chunks, framing::connection})
+        for (const auto& further : further_answers()) {
+            const auto size = frame(kind, "done").size() + further.bytes.size();
+            for (std::size_t cut = 0; cut <= size; ++cut)
+                for (const auto then :
+                     {after_answer::close, after_answer::reset})
+                    for (const bool kept : {false, true})
+                        check(kind, further, cut, then, kept);
+        }
+}
+
 } // namespace
 } // namespace oleanderhinge::gateway
