gateway: keep back-offs as long as servers ask

Cause: each back-off was cut to `servers.max_backoff`, one minute by default, against faulty servers.

Ruled out, by the new rows: a later answer with a shorter time, none, zero or nonsense does not shorten a back-off; a refusal counts from its head on, with or without the statement that the request has not run, whatever its body does.

Change: there is no limit unless `servers.max_backoff` is set. Files that set it load as before. The random extension ends at 3 s, since a tenth of an hour is minutes. Callers are told to return after 30 s at the latest, because other servers may start within a long pause. A log line shows when an answer extends a back-off by 10 s or more, and `longest_backoff_seconds` the time that is left.

In `a_server_is_in_backoff_as_long_as_it_asks` the row of 86400 s expected the cut, which the rule says is wrong; it now expects the whole time and at most 3 s more, and 90 s stands beside it. The bound of `backoffs_are_limited_and_spread` for a limited hour is 63 s in place of 66 s.

--- a/oleanderhinge/gateway/forwarder.cpp
+++ b/oleanderhinge/gateway/forwarder.cpp
@@ -33,6 +33,9 @@
 // not all return at the same time.
 constexpr double min_retry_after_s = 0.3;
 constexpr double retry_after_spread_s = 0.5;
+// Limit on the Retry-After of callers while all servers are in back-off, since
+// others may start meanwhile.
+constexpr auto max_backoff_retry_after = std::chrono::seconds(30);
 
 // 503 guarantees that the request has not run and will not run. A failed
 // request that may have run gets another status.
@@ -254,14 +257,15 @@
     co_await this->fail_request(request, why);
 }
 
-// The Retry-After of a refused request: the end of the first back-off if all
-// servers are in one.
+// The Retry-After of a refused request: the end of the first back-off, within
+// `max_backoff_retry_after`, if all servers are in one.
 milliseconds
 forwarder::retry_after(const forwarding_request& request, base::time_point now)
 {
     const auto end = backoff_end(this->selector, *request.service, now);
     const std::chrono::duration<double> wait =
-        end ? std::chrono::duration<double>(*end - now)
+        end ? std::chrono::duration<double>(
+                  std::min<base::duration>(*end - now, max_backoff_retry_after))
             : std::chrono::duration<double>(min_retry_after_s);
     const std::chrono::duration<double> spread(
         retry_after_spread_s * this->random.unit());
--- a/oleanderhinge/gateway/forwarder.hpp
+++ b/oleanderhinge/gateway/forwarder.hpp
@@ -40,7 +40,7 @@
     retry::shared_budget_options retries;
     std::uint64_t seed = 1;
     // Limit on the time for which a server gets no requests at its own wish.
-    base::duration max_backoff = default_max_backoff;
+    base::duration max_backoff = no_backoff_limit;
     // Called when requests that depend on this server make no progress.
     std::function<void(const wire::endpoint&)> report_suspect;
     // Called with news about crashes, for the other gateways.
--- a/oleanderhinge/gateway/forwarder_signals_test.cpp
+++ b/oleanderhinge/gateway/forwarder_signals_test.cpp
@@ -1,6 +1,7 @@
 // Guards against requests that reach a server after it has said that it leaves
 // or that it wants no requests for a time.
 #include "oleanderhinge/gateway/forwarder_fixture_test.hpp"
+#include "oleanderhinge/gateway/raw_backend_test.hpp"
 
 #include <algorithm>
 #include <iostream>
@@ -225,8 +226,8 @@
     EXPECT_EQ(this->stats.withheld.Value(), 1);
 }
 
-// Guards against requests to a server that asked for none, and against a server
-// that one malformed or excessive field takes out of service.
+// Guards against requests to a server that asked for none, a long time too, and
+// against a server that one malformed field takes out of service.
 TEST_F(forwarder_signals, a_server_is_in_backoff_as_long_as_it_asks)
 {
     struct row {
@@ -237,7 +238,8 @@
     const std::vector<row> rows{
         {{"2"}, 2s},
         {{"0.4"}, 400ms},
-        {{"86400"}, default_max_backoff},
+        {{"90"}, 90s},
+        {{"86400"}, 24h},
         {{"1e9"}, 0s},
         {{"-1"}, 0s},
         {{"Wed, 21 Oct"}, 0s},
@@ -264,7 +266,9 @@
                 continue;
             const auto until = signals.begin()->second.backoff_until.value();
             EXPECT_GE(until, before + row.least) << what;
-            EXPECT_LE(until, after + row.least * 11 / 10) << what;
+            EXPECT_LE(
+                until, after + std::min(row.least * 11 / 10, row.least + 3s))
+                << what;
         }
 }
 
@@ -293,9 +297,18 @@
 {
     constexpr std::size_t before_signals = 20;
     constexpr std::size_t within_backoff = 300;
-    for (const auto* target : {"/once/x", "/talk/x"}) {
+    struct row {
+        const char* target;
+        const char* pause;
+    };
+    const std::vector<row> rows{
+        {"/once/x", "50"},
+        {"/talk/x", "50"},
+        {"/once/x", "86400"},
+        {"/talk/x", "86400"}};
+    for (const auto& [target, pause] : rows) {
         this->reset();
-        this->first.behave = refuse_with({{"Retry-After", "50"}});
+        this->first.behave = refuse_with({{"Retry-After", pause}});
         this->second.behave = this->first.behave;
         // These may all reach a server before its first answer is read.
         this->ask_at_once(target, before_signals);
@@ -303,12 +316,16 @@
         this->first.seen.clear();
         this->second.seen.clear();
         this->forget_health();
+        std::vector<double> told;
         for (const auto& outcome : this->ask_at_once(target, within_backoff)) {
             EXPECT_EQ(outcome.answer.status, 503U);
-            // More than that of a refusal for another reason.
-            EXPECT_GT(std::stod("0" + retry_after_of(outcome)), 1);
+            told.push_back(std::stod("0" + retry_after_of(outcome)));
         }
-        std::cout << target << ": of " << within_backoff
+        // More than that of a refusal for another reason, but no day, since
+        // other servers may start meanwhile.
+        EXPECT_GT(std::ranges::min(told), 1);
+        EXPECT_LE(std::ranges::max(told), 31);
+        std::cout << target << ", " << pause << " s: of " << within_backoff
                   << " requests within the back-off, "
                   << this->first.seen.size() << " reached the first server and "
                   << this->second.seen.size() << " the second\n";
@@ -317,6 +334,57 @@
     }
 }
 
+// Guards against a Retry-After that is only read with the rest of the answer,
+// or only where the server states that it has not run the request.
+TEST_F(forwarder_signals, the_head_of_a_refusal_begins_the_backoff)
+{
+    const std::string head = "HTTP/1.1 503 Full\r\nId: r1\r\n"
+                             "Retry-After: 3600\r\n";
+    struct row {
+        const char* what;
+        std::string bytes;
+        after_answer then;
+    };
+    const std::vector<row> rows{
+        {"no mark", head + "Content-Length: 0\r\n\r\n", after_answer::keep},
+        {"not run, the body does not end",
+         head + "Not-Run: 1\r\nContent-Length: 9\r\n\r\nfu",
+         after_answer::keep},
+        {"the body does not end",
+         head + "Content-Length: 9\r\n\r\nfu",
+         after_answer::keep},
+        {"the body breaks off",
+         head + "Content-Length: 9\r\n\r\nfu",
+         after_answer::close},
+        {"the channel is reset",
+         head + "Transfer-Encoding: chunked\r\n\r\n9\r\nfu",
+         after_answer::reset},
+        {"the server leaves too",
+         head + "Leaving: 1\r\nContent-Length: 0\r\n\r\n",
+         after_answer::keep}};
+    this->patience = 200ms;
+    for (const auto* target : {"/once/x", "/read/x", "/talk/x"})
+        for (const auto& row : rows) {
+            const auto what = std::string(target) + ", " + row.what;
+            raw_backend raw(this->io);
+            raw.answers = {{row.bytes, row.then}};
+            this->reset();
+            this->selector.servers = {};
+            this->add_server("first", "near", raw.address());
+            this->add_server("second", "far", this->second);
+            this->second.behave = answer;
+            if (std::string_view(target) == "/talk/x")
+                this->second.behave = stream;
+            this->ask_preferring_first(target);
+            const auto& signals = this->selector.signals.servers;
+            ASSERT_EQ(signals.size(), 1U) << what;
+            EXPECT_TRUE(signals.begin()->second.backoff_until) << what;
+            EXPECT_EQ(this->ask_preferring_first(target).answer.status, 200U)
+                << what;
+            EXPECT_EQ(raw.seen.size(), 1U) << what;
+        }
+}
+
 // Guards against a caller that waits as long as one server asked this gateway
 // to wait, while another server is free.
 TEST_F(forwarder_signals, a_relayed_refusal_has_the_retry_after_of_the_gateway)
--- a/oleanderhinge/gateway/metrics.cpp
+++ b/oleanderhinge/gateway/metrics.cpp
@@ -98,6 +98,10 @@
           "oleanderhinge_gateway_excluded_servers",
           "Ready servers that get no requests, since they leave or asked for "
           "a pause"))
+    , longest_backoff_seconds(net::add_gauge(
+          registry,
+          "oleanderhinge_gateway_longest_backoff_seconds",
+          "Time until the last of the pauses that servers asked for ends"))
 {
 }
 
--- a/oleanderhinge/gateway/metrics.hpp
+++ b/oleanderhinge/gateway/metrics.hpp
@@ -42,6 +42,7 @@
     prometheus::Gauge& servers;
     prometheus::Gauge& quarantined_parts;
     prometheus::Gauge& excluded_servers;
+    prometheus::Gauge& longest_backoff_seconds;
 };
 
 } // namespace oleanderhinge::gateway
--- a/oleanderhinge/gateway/server_signals.cpp
+++ b/oleanderhinge/gateway/server_signals.cpp
@@ -9,7 +9,7 @@
 namespace
 {
 
-// Far above any time that is used, and within the range of a duration.
+// 31 years: more than a process lives, and within the range of a time point.
 constexpr double max_parsed_seconds = 1e9;
 
 const server_signal*
@@ -105,6 +105,15 @@
     return signal->backoff_until;
 }
 
+std::optional<base::time_point> last_backoff_end(const server_signals& signals)
+{
+    std::optional<base::time_point> last;
+    // An unset end is less than any other.
+    for (const auto& [id, signal] : signals.servers)
+        last = std::max(last, signal.backoff_until);
+    return last;
+}
+
 std::optional<base::duration> parse_retry_after(std::string_view value)
 {
     // Neither a sign nor a point may come first, and a digit comes last.
@@ -128,8 +137,11 @@
     base::duration requested, base::duration max, base::random_source& random)
 {
     const auto granted = std::min(requested, max);
-    return granted + std::chrono::duration_cast<base::duration>(
-                         granted * (backoff_jitter * random.unit()));
+    const auto jitter = std::min(
+        std::chrono::duration_cast<base::duration>(granted * backoff_jitter),
+        max_backoff_jitter);
+    return granted +
+           std::chrono::duration_cast<base::duration>(jitter * random.unit());
 }
 
 } // namespace oleanderhinge::gateway
--- a/oleanderhinge/gateway/server_signals.hpp
+++ b/oleanderhinge/gateway/server_signals.hpp
@@ -24,12 +24,13 @@
 namespace oleanderhinge::gateway
 {
 
-// Limit on a server's back-off if the settings name none. A faulty server must
-// not take itself out of service for long.
-inline constexpr base::duration default_max_backoff = std::chrono::minutes(1);
-// Back-offs are extended by a random share of up to this one, so that servers
-// that asked at the same time are not all tried again at the same time.
+// Back-offs last as long as servers ask, unless the settings name a limit.
+inline constexpr base::duration no_backoff_limit = base::duration::max();
+// Back-offs are extended by a random share of up to this one, but not beyond
+// `max_backoff_jitter`, so that servers that asked at the same time are not all
+// tried again at the same time.
 inline constexpr double backoff_jitter = 0.1;
+inline constexpr base::duration max_backoff_jitter = std::chrono::seconds(3);
 
 // One process of a server. A server may start again under the same id.
 struct server_incarnation {
@@ -82,11 +83,14 @@
     const server_incarnation& server,
     base::time_point now);
 
-// Seconds as digits with an optional fraction. Empty for anything else, such as
-// a date, a sign, an exponent or several values.
+// End of the back-off that ends last; empty if no server is in one.
+std::optional<base::time_point> last_backoff_end(const server_signals& signals);
+
+// Seconds as digits with an optional fraction, at most 1e9. Empty for anything
+// else, such as a date, a sign, an exponent or several values.
 std::optional<base::duration> parse_retry_after(std::string_view value);
 
-// The requested time, at most `max`, with `backoff_jitter`.
+// The requested time, at most `max`, with jitter.
 base::duration backoff_time(
     base::duration requested, base::duration max, base::random_source& random);
 
--- a/oleanderhinge/gateway/server_signals_test.cpp
+++ b/oleanderhinge/gateway/server_signals_test.cpp
@@ -1,5 +1,7 @@
 #include "oleanderhinge/gateway/server_signals.hpp"
 
+#include "oleanderhinge/gateway/signal_recorder.hpp"
+
 #include <gtest/gtest.h>
 
 #include <functional>
@@ -153,8 +155,80 @@
     EXPECT_EQ(parse_retry_after(digits), seconds(1000000000));
 }
 
-// Guards against servers that are tried again at the same moment, before the
-// requested time, or after the limit only.
+// Guards against requests that reach a server before the end of the time that
+// it asked for, whatever it answers later, and against a server that is left
+// out for longer.
+TEST(server_signals, a_backoff_lasts_as_long_as_the_server_asks)
+{
+    struct answer {
+        base::duration at;
+        answer_metadata fields;
+    };
+    const auto asks = [](base::duration at, const char* time) {
+        answer given{at, {}};
+        given.fields.retry_after = time;
+        return given;
+    };
+    struct row {
+        const char* what;
+        std::vector<answer> answers;
+        base::duration end;
+    };
+    const std::vector<row> rows{
+        {"seconds", {asks({}, "2.5")}, milliseconds(2500)},
+        {"a minute and more", {asks({}, "90")}, seconds(90)},
+        {"an hour", {asks({}, "3600")}, std::chrono::hours(1)},
+        {"a year", {asks({}, "31536000")}, std::chrono::hours(8760)},
+        {"out of range",
+         {asks({}, std::string(400, '9').c_str())},
+         seconds(1000000000)},
+        {"then a shorter time",
+         {asks({}, "3600"), asks(milliseconds(200), "1")},
+         seconds(3600)},
+        {"then a longer time",
+         {asks({}, "5"), asks(milliseconds(200), "900")},
+         milliseconds(900200)},
+        {"then none",
+         {asks({}, "3600"), asks(milliseconds(200), "")},
+         seconds(3600)},
+        {"then zero",
+         {asks({}, "3600"), asks(milliseconds(200), "0")},
+         seconds(3600)},
+        {"then nonsense",
+         {asks({}, "3600"), asks(milliseconds(200), "soon")},
+         seconds(3600)},
+    };
+    constexpr int samples = 1000;
+    for (const auto& row : rows) {
+        prometheus::Registry registry;
+        metrics stats(registry);
+        server_selector selector;
+        signal_recorder recorder(selector, stats, {});
+        const server_incarnation process{server, 1};
+        for (const auto& given : row.answers)
+            recorder.record(process, 503, given.fields, start + given.at);
+        recorder.tick(start);
+        EXPECT_GE(
+            stats.longest_backoff_seconds.Value(),
+            std::chrono::duration<double>(row.end).count())
+            << row.what;
+        const auto first = start + milliseconds(500);
+        int reached = 0;
+        for (int i = 0; i < samples; ++i) {
+            const auto at = first + (start + row.end - first) / samples * i;
+            recorder.tick(at);
+            reached += accepts_requests(selector.signals, process, at) ? 1 : 0;
+        }
+        EXPECT_EQ(reached, 0) << row.what;
+        recorder.tick(start + row.end + seconds(3));
+        EXPECT_TRUE(selector.signals.servers.empty()) << row.what;
+        EXPECT_EQ(stats.longest_backoff_seconds.Value(), 0) << row.what;
+    }
+}
+
+// Guards against servers that are tried again at the same moment or before the
+// requested time, against a long time that grows by minutes, and against a
+// limit of the settings that is not kept.
 TEST(server_signals, backoffs_are_limited_and_spread)
 {
     base::random_source random{1};
@@ -166,7 +240,11 @@
         times.insert(time);
     }
     EXPECT_GT(times.size(), 90U);
-    EXPECT_LE(backoff_time(seconds(3600), seconds(60), random), seconds(66));
+    EXPECT_LE(backoff_time(seconds(3600), seconds(60), random), seconds(63));
+    const auto year = std::chrono::hours(8760);
+    const auto time = backoff_time(year, no_backoff_limit, random);
+    EXPECT_GE(time, year);
+    EXPECT_LE(time, year + seconds(3));
 }
 
 } // namespace
--- a/oleanderhinge/gateway/settings.cpp
+++ b/oleanderhinge/gateway/settings.cpp
@@ -105,11 +105,12 @@
         {"servers",
          "max_backoff",
          value_type::duration,
-         "1min",
+         "",
          "1s",
          "10min",
-         "longest time for which a server gets no requests because of a "
-         "Retry-After in its answer"}};
+         "limit on the time for which a server gets no requests because of a "
+         "Retry-After in its answer; none: as long as the server asks",
+         true}};
 }
 
 retry::shared_budget_options read_retries(const settings::values& checked)
@@ -147,7 +148,8 @@
     for (const auto& seed : checked.endpoint_list("control.seeds"))
         chosen.seeds.push_back({seed.address, port});
     chosen.retries = read_retries(checked);
-    chosen.max_backoff = checked.duration("servers.max_backoff");
+    if (checked.has("servers.max_backoff"))
+        chosen.max_backoff = checked.duration("servers.max_backoff");
     chosen.times = settings::load_timing(checked);
     if (checked.has("gateway.kill_delay")) {
         const auto delay = checked.duration("gateway.kill_delay");
--- a/oleanderhinge/gateway/settings.hpp
+++ b/oleanderhinge/gateway/settings.hpp
@@ -36,7 +36,7 @@
     // load balancer has noticed that the node is not ready.
     base::duration leave_time = std::chrono::seconds(2);
     retry::shared_budget_options retries;
-    base::duration max_backoff = default_max_backoff;
+    base::duration max_backoff = no_backoff_limit;
 };
 
 // Fails with `out_of_range` if a relation between settings is broken.
--- a/oleanderhinge/gateway/signal_recorder.cpp
+++ b/oleanderhinge/gateway/signal_recorder.cpp
@@ -10,6 +10,9 @@
 
 // Limit on the part of an unreadable field that is logged.
 constexpr std::size_t max_logged_value = 40;
+// A back-off that grows by less is not logged again. Requests that were sent
+// before the first refusal extend it by fractions of a second.
+constexpr auto min_logged_extension = std::chrono::seconds(10);
 
 double to_ms(base::duration time)
 {
@@ -66,9 +69,14 @@
     const auto granted =
         backoff_time(*requested, this->options.max_backoff, this->random);
     this->stats.backoffs.Increment();
-    if (!note_backoff(this->selector.signals, server, now + granted, now))
+    const auto before = backoff_end(this->selector.signals, server, now);
+    const auto until = now + granted;
+    if (note_backoff(this->selector.signals, server, until, now))
+        ++this->selector.generation;
+    else if (
+        !before || until < *before + min_logged_extension ||
+        !this->log.try_take(now))
         return;
-    ++this->selector.generation;
     spdlog::info(
         "event=server_backoff server={} started_ms={} requested_ms={:.0f} "
         "granted_ms={:.0f}",
@@ -84,6 +92,9 @@
         ++this->selector.generation;
         spdlog::info("event=server_backoff_ended server={}", id.value());
     }
+    const auto last = last_backoff_end(this->selector.signals);
+    this->stats.longest_backoff_seconds.Set(
+        last ? to_ms(*last - now) / 1000 : 0);
 }
 
 } // namespace oleanderhinge::gateway
--- a/oleanderhinge/gateway/signal_recorder.hpp
+++ b/oleanderhinge/gateway/signal_recorder.hpp
@@ -19,7 +19,7 @@
 
 struct signal_options {
     // Longest back-off that a server gets, whatever it asks for.
-    base::duration max_backoff = default_max_backoff;
+    base::duration max_backoff = no_backoff_limit;
     std::uint64_t seed = 1;
 };
 
@@ -35,7 +35,7 @@
         unsigned status,
         const answer_metadata& answer,
         base::time_point now);
-    // Logs the back-offs that have ended.
+    // Logs the back-offs that have ended and updates the metrics.
     void tick(base::time_point now);
 
 private:
@@ -48,7 +48,7 @@
     metrics& stats;
     const signal_options options;
     base::random_source random;
-    // Limits the lines about fields that cannot be read.
+    // Limits the lines about unreadable fields and extended back-offs.
     request_log log;
 };
 
