gateway: keep the back-off of a server that is cut off from control

What callers saw: nothing by themselves; a server that asked for a long pause and then sent no reports for two minutes got requests within the pause as soon as it reported again.

Cause: the signals of a server were forgotten with its record, after `fleet::tombstone_time` (120 s) without reports.

Ruled out: a restart, which brings another start time and clears the signal as before.

Change: `forget_absent` keeps running back-offs of unknown processes, at most 10,000, those of the processes that started last. Signals of leaving are still forgotten with the server. `longest_backoff_seconds` counts known processes alone, so that one that has ended raises no alarm.

Tests: `choice_fixture.a_backoff_outlasts_a_silent_server` failed on the old code (accepted at 130 s within a back-off of 900 s). `server_signals.absent_servers_are_remembered_up_to_a_limit` tests the new bound.

--- a/oleanderhinge/gateway/server_choice.cpp
+++ b/oleanderhinge/gateway/server_choice.cpp
@@ -228,8 +228,8 @@
     std::erase_if(selector.health, [&](const auto& item) {
         return item.second.in_progress == 0 && !known.contains(item.first);
     });
-    std::erase_if(selector.signals.servers, [&](const auto& item) {
-        return !selector.servers.servers.contains(item.first);
+    forget_absent(selector.signals, [&](const base::backend_server_id& id) {
+        return selector.servers.servers.contains(id);
     });
     ++selector.generation;
 }
--- a/oleanderhinge/gateway/server_choice_test.cpp
+++ b/oleanderhinge/gateway/server_choice_test.cpp
@@ -272,6 +272,22 @@
     EXPECT_EQ(count_excluded(this->selector, start + seconds(8)), 2U);
 }
 
+// Guards against a server that is cut off from control for minutes and gets
+// requests within its back-off when it reports again.
+TEST_F(choice_fixture, a_backoff_outlasts_a_silent_server)
+{
+    const base::backend_server_id id{"a"};
+    const auto back = start + fleet::tombstone_time + seconds(10);
+    note_backoff(this->selector.signals, {id, 1}, start + seconds(900), start);
+    apply_record(this->selector, make_record("b", "b"), back);
+    fleet::refresh(this->selector.servers, base::backend_server_id{"b"}, back);
+    forget_old_servers(this->selector);
+    ASSERT_FALSE(this->selector.servers.servers.contains(id));
+    apply_record(this->selector, make_record("a", "a"), back);
+    EXPECT_FALSE(accepts_requests(this->selector, id, back));
+    EXPECT_TRUE(accepts_requests(this->selector, id, start + seconds(900)));
+}
+
 // Grey failure: a server of a plain service answers with errors while it
 // reports itself healthy. Guards against an equal share of requests for it.
 TEST_F(choice_fixture, grey_servers_get_less)
--- a/oleanderhinge/gateway/server_signals.cpp
+++ b/oleanderhinge/gateway/server_signals.cpp
@@ -82,6 +82,26 @@
         signals.servers.erase(found);
 }
 
+void forget_absent(
+    server_signals& signals,
+    const std::function<bool(const base::backend_server_id&)>& is_known)
+{
+    std::vector<server_incarnation> kept;
+    std::erase_if(signals.servers, [&](const auto& item) {
+        if (is_known(item.first))
+            return false;
+        if (item.second.backoff_until)
+            kept.push_back({item.first, item.second.started_ms});
+        return !item.second.backoff_until;
+    });
+    if (kept.size() <= max_absent_backoffs)
+        return;
+    std::ranges::sort(
+        kept, std::ranges::greater{}, &server_incarnation::started_ms);
+    for (std::size_t i = max_absent_backoffs; i < kept.size(); ++i)
+        signals.servers.erase(kept[i].id);
+}
+
 bool accepts_requests(
     const server_signals& signals,
     const server_incarnation& server,
@@ -105,15 +125,6 @@
     return signal->backoff_until;
 }
 
-std::optional<base::time_point> last_backoff_end(const server_signals& signals)
-{
-    std::optional<base::time_point> last;
-    // An unset end is less than any other.
-    for (const auto& [id, signal] : signals.servers)
-        last = std::max(last, signal.backoff_until);
-    return last;
-}
-
 std::optional<base::duration> parse_retry_after(std::string_view value)
 {
     // Neither a sign nor a point may come first, and a digit comes last.
--- a/oleanderhinge/gateway/server_signals.hpp
+++ b/oleanderhinge/gateway/server_signals.hpp
@@ -15,7 +15,9 @@
 #include "oleanderhinge/base/random.hpp"
 #include "oleanderhinge/base/time.hpp"
 
+#include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string_view>
@@ -32,6 +34,9 @@
 inline constexpr double backoff_jitter = 0.1;
 inline constexpr base::duration max_backoff_jitter = std::chrono::seconds(3);
 
+// Limit on the back-offs that are kept of servers that are not known any more.
+inline constexpr std::size_t max_absent_backoffs = 10'000;
+
 // One process of a server. A server may start again under the same id.
 struct server_incarnation {
     base::backend_server_id id;
@@ -69,6 +74,13 @@
 // server starts.
 void forget_others(server_signals& signals, const server_incarnation& server);
 
+// Removes the signals of servers that are not known any more. Back-offs are
+// kept up to `max_absent_backoffs`, since the process may be cut off and come
+// back; the processes that started last keep theirs.
+void forget_absent(
+    server_signals& signals,
+    const std::function<bool(const base::backend_server_id&)>& is_known);
+
 // --- Queries ----------------------------------------------------------------
 
 // False if the server leaves or is in back-off.
@@ -83,9 +95,6 @@
     const server_incarnation& server,
     base::time_point now);
 
-// End of the back-off that ends last; empty if no server is in one.
-std::optional<base::time_point> last_backoff_end(const server_signals& signals);
-
 // Seconds as digits with an optional fraction, at most 1e9. Empty for anything
 // else, such as a date, a sign, an exponent or several values.
 std::optional<base::duration> parse_retry_after(std::string_view value);
--- a/oleanderhinge/gateway/server_signals_test.cpp
+++ b/oleanderhinge/gateway/server_signals_test.cpp
@@ -121,6 +121,26 @@
     EXPECT_EQ(signals.servers.size(), 1U);
 }
 
+// Guards against memory that grows with each process that asked for years and
+// has gone, and against the oldest ones that push out those that may come back.
+TEST(server_signals, absent_servers_are_remembered_up_to_a_limit)
+{
+    server_signals signals;
+    constexpr std::size_t surplus = 5;
+    const auto id = [](std::size_t i) {
+        return base::backend_server_id{std::to_string(i)};
+    };
+    for (std::size_t i = 0; i < max_absent_backoffs + surplus; ++i)
+        note_backoff(signals, {id(i), i + 1}, start + seconds(1000000), start);
+    note_leaving(signals, {server, 1});
+    forget_absent(signals, [&](const auto& known) { return known == id(0); });
+    EXPECT_EQ(signals.servers.size(), max_absent_backoffs + 1);
+    EXPECT_TRUE(signals.servers.contains(id(0)));
+    EXPECT_FALSE(signals.servers.contains(server));
+    EXPECT_FALSE(signals.servers.contains(id(surplus - 1)));
+    EXPECT_TRUE(signals.servers.contains(id(surplus)));
+}
+
 // Guards against a server that a malformed field excludes.
 TEST(server_signals, only_plain_seconds_are_a_retry_after)
 {
@@ -205,6 +225,11 @@
         server_selector selector;
         signal_recorder recorder(selector, stats, {});
         const server_incarnation process{server, 1};
+        wire::server_record record;
+        record.id = server;
+        record.started_ms = 1;
+        record.sequence = 1;
+        apply_record(selector, record, start);
         for (const auto& given : row.answers)
             recorder.record(process, 503, given.fields, start + given.at);
         recorder.tick(start);
--- a/oleanderhinge/gateway/signal_recorder.cpp
+++ b/oleanderhinge/gateway/signal_recorder.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 namespace oleanderhinge::gateway
 {
 
@@ -19,6 +21,20 @@
     return std::chrono::duration<double, std::milli>(time).count();
 }
 
+// The longest remaining back-off of the processes that control reports.
+base::duration
+longest_backoff(const server_selector& selector, base::time_point now)
+{
+    base::duration longest{0};
+    for (const auto& [id, signal] : selector.signals.servers) {
+        const auto end =
+            backoff_end(selector.signals, incarnation_of(selector, id), now);
+        if (end)
+            longest = std::max(longest, *end - now);
+    }
+    return longest;
+}
+
 } // namespace
 
 signal_recorder::signal_recorder(
@@ -92,9 +108,8 @@
         ++this->selector.generation;
         spdlog::info("event=server_backoff_ended server={}", id.value());
     }
-    const auto last = last_backoff_end(this->selector.signals);
     this->stats.longest_backoff_seconds.Set(
-        last ? to_ms(*last - now) / 1000 : 0);
+        to_ms(longest_backoff(this->selector, now)) / 1000);
 }
 
 } // namespace oleanderhinge::gateway
