gateway: make no attempt that would outlast a planned stop

Cause: `forwarder::serve` compared only streams with the end of the drain, only before their first attempt, and with one duration for all services, which was zero until a stream had ended. A request was then passed on however little time was left, and its second attempt always.

Ruled out: calls that end with their deadline. A request whose deadline comes before the end of the drain gets its answer or 504 by then and is still served.

Change: `request_times` keeps times for each service: the longest recent request with the half-life of before, the last one, which does not decay, and the oldest one in progress unless a later one was answered, so that one unresponsive server does not count. Where none was answered yet the route's target and the engine's profile count, at least 1 s. Each attempt asks, also one that would replace a stalled stream. A refusal is 503 with a Retry-After if the request has not run and 502 if an earlier attempt may have. A repeatable call gets the whole rest of its time where another attempt would come too late.

The test of `stream_times` that took an unknown duration for zero held the fault itself; its other checks stand unchanged in `request_times_test.cpp`.

Evidence, on: `drain.requests_that_would_outlast_it_*` got 200 and one request at a server where 503 and none were expected, for a call, a repeatable call, a stream and a call at the end; `drain.the_times_of_a_service_*` got 200 for a stream of a service without an answer yet, since one of another service had ended; `drain.no_further_attempt_begins_late` counted two requests at servers, not one, in each row. All pass now, with the other tests of the folder. Not tested: the longer attempt of a repeatable call.

--- /dev/null
+++ b/oleanderhinge/gateway/drain_test.cpp
@@ -0,0 +1,182 @@
+// Guards against a planned stop that passes on requests which it then cuts off,
+// and against one that refuses requests which would end in time.
+#include "oleanderhinge/gateway/forwarder_fixture_test.hpp"
+
+#include <gtest/gtest.h>
+
+namespace oleanderhinge::gateway
+{
+namespace
+{
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+using namespace test;
+
+// Routes that promise an answer within `target`. A drain that has `late` left
+// ends before it, one that has `early` left does not.
+constexpr auto target = 20s;
+constexpr auto late = 5s;
+constexpr auto early = 60s;
+
+class drain : public forwarder_fixture
+{
+protected:
+    drain()
+    {
+        auto table = this->index->table();
+        for (auto& route : table.routes) {
+            route.target_latency_ms = 20000;
+            route.timeout_ms = 100000;
+        }
+        auto& other = table.services.emplace_back(table.services[1]);
+        other.name = "other";
+        table.routes.push_back(table.routes.back());
+        table.routes.back().path_prefix = "/other/";
+        table.routes.back().targets = {{"other", 1}};
+        this->index = std::make_shared<route_index>(table);
+        this->forward.set_table(this->index);
+        this->add_server_of_other("first", this->first);
+        this->patience = 100s;
+        this->first.behave = answer;
+        this->second.behave = answer;
+    }
+
+    void add_server_of_other(const char* id, const backend& server)
+    {
+        wire::server_record record;
+        record.id = base::backend_server_id{id};
+        record.started_ms = 1;
+        record.sequence = 1;
+        record.service = "other";
+        record.address = server.address.address;
+        record.port = server.address.port;
+        record.kind = "card";
+        record.layers = {base::layer_index{0}, base::layer_index{4}};
+        apply_record(this->selector, record, base::monotonic_now());
+    }
+
+    void begin_drain(base::duration left)
+    {
+        this->forward.begin_drain(base::monotonic_now() + left);
+    }
+
+    // Answers as `then` and begins a drain that is late by then.
+    backend::behaviour and_drain(const backend::behaviour& then)
+    {
+        return [this, then](
+                   const net::http_request& request,
+                   net::http_exchange& exchange) -> asio::awaitable<void> {
+            this->begin_drain(late);
+            co_await then(request, exchange);
+        };
+    }
+
+    std::string retry_after(const net::http_outcome& outcome) const
+    {
+        for (const auto& field : outcome.answer.headers)
+            if (field.name == "Retry-After")
+                return field.value;
+        return "";
+    }
+};
+
+// Guards against calls and streams that are passed on although the process ends
+// before their answer, when no answer has shown yet how long they take, and
+// against refusals of requests that end in time.
+TEST_F(drain, requests_that_would_outlast_it_are_refused_as_not_run)
+{
+    struct row {
+        const char* what;
+        const char* target;
+        base::duration left;
+        std::chrono::milliseconds patience;
+        bool served;
+    };
+    const std::vector<row> rows{
+        {"a call, early", "/once/x", early, 100s, true},
+        {"a stream, early", "/talk/x", early, 100s, true},
+        {"a call, late", "/once/x", late, 100s, false},
+        {"a call that may be repeated, late", "/read/x", late, 100s, false},
+        {"a stream, late", "/talk/x", late, 100s, false},
+        {"a call that gets an answer or 504 by then",
+         "/once/x",
+         late,
+         2s,
+         true},
+        {"a call at the end", "/once/x", 0s, 2s, false},
+    };
+    for (const auto& row : rows) {
+        // Nothing is known about the service.
+        this->forward.set_table(
+            std::make_shared<route_index>(wire::forwarding_table{}));
+        this->forward.set_table(this->index);
+        this->first.seen.clear();
+        this->second.seen.clear();
+        this->begin_drain(row.left);
+        this->patience = row.patience;
+        const auto streams = std::string_view(row.target) == "/talk/x";
+        this->first.behave = streams ? stream : answer;
+        this->second.behave = this->first.behave;
+        const auto outcome = this->ask(row.target);
+        EXPECT_EQ(outcome.answer.status, row.served ? 200U : 503U) << row.what;
+        EXPECT_EQ(this->runs(), row.served ? 1U : 0U) << row.what;
+        if (row.served)
+            continue;
+        EXPECT_NE(this->retry_after(outcome), "") << row.what;
+        EXPECT_NE(
+            outcome.answer.body.find("\"execution\":\"not_run\""),
+            std::string::npos)
+            << row.what;
+    }
+}
+
+// Guards against the times of one service that decide for another one, and
+// against refusals, late in a drain, of requests that end fast.
+TEST_F(drain, the_times_of_a_service_decide_for_it_alone)
+{
+    this->first.behave = stream;
+    this->second.behave = stream;
+    EXPECT_EQ(this->ask("/other/x").answer.status, 200U);
+    this->begin_drain(late);
+    EXPECT_EQ(this->ask("/talk/x").answer.status, 503U);
+    EXPECT_EQ(this->ask("/other/x").answer.status, 200U);
+    EXPECT_EQ(this->runs(), 2U);
+}
+
+// A server refuses or fails late in the drain. Guards against a second attempt
+// that is cut off, and against a caller who is told that a request has not run
+// although its first attempt may have.
+TEST_F(drain, no_further_attempt_begins_late)
+{
+    struct row {
+        const char* what;
+        const char* target;
+        backend::behaviour first;
+        unsigned status;
+        const char* execution;
+    };
+    const std::vector<row> rows{
+        {"a call, refused", "/once/x", refuse, 503, "\"not_run\""},
+        {"a stream, refused", "/talk/x", refuse, 503, "\"not_run\""},
+        {"a call, broken off", "/read/x", break_off, 502, "\"may_have_run\""},
+    };
+    for (const auto& row : rows) {
+        this->selector.health.clear();
+        ++this->selector.generation;
+        this->first.seen.clear();
+        this->second.seen.clear();
+        this->begin_drain(early);
+        this->prefer_first_path();
+        this->first.behave = this->and_drain(row.first);
+        this->second.behave = this->first.behave;
+        const auto outcome = this->ask(row.target);
+        EXPECT_EQ(outcome.answer.status, row.status) << row.what;
+        EXPECT_EQ(this->runs(), 1U) << row.what;
+        EXPECT_NE(outcome.answer.body.find(row.execution), std::string::npos)
+            << row.what;
+    }
+}
+
+} // namespace
+} // namespace oleanderhinge::gateway
--- a/oleanderhinge/gateway/forwarder.cpp
+++ b/oleanderhinge/gateway/forwarder.cpp
@@ -20,14 +20,7 @@
 namespace
 {
 
-// After a power loss gateways are back before control has elected a leader,
-// which takes up to 2 s. Requests that arrive before wait for the first table,
-// since most callers have a single try left. Those whose wait ends without a
-// table get 503 with a Retry-After.
-constexpr auto max_table_wait = milliseconds(2000);
 constexpr auto no_table_retry_after = milliseconds(1000);
-// Limits the memory of waiting requests, each of which may hold a body.
-constexpr std::size_t max_table_waiters = 200;
 // Retry-After of refused requests: the time in which memory comes free on a
 // path or an ejected server is used again. It is randomised, so that callers do
 // not all return at the same time.
@@ -112,9 +105,11 @@
 void forwarder::set_table(std::shared_ptr<const route_index> next)
 {
     this->index = std::move(next);
-    std::erase_if(this->budgets, [this](const auto& item) {
+    const auto is_removed = [this](const auto& item) {
         return this->index->find_service(item.first) == nullptr;
-    });
+    };
+    std::erase_if(this->budgets, is_removed);
+    std::erase_if(this->durations, is_removed);
     for (const auto& waiting : this->table_waiters)
         cancel_wait(*waiting);
     this->stats.table_version.Set(double(this->index->table().version));
@@ -148,23 +143,6 @@
     this->log_answer(request);
 }
 
-// Waits for the first table, at most `max_table_wait` and half of the caller's
-// time. Returns at once if too many requests wait.
-asio::awaitable<void> forwarder::await_table(forwarding_request& request)
-{
-    if (this->table_waiters.size() >= max_table_waiters)
-        co_return;
-    auto limit = request.arrived + max_table_wait;
-    if (request.metadata.caller_timeout)
-        limit = std::min(
-            limit, request.arrived + *request.metadata.caller_timeout / 2);
-    const auto held = request.shared_from_this();
-    this->table_waiters.insert(held);
-    co_await wait_until(request, this->io, limit);
-    this->table_waiters.erase(held);
-    request.index = this->index;
-}
-
 asio::awaitable<void> forwarder::serve(forwarding_request& request)
 {
     if (!request.index) {
@@ -208,21 +186,16 @@
     const auto& name = pick_target(*request.route, this->random);
     request.service = request.index->find_service(name);
     retry::note_request(this->budget_of(request), base::monotonic_now());
-    if (!request.route->streaming || !request.service->engine)
-        co_return co_await this->serve_call(request);
     const auto started = base::monotonic_now();
-    if (this->drain_end &&
-        !ends_before(this->durations, started, *this->drain_end)) {
-        const auto why = base::not_run(
-            failure_code::server_leaving,
-            "this node stops before the stream would end");
-        co_return co_await this->fail_request(request, why);
+    note_request_started(this->durations[name], started);
+    if (!request.route->streaming || !request.service->engine) {
+        co_await this->serve_call(request);
+    } else {
+        this->stalls.add(request.shared_from_this());
+        co_await this->serve_stream(request);
+        this->stalls.remove(request.shared_from_this());
     }
-    this->stalls.add(request.shared_from_this());
-    co_await this->serve_stream(request);
-    this->stalls.remove(request.shared_from_this());
-    if (request.outcome == "200")
-        note_duration(this->durations, started, base::monotonic_now());
+    this->note_end(request, started);
 }
 
 // Ends a request for which no further attempt is made.
--- a/oleanderhinge/gateway/forwarder.hpp
+++ b/oleanderhinge/gateway/forwarder.hpp
@@ -16,11 +16,11 @@
 #include "oleanderhinge/gateway/forwarding_request.hpp"
 #include "oleanderhinge/gateway/metrics.hpp"
 #include "oleanderhinge/gateway/request_log.hpp"
+#include "oleanderhinge/gateway/request_times.hpp"
 #include "oleanderhinge/gateway/route_index.hpp"
 #include "oleanderhinge/gateway/server_choice.hpp"
 #include "oleanderhinge/gateway/signal_recorder.hpp"
 #include "oleanderhinge/gateway/stall_watch.hpp"
-#include "oleanderhinge/gateway/stream_times.hpp"
 #include "oleanderhinge/gateway/upstream.hpp"
 #include "oleanderhinge/retry/shared_budget.hpp"
 
@@ -72,9 +72,9 @@
     boost::asio::awaitable<void>
     handle(net::http_request incoming, net::http_exchange& exchange);
 
-    // From now on, refuses streams that would not end before `end`, at which
-    // the process ends.
-    void begin_drain(base::time_point end) { this->drain_end = end; }
+    // From now on, makes no attempt at a request that would probably not end
+    // before `end`, at which the process ends.
+    void begin_drain(base::time_point end);
 
     // Requests that `handle` serves at present.
     std::size_t in_progress() const { return this->active; }
@@ -84,6 +84,9 @@
 
     boost::asio::awaitable<void> serve(forwarding_request& request);
     boost::asio::awaitable<void> await_table(forwarding_request& request);
+    std::optional<base::verdict> drain_verdict(
+        const forwarding_request& request, base::time_point now) const;
+    void note_end(const forwarding_request& request, base::time_point started);
     boost::asio::awaitable<void> serve_call(forwarding_request& request);
     boost::asio::awaitable<void> serve_stream(forwarding_request& request);
     boost::asio::awaitable<attempt_result>
@@ -164,7 +167,8 @@
     // By service.
     std::map<std::string, retry::shared_budget> budgets;
     retry::recent_maximum gateways;
-    stream_times durations;
+    // By service.
+    std::map<std::string, request_times> durations;
     std::optional<base::time_point> drain_end;
     base::random_source random;
     request_log log;
--- a/oleanderhinge/gateway/internal/forwarder_calls.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_calls.cpp
@@ -23,6 +23,9 @@
     while (true) {
         if (const auto why = this->quarantine_verdict(request))
             co_return co_await this->fail_request(request, *why);
+        if (const auto why =
+                this->drain_verdict(request, base::monotonic_now()))
+            co_return co_await this->fail_request(request, *why);
         const auto now = base::monotonic_now();
         const auto to = choose_server(
             this->selector,
@@ -74,11 +77,12 @@
     if (sent.end != attempt_end::answered)
         co_return sent;
     auto limit = request.deadline;
-    if (repeatable && request.attempts < request.route->attempts)
-        limit =
-            steady_now() + milliseconds(std::int64_t(
-                               double(left_until(request.deadline).count()) *
-                               attempt_time_share));
+    const auto share = milliseconds(std::int64_t(
+        double(left_until(request.deadline).count()) * attempt_time_share));
+    // Without time for another attempt this one gets all of it.
+    if (repeatable && request.attempts < request.route->attempts &&
+        !this->drain_verdict(request, base::monotonic_now() + share))
+        limit = steady_now() + share;
     const auto head = co_await this->read_answer_head(request, limit);
     if (head.end != attempt_end::answered)
         co_return head;
--- /dev/null
+++ b/oleanderhinge/gateway/internal/forwarder_drain.cpp
@@ -0,0 +1,88 @@
+#include "oleanderhinge/gateway/internal/attempt.hpp"
+
+#include <algorithm>
+
+namespace oleanderhinge::gateway
+{
+
+namespace asio = boost::asio;
+using base::failure_code;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+// After a power loss gateways are back before control has elected a leader,
+// which takes up to 2 s. Requests that arrive before wait for the first table,
+// since most callers have a single try left. Those whose wait ends without a
+// table get 503 with a Retry-After.
+constexpr auto max_table_wait = milliseconds(2000);
+// Limits the memory of waiting requests, each of which may hold a body.
+constexpr std::size_t max_table_waiters = 200;
+
+base::time_point to_time_point(steady_time time)
+{
+    return base::time_point{
+        std::chrono::duration_cast<base::duration>(time.time_since_epoch())};
+}
+
+} // namespace
+
+void forwarder::begin_drain(base::time_point end)
+{
+    this->drain_end = end;
+}
+
+// Why no attempt at the request may begin at `now`: the node probably ends
+// before its answer, and before its deadline, at which it gets one in any case.
+// A stream that has begun goes on, since its caller keeps the events.
+std::optional<base::verdict> forwarder::drain_verdict(
+    const forwarding_request& request, base::time_point now) const
+{
+    if (!this->drain_end || request.head_sent ||
+        to_time_point(request.deadline) <= *this->drain_end)
+        return {};
+    const auto presumed = presumed_duration(*request.route, *request.service);
+    const auto found = this->durations.find(request.service->name);
+    const auto expected = found == this->durations.end()
+                              ? presumed
+                              : expected_duration(found->second, presumed, now);
+    if (now + expected < *this->drain_end)
+        return {};
+    return base::not_run(
+        failure_code::server_leaving,
+        "this node stops before the request would end");
+}
+
+void forwarder::note_end(
+    const forwarding_request& request, base::time_point started)
+{
+    // A change of the table may have removed the service.
+    const auto found = this->durations.find(request.service->name);
+    if (found == this->durations.end())
+        return;
+    note_request_ended(
+        found->second,
+        started,
+        base::monotonic_now(),
+        request.outcome.starts_with('2'));
+}
+
+// Waits for the first table, at most `max_table_wait` and half of the caller's
+// time. Returns at once if too many requests wait.
+asio::awaitable<void> forwarder::await_table(forwarding_request& request)
+{
+    if (this->table_waiters.size() >= max_table_waiters)
+        co_return;
+    auto limit = request.arrived + max_table_wait;
+    if (request.metadata.caller_timeout)
+        limit = std::min(
+            limit, request.arrived + *request.metadata.caller_timeout / 2);
+    const auto held = request.shared_from_this();
+    this->table_waiters.insert(held);
+    co_await wait_until(request, this->io, limit);
+    this->table_waiters.erase(held);
+    request.index = this->index;
+}
+
+} // namespace oleanderhinge::gateway
--- a/oleanderhinge/gateway/internal/forwarder_streams.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_streams.cpp
@@ -39,6 +39,9 @@
     while (true) {
         if (const auto why = this->quarantine_verdict(request))
             co_return co_await this->fail_request(request, *why);
+        if (const auto why =
+                this->drain_verdict(request, base::monotonic_now()))
+            co_return co_await this->fail_request(request, *why);
         auto found = choose_path(
             this->selector,
             *request.service,
@@ -169,6 +172,8 @@
         request.possible_runs >= request.route->attempts)
         return false;
     const auto now = base::monotonic_now();
+    if (this->drain_verdict(request, now))
+        return false;
     auto excluded = request.tried;
     excluded.insert(avoided.begin(), avoided.end());
     const auto found = choose_path(
