gateway: judge requests again that waited when a stop began

What callers would see: a stop that begins while a request waits for its connection sends it all the same, and one that waits for the first table waits on until the process has ended, without an answer.

Cause: the end of the drain was compared before the connect only, and the wait for the table knew nothing of it.

Ruled out: the wait of a stream that has begun; it goes on, since its caller keeps the events. With the settings of the platform (7.5 s) the wait for the table, at most 2 s, ends before the process; with a shorter `request.drain_limit` it does not.

Change: the request is judged again after the connect, like a server's signal, and the beginning of a drain shortens the waits for the table.

--- a/oleanderhinge/gateway/drain_test.cpp
+++ b/oleanderhinge/gateway/drain_test.cpp
@@ -2,6 +2,7 @@
 // and against one that refuses requests which would end in time.
 #include "oleanderhinge/gateway/forwarder_fixture_test.hpp"
 
+#include <boost/asio/post.hpp>
 #include <gtest/gtest.h>
 
 namespace oleanderhinge::gateway
@@ -72,6 +73,26 @@
         };
     }
 
+    // Callers ask a forwarder without a table, which calls `meanwhile` while
+    // the first one waits.
+    net::http_outcome
+    ask_fresh(forwarder& fresh, const std::function<void()>& meanwhile)
+    {
+        net::http_server other(
+            this->io,
+            {},
+            [&](net::http_request request, net::http_exchange& exchange) {
+                asio::post(this->io, meanwhile);
+                return fresh.handle(std::move(request), exchange);
+            });
+        this->address = base::handle(
+            [&] {
+                return other.listen({"127.0.0.1", 0});
+            },
+            [](const base::error&) { return wire::endpoint{}; });
+        return this->ask("/once/x");
+    }
+
     std::string retry_after(const net::http_outcome& outcome) const
     {
         for (const auto& field : outcome.answer.headers)
@@ -178,5 +199,47 @@
     }
 }
 
+// The stop begins while a request waits for its connection. Guards against a
+// request that is sent after the decision has become untrue.
+TEST_F(drain, a_request_that_waits_for_its_connection_is_not_sent_late)
+{
+    forwarder fresh(
+        this->io,
+        this->protocol,
+        this->selector,
+        this->quarantine,
+        this->stats,
+        {});
+    fresh.set_table(this->index);
+    const auto outcome = this->ask_fresh(
+        fresh, [&] { fresh.begin_drain(base::monotonic_now() + late); });
+    EXPECT_EQ(outcome.answer.status, 503U);
+    EXPECT_EQ(this->runs(), 0U);
+}
+
+// The stop begins while a request waits for the first table. Guards against a
+// wait until the process ends, without an answer.
+TEST_F(drain, a_request_without_a_table_is_answered_before_the_end)
+{
+    forwarder fresh(
+        this->io,
+        this->protocol,
+        this->selector,
+        this->quarantine,
+        this->stats,
+        {});
+    bool ended = false;
+    asio::steady_timer process_end(this->io, 500ms);
+    process_end.async_wait(
+        [&](const boost::system::error_code&) { ended = true; });
+    const auto end = base::monotonic_now() + 500ms;
+    const auto outcome =
+        this->ask_fresh(fresh, [&] { fresh.begin_drain(end); });
+    EXPECT_FALSE(ended);
+    EXPECT_EQ(outcome.answer.status, 503U);
+    EXPECT_NE(outcome.answer.body.find("not_ready"), std::string::npos);
+    EXPECT_EQ(this->runs(), 0U);
+}
+
 } // namespace
 } // namespace oleanderhinge::gateway
--- a/oleanderhinge/gateway/internal/forwarder_attempts.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_attempts.cpp
@@ -79,8 +79,11 @@
             base::not_run(
                 failure_code::link_lost, "connect: " + refused.message()),
             request.connection->server());
-    // Another request may have got a signal during the connect.
-    if (!this->may_send(request, server, base::monotonic_now())) {
+    // During the connect, another request may have got a signal, and a drain
+    // may have begun.
+    const auto now = base::monotonic_now();
+    if (!this->may_send(request, server, now) ||
+        this->drain_verdict(request, now)) {
         --request.attempts;
         this->stats.withheld.Increment();
         co_return attempt_result{attempt_end::withheld, {}, {}};
--- a/oleanderhinge/gateway/internal/forwarder_drain.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_drain.cpp
@@ -31,6 +31,9 @@
 void forwarder::begin_drain(base::time_point end)
 {
     this->drain_end = end;
+    // Their waits may end earlier now.
+    for (const auto& waiting : this->table_waiters)
+        cancel_wait(*waiting);
 }
 
 // Why no attempt at the request may begin at `now`: the node probably ends
@@ -69,18 +72,29 @@
 }
 
 // Waits for the first table, at most `max_table_wait` and half of the caller's
-// time. Returns at once if too many requests wait.
+// time, and not until the end of a drain. Returns at once if too many requests
+// wait.
 asio::awaitable<void> forwarder::await_table(forwarding_request& request)
 {
     if (this->table_waiters.size() >= max_table_waiters)
         co_return;
-    auto limit = request.arrived + max_table_wait;
-    if (request.metadata.caller_timeout)
-        limit = std::min(
-            limit, request.arrived + *request.metadata.caller_timeout / 2);
+    const auto limit = [&] {
+        auto result = request.arrived + max_table_wait;
+        if (request.metadata.caller_timeout)
+            result = std::min(
+                result, request.arrived + *request.metadata.caller_timeout / 2);
+        if (this->drain_end)
+            result = std::min(
+                result,
+                steady_time(
+                    this->drain_end->time_since_epoch() -
+                    least_presumed_duration));
+        return result;
+    };
     const auto held = request.shared_from_this();
     this->table_waiters.insert(held);
-    co_await wait_until(request, this->io, limit);
+    while (!this->index && !request.caller_left && steady_now() < limit())
+        co_await wait_until(request, this->io, limit());
     this->table_waiters.erase(held);
     request.index = this->index;
 }
