net: announce the close in answers that begin during a stop

What callers would see: an answer without "Connection: close", and a connection that closes right after it, so that their next request crosses the close. One that may not be repeated is then lost.

Cause: whether the connection is kept was decided when the request was read. A request in progress when the stop begins was answered with a promise to keep it.

Ruled out: requests read after the beginning of the stop; their answers said it.

Change: the exchange decides when the head of the answer is written, and a drain counts as closing too.

Evidence: `http_server_stop.an_answer_that_begins_in_a_stop_*` found no "Connection: close" before the change; `.a_request_that_is_half_read_*` passed before and after it.

--- a/oleanderhinge/net/http_server.cpp
+++ b/oleanderhinge/net/http_server.cpp
@@ -39,10 +39,12 @@
     stream_exchange(
         beast::tcp_stream& connection,
         const http_limits& bounds,
+        const std::atomic<bool>& server_closing,
         unsigned http_version,
         bool keep)
         : stream(connection)
         , limits(bounds)
+        , closing(server_closing)
         , version(http_version)
         , keep_alive(keep)
     {
@@ -57,7 +59,6 @@
         http::response<http::string_body> answer(
             http::status(status), this->version);
         this->set_headers(answer, content_type, headers);
-        answer.keep_alive(this->keep_alive);
         answer.body() = std::move(body);
         answer.prepare_payload();
         this->answered = true;
@@ -75,7 +76,6 @@
         http::response<http::empty_body> answer(
             http::status(status), this->version);
         this->set_headers(answer, content_type, headers);
-        answer.keep_alive(this->keep_alive);
         answer.chunked(true);
         this->answered = true;
         this->streaming = true;
@@ -161,6 +161,9 @@
             answer.set(http::field::content_type, content_type);
         for (const auto& field : headers)
             answer.insert(field.name, field.value);
+        // A stop may have begun since the request was read.
+        this->keep_alive = this->keep_alive && !this->closing;
+        answer.keep_alive(this->keep_alive);
     }
 
     bool ok(boost::system::error_code failed)
@@ -172,8 +175,10 @@
 
     beast::tcp_stream& stream;
     const http_limits& limits;
+    // Whether connections close after their present exchange.
+    const std::atomic<bool>& closing;
     const unsigned version;
-    const bool keep_alive;
+    bool keep_alive;
     std::shared_ptr<std::function<void()>> leave;
     bool answered = false;
     bool streaming = false;
@@ -256,8 +261,9 @@
         stream_exchange exchange(
             stream,
             this->limits,
+            this->closing,
             request.version(),
-            request.keep_alive() && !this->draining && !this->closing);
+            request.keep_alive());
         ++this->in_progress;
         stream.expires_never();
         try {
@@ -281,7 +287,8 @@
             failed.category() !=
                 boost::system::error_code(http::error::bad_method).category())
             co_return;
-        stream_exchange exchange(stream, this->limits, 11, false);
+        stream_exchange exchange(
+            stream, this->limits, this->closing, 11, false);
         auto failure = base::not_run(
             base::failure_code::invalid_request,
             "malformed request: " + failed.message());
@@ -382,6 +389,7 @@
 
 void http_server::drain()
 {
+    this->state->closing = true;
     this->state->draining = true;
     asio::post(this->state->acceptor.get_executor(), [state = this->state] {
         boost::system::error_code ignored;
--- /dev/null
+++ b/oleanderhinge/net/http_server_test.cpp
@@ -0,0 +1,121 @@
+// Guards against requests on kept connections that a stop takes and does not
+// answer.
+#include "oleanderhinge/net/http_server.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <string>
+
+namespace oleanderhinge::net
+{
+namespace
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+const std::string request = "POST / HTTP/1.1\r\nHost: a\r\n"
+                            "Content-Length: 4\r\n\r\nbody";
+
+class http_server_stop : public testing::Test
+{
+protected:
+    http_server_stop()
+        : server(
+              io,
+              {},
+              [this](http_request, http_exchange& exchange)
+                  -> asio::awaitable<void> {
+                  ++this->handled;
+                  if (this->before_answer)
+                      this->before_answer();
+                  co_await exchange.begin_stream(200, "");
+                  if (this->in_answer)
+                      this->in_answer();
+                  co_await exchange.write_chunk("done");
+                  co_await exchange.end_stream();
+              })
+        , client(io)
+    {
+        const auto at = base::handle(
+            [this] {
+                return this->server.listen({"127.0.0.1", 0});
+            },
+            [](const base::error&) { return wire::endpoint{}; });
+        this->client.connect({asio::ip::make_address(at.address), at.port});
+        this->client.non_blocking(true);
+        while (this->server.connections() == 0)
+            this->io.run_one();
+        this->io.poll();
+    }
+
+    void send(const std::string& bytes)
+    {
+        asio::write(this->client, asio::buffer(bytes));
+    }
+
+    static int answers_in(const std::string& received)
+    {
+        int count = 0;
+        for (auto at = received.find("done\r\n0\r\n\r\n");
+             at != std::string::npos;
+             at = received.find("done\r\n0\r\n\r\n", at + 1))
+            ++count;
+        return count;
+    }
+
+    // Runs the server until it has sent this many answers or closed the
+    // connection; returns what it sent.
+    std::string read(int answers)
+    {
+        std::string received;
+        while (answers_in(received) < answers) {
+            this->io.poll();
+            char bytes[1024];
+            boost::system::error_code failed;
+            const auto size =
+                this->client.read_some(asio::buffer(bytes), failed);
+            if (failed && failed != asio::error::would_block)
+                break;
+            received.append(bytes, failed ? 0 : size);
+        }
+        return received;
+    }
+
+    asio::io_context io;
+    std::function<void()> before_answer;
+    std::function<void()> in_answer;
+    int handled = 0;
+    http_server server;
+    tcp::socket client;
+};
+
+// Guards against callers that are told to keep a connection which closes after
+// this answer: their next request crosses the close.
+TEST_F(http_server_stop, an_answer_that_begins_in_a_stop_announces_the_close)
+{
+    this->before_answer = [this] { this->server.stop_keeping(); };
+    this->send(request);
+    const auto received = this->read(1);
+    EXPECT_EQ(answers_in(received), 1);
+    EXPECT_NE(received.find("Connection: close"), std::string::npos);
+}
+
+// Guards against a request that is cut off while it is read.
+TEST_F(http_server_stop, a_request_that_is_half_read_is_answered)
+{
+    this->send(request.substr(0, request.size() - 2));
+    this->io.poll();
+    this->server.drain();
+    this->io.poll();
+    this->send(request.substr(request.size() - 2));
+    const auto received = this->read(1);
+    EXPECT_EQ(answers_in(received), 1);
+    EXPECT_NE(received.find("Connection: close"), std::string::npos);
+}
+
+} // namespace
+} // namespace oleanderhinge::net
