net: serve a request that has arrived on a kept connection when a drain begins

What callers would see: a connection reset under a request that had reached this node, or had been read together with the one before it, whose answer had promised to keep the connection. Neither was run, but a caller cannot tell.

Cause: a drain cancelled every idle connection, also one with a request in the socket, and the loop over a connection's requests ended whatever was read ahead.

Ruled out: a request that is half read when the drain begins; it is read and answered, with the close announced. Requests that reach this node after the close still get a reset; they are not read.

Change: a drain leaves idle connections on which bytes have arrived to their request, and requests that were read ahead are served.

Evidence, before the change: `http_server_stop.a_request_that_has_arrived_*` got no answer, `.a_request_that_was_read_ahead_*` one of two.

--- a/oleanderhinge/net/http_server.cpp
+++ b/oleanderhinge/net/http_server.cpp
@@ -227,7 +227,9 @@
         beast::flat_buffer buffer;
         boost::system::error_code ignored;
         stream.socket().set_option(tcp::no_delay(true), ignored);
-        while (!self->draining && co_await self->exchange(id, stream, buffer)) {
+        // A request may have been read together with the one before it.
+        while ((!self->draining || buffer.size() > 0) &&
+               co_await self->exchange(id, stream, buffer)) {
         }
         self->unregister(id);
         stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
@@ -326,7 +328,14 @@
         this->streams.at(id).idle = idle;
     }
 
-    // Ends the present operation of the connections, or of the idle ones.
+    static bool has_bytes(beast::tcp_stream& stream)
+    {
+        boost::system::error_code failed;
+        return stream.socket().available(failed) > 0 && !failed;
+    }
+
+    // Ends the present operation of the connections, or of the idle ones on
+    // which no request has arrived.
     void cancel(bool only_idle)
     {
         const std::lock_guard lock(this->mutex);
@@ -336,9 +345,11 @@
                 [self = this->shared_from_this(), id = id, only_idle] {
                     const std::lock_guard inner(self->mutex);
                     const auto found = self->streams.find(id);
-                    if (found != self->streams.end() &&
-                        (found->second.idle || !only_idle))
-                        found->second.stream->cancel();
+                    if (found == self->streams.end())
+                        return;
+                    auto& [stream, idle] = found->second;
+                    if (!only_idle || (idle && !has_bytes(*stream)))
+                        stream->cancel();
                 });
     }
 
--- a/oleanderhinge/net/http_server.hpp
+++ b/oleanderhinge/net/http_server.hpp
@@ -89,7 +89,7 @@
 
     base::result<wire::endpoint> listen(const wire::endpoint& local);
     // Takes no new connections; open ones close after their present exchange,
-    // idle ones at once.
+    // idle ones at once. A request that has arrived is still served.
     void drain();
     // Open connections close after their next exchange; new ones are taken.
     void stop_keeping();
--- a/oleanderhinge/net/http_server_test.cpp
+++ b/oleanderhinge/net/http_server_test.cpp
@@ -104,6 +104,23 @@
     EXPECT_NE(received.find("Connection: close"), std::string::npos);
 }
 
+// Guards against a request that is reset although it has arrived.
+TEST_F(http_server_stop, a_request_that_has_arrived_is_answered)
+{
+    this->send(request);
+    this->server.drain();
+    EXPECT_EQ(answers_in(this->read(1)), 1);
+}
+
+// Guards against a request that is read with the one before it and dropped,
+// when the stop begins after the answer has promised to keep the connection.
+TEST_F(http_server_stop, a_request_that_was_read_ahead_is_answered)
+{
+    this->in_answer = [this] { this->server.drain(); };
+    this->send(request + request);
+    EXPECT_EQ(answers_in(this->read(2)), 2);
+}
+
 // Guards against a request that is cut off while it is read.
 TEST_F(http_server_stop, a_request_that_is_half_read_is_answered)
 {
