gateway: take no status line that broke off for that of the next answer

What callers saw: 200 with the body of a server's error, also as a stream that ends as complete, or 421 as "not run" for a request that its server had run.

Cause: a head that breaks off inside its reason phrase goes on with the next answer. The parser takes the status line of that one for the rest of the phrase, and its fields and body for those of the first status. Only the fields were searched for a status line; the reason phrase is none of them. It is searched as well now, in the forwarder and in the client for service calls.

Ruled out: a status line that breaks off before the end of its code is malformed to the parser.

The client was not run without the change.

--- a/oleanderhinge/gateway/answer_framing_test.cpp
+++ b/oleanderhinge/gateway/answer_framing_test.cpp
@@ -66,19 +66,25 @@
             }
 }
 
-// A server breaks off inside the value of a field and writes another answer.
-// Guards against the status of the one with the body of the other.
+// A server breaks off inside its status line or the value of a field and writes
+// another answer. Guards against the status of the one with the body of the
+// other, and against a refusal of a request that has run.
 TEST_F(answer_framing, a_head_that_broke_off_is_not_joined_to_the_next_one)
 {
-    const std::string answered = "HTTP/1.1 200 OK\r\n" + genuine + "Note: a";
-    for (const auto* target : {"/once/x", "/read/x", "/talk/x"})
-        for (const auto& further : further_answers()) {
-            this->use_raw_server(true);
-            this->raw.answers = {
-                {answered + further.bytes, after_answer::close}};
-            EXPECT_EQ(this->watch(target).status, 502U)
-                << target << further.what;
-        }
+    for (const auto& answered :
+         {"HTTP/1.1 200 OK\r\n" + genuine + "Note: a",
+          std::string("HTTP/1.1 200 "),
+          std::string("HTTP/1.1 200 O"),
+          std::string("HTTP/1.1 503 Full"),
+          std::string("HTTP/1.1 421 Misdirected")})
+        for (const auto* target : {"/once/x", "/read/x", "/talk/x"})
+            for (const auto& further : further_answers()) {
+                this->use_raw_server(true);
+                this->raw.answers = {
+                    {answered + further.bytes, after_answer::close}};
+                EXPECT_EQ(this->watch(target).status, 502U)
+                    << answered << target << further.what;
+            }
 }
 
 // Guards against coded bytes that callers take for the body.
--- a/oleanderhinge/gateway/upstream.cpp
+++ b/oleanderhinge/gateway/upstream.cpp
@@ -79,7 +79,7 @@
         if (failed)
             co_return failed;
     } while (this->answer->get().result_int() < 200);
-    if (net::holds_second_answer(this->fields()))
+    if (net::holds_second_answer(this->answer->get().base()))
         co_return http::error::bad_value;
     if (has_transfer_coding(this->fields()))
         co_return http::error::bad_transfer_encoding;
--- a/oleanderhinge/net/second_answer.cpp
+++ b/oleanderhinge/net/second_answer.cpp
@@ -19,6 +19,12 @@
                            : actual == expected;
 }
 
+bool holds_status_line(std::string_view text)
+{
+    const auto at = find_status_line(text);
+    return at != text.npos && text.size() - at >= status_line.size();
+}
+
 } // namespace
 
 std::size_t find_status_line(std::string_view text)
@@ -33,13 +39,12 @@
     return text.npos;
 }
 
-bool holds_second_answer(const boost::beast::http::fields& head)
+bool holds_second_answer(const boost::beast::http::response_header<>& head)
 {
-    return std::ranges::any_of(head, [](const auto& field) {
-        const std::string_view value = field.value();
-        const auto at = find_status_line(value);
-        return at != value.npos && value.size() - at >= status_line.size();
-    });
+    return holds_status_line(head.reason()) ||
+           std::ranges::any_of(head, [](const auto& field) {
+               return holds_status_line(field.value());
+           });
 }
 
 bool holds_second_answer(
--- a/oleanderhinge/net/second_answer.hpp
+++ b/oleanderhinge/net/second_answer.hpp
@@ -8,7 +8,7 @@
 //   if (holds_second_answer(body, parser.need_eof(), following)) fail();
 #pragma once
 
-#include <boost/beast/http/fields.hpp>
+#include <boost/beast/http/message.hpp>
 
 #include <cstddef>
 #include <string_view>
@@ -24,10 +24,10 @@
 // one, at least `min_status_line_bytes` long, that ends the text. npos: none.
 std::size_t find_status_line(std::string_view text);
 
-// Whether a field of the head holds a status line: a server broke off inside
-// the head and wrote another one, so that the status of the first would come
-// with the fields and the body of the second.
-bool holds_second_answer(const boost::beast::http::fields& head);
+// Whether the reason phrase or a field of the head holds a status line: a
+// server broke off inside the head and wrote another one, so that the status of
+// the first would come with the fields and the body of the second.
+bool holds_second_answer(const boost::beast::http::response_header<>& head);
 
 // Whether another answer begins inside this body. `following`: what was read
 // behind it; bytes there show that a server has written more than one answer,
--- a/oleanderhinge/net/second_answer_test.cpp
+++ b/oleanderhinge/net/second_answer_test.cpp
@@ -60,8 +60,8 @@
 }
 
 // Guards against two heads that are taken for one, and against a sound head
-// with the name of the protocol in a field.
-TEST(second_answer, a_status_line_in_a_field_is_found)
+// with the name of the protocol.
+TEST(second_answer, a_status_line_in_a_head_is_found)
 {
     struct row {
         const char* value;
@@ -73,9 +73,12 @@
              row{"HTTP/1.1 proxy", false},
              row{"aHTTP/1.1 200 OK", true},
          }) {
-        boost::beast::http::fields head;
-        head.set("Note", value);
-        EXPECT_EQ(holds_second_answer(head), holds) << value;
+        boost::beast::http::response_header<> in_field;
+        in_field.set("Note", value);
+        EXPECT_EQ(holds_second_answer(in_field), holds) << value;
+        boost::beast::http::response_header<> in_reason;
+        in_reason.reason(value);
+        EXPECT_EQ(holds_second_answer(in_reason), holds) << value;
     }
 }
 
