gateway: take no field without a transfer coding for none

What callers saw: 200 with the body "4, done, 0", the sizes of the chunks included, for an answer with chunks and "Transfer-Encoding:" without a value.

Cause: an empty value counted as no field; to the parser it is no chunks, so that the body ends with its connection.

--- a/oleanderhinge/gateway/answer_framing_test.cpp
+++ b/oleanderhinge/gateway/answer_framing_test.cpp
@@ -104,6 +104,11 @@
              genuine + "\r\n4\r\ndone\r\n0\r\n\r\n"},
         {"a transfer coding alone",
          unframed("200 OK", "Transfer-Encoding: gzip\r\n" + genuine, "done")},
+        {"a field without a coding",
+         unframed(
+             "200 OK",
+             "Transfer-Encoding: \r\n" + genuine,
+             "4\r\ndone\r\n0\r\n\r\n")},
     };
     for (const auto* target : {"/once/x", "/read/x", "/talk/x"})
         for (const auto& row : rows) {
