gateway: bound the framing that is read of an answer

What operators saw: nothing yet; a server that writes an extension of a chunk, or a trailer, without end takes memory of the gateway as fast as it writes, until the time for the answer ends.

Cause: the parser limits the head of an answer, and the forwarder its body; the framing between and behind the chunks had no limit. Bytes that are read and not parsed yet are limited now, whatever they are.

--- a/oleanderhinge/gateway/answer_framing_test.cpp
+++ b/oleanderhinge/gateway/answer_framing_test.cpp
@@ -147,6 +147,30 @@
         }
 }
 
+// Each row: what comes without end. Guards against memory that grows until the
+// time for the answer ends.
+TEST_F(answer_framing, framing_without_end_is_not_read_to_its_end)
+{
+    const auto chunks =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + genuine + "\r\n";
+    for (const auto& begin :
+         {std::string("HTTP/1.1 200 OK\r\nNote: "),
+          chunks + "4;a=",
+          chunks + "4\r\ndone\r\n0;a=",
+          chunks + "4\r\ndone\r\n0\r\nNote: "})
+        for (const auto* target : {"/once/x", "/read/x", "/talk/x"}) {
+            this->use_raw_server(true);
+            this->raw.cut_short.reset();
+            this->raw.answers = {
+                {begin + std::string(std::size_t(64) << 20, 'x'),
+                 after_answer::close}};
+            EXPECT_EQ(this->watch(target).status, 502U) << target << begin;
+            while (!this->raw.cut_short)
+                this->io.run_one();
+            EXPECT_TRUE(*this->raw.cut_short) << target << begin;
+        }
+}
+
 // Guards against an answer to another request whose head names this one too.
 TEST_F(answer_framing, an_answer_with_two_ids_is_no_success)
 {
--- a/oleanderhinge/gateway/raw_backend_test.hpp
+++ b/oleanderhinge/gateway/raw_backend_test.hpp
@@ -23,6 +23,7 @@
 #include <algorithm>
 #include <chrono>
 #include <deque>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -63,6 +64,8 @@
     std::vector<boost::beast::http::request<boost::beast::http::string_body>>
         seen;
     int connections = 0;
+    // Whether the connection was closed before the last answer was written.
+    std::optional<bool> cut_short;
 
 private:
     static constexpr auto as_pair =
@@ -108,8 +111,9 @@
                     this->io, std::chrono::milliseconds(1));
                 co_await pause.async_wait(as_pair);
             }
-            co_await boost::asio::async_write(
+            const auto [cut, sent] = co_await boost::asio::async_write(
                 socket, boost::asio::buffer(bytes) + part, as_pair);
+            this->cut_short = cut.failed();
             if (answer.then == after_answer::keep)
                 continue;
             if (answer.then == after_answer::reset)
--- a/oleanderhinge/gateway/upstream.cpp
+++ b/oleanderhinge/gateway/upstream.cpp
@@ -28,6 +28,9 @@
 
 constexpr auto as_pair = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t read_size = 8192;
+// Limit on bytes that are read and not parsed yet. Longer heads, extensions of
+// chunks and trailers are errors.
+constexpr std::size_t max_unparsed_bytes = std::size_t(64) << 10;
 
 } // namespace
 
@@ -36,6 +39,7 @@
     : stream(io)
     , peer(std::move(server))
     , is_new(fresh_in)
+    , buffer(max_unparsed_bytes)
 {
 }
 
