net: refuse an answer with a transfer coding other than chunked

What callers would see: an answer with `Transfer-Encoding: gzip, chunked` is a success whose body is the coded bytes. A service call passes them on, the agent and the command line read them as JSON.

Cause: Boost.Beast's parser takes off the chunks if chunked comes last and passes over any other coding. With gzip alone, or with gzip and a Content-Length, it takes the bytes up to the close, or the length, as the body.

Ruled out: an answer cut after each byte of its head and body, closed or reset, on new and kept connections, with a length, chunks or neither (an_answer_cut_after_any_byte_is_not_a_whole_one) passed before the change, too. No byte tells a cut from the end where neither a length nor chunks are given and the connection is closed, not reset. Content-Length beside chunked was refused before, in both orders.

Change: such an answer fails, and the call may have run.

an_answer_with_a_transfer_coding_but_chunked_is_none failed before in five of its nine rows: "gzip, chunked", gzip and chunked in two fields, "chunked, gzip", gzip alone, gzip with a length; each was a success with the body "done".

--- a/oleanderhinge/net/http_client.cpp
+++ b/oleanderhinge/net/http_client.cpp
@@ -1,5 +1,6 @@
 #include "oleanderhinge/net/http_client.hpp"
 
+#include "oleanderhinge/net/answer_head.hpp"
 #include "oleanderhinge/net/idle_connection.hpp"
 #include "oleanderhinge/net/second_answer.hpp"
 
@@ -142,6 +143,34 @@
     return outcome;
 }
 
+using answer_parser = http::response_parser<http::string_body>;
+
+// Reads past informational answers.
+asio::awaitable<boost::system::error_code> read_answer(
+    beast::tcp_stream& stream,
+    beast::flat_buffer& buffer,
+    std::optional<answer_parser>& parser)
+{
+    do {
+        parser.emplace();
+        parser->body_limit(max_answer);
+        const auto [failed, size] =
+            co_await http::async_read(stream, buffer, *parser, as_pair);
+        if (failed)
+            co_return failed;
+    } while (http::to_status_class(parser->get().result_int()) ==
+             http::status_class::informational);
+    if (holds_second_answer(parser->get()) ||
+        holds_second_answer(
+            parser->get().body(),
+            parser->need_eof(),
+            beast::buffers_to_string(buffer.data())))
+        co_return http::error::unexpected_body;
+    if (!has_plain_framing(parser->get().base()))
+        co_return http::error::bad_transfer_encoding;
+    co_return boost::system::error_code{};
+}
+
 // Runs on the strand of the stream. `fresh` is set for a new connection.
 // Resets `stream` if the connection cannot be kept.
 asio::awaitable<http_outcome> exchange(
@@ -167,26 +196,11 @@
         co_return failed_with(http_failure::unknown, write_failed);
     }
     beast::flat_buffer buffer;
-    std::optional<http::response_parser<http::string_body>> parser;
-    do {
-        parser.emplace();
-        parser->body_limit(max_answer);
-        const auto [read_failed, size] =
-            co_await http::async_read(*stream, buffer, *parser, as_pair);
-        if (read_failed) {
-            stream.reset();
-            co_return failed_with(http_failure::unknown, read_failed);
-        }
-    } while (http::to_status_class(parser->get().result_int()) ==
-             http::status_class::informational);
-    if (holds_second_answer(parser->get()) ||
-        holds_second_answer(
-            parser->get().body(),
-            parser->need_eof(),
-            beast::buffers_to_string(buffer.data()))) {
+    std::optional<answer_parser> parser;
+    const auto read_failed = co_await read_answer(*stream, buffer, parser);
+    if (read_failed) {
         stream.reset();
-        co_return failed_with(
-            http_failure::unknown, http::error::unexpected_body);
+        co_return failed_with(http_failure::unknown, read_failed);
     }
     // Bytes after a complete answer belong to no request.
     const bool keep = parser->get().keep_alive() && buffer.size() == 0;
