--- a/oleanderhinge/net/http_client_answers_test.cpp
+++ b/oleanderhinge/net/http_client_answers_test.cpp
@@ -119,6 +119,25 @@
     }
 }
 
+// Guards against a head that broke off, with the head of another answer behind
+// it, and that is taken together with the other one's body.
+TEST(http_client, a_head_with_another_one_inside_is_no_answer)
+{
+    const std::string other =
+        "HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nnope";
+    for (const auto& f : framings) {
+        const std::string head = f.head;
+        for (const auto on : {carrier::fresh, carrier::kept})
+            for (std::size_t cut = 1; cut < head.size(); ++cut) {
+                const auto bytes = head.substr(0, cut) + other;
+                EXPECT_EQ(
+                    answered_with(bytes, ending::close, on).failure,
+                    http_failure::unknown)
+                    << bytes;
+            }
+    }
+}
+
 // Guards against coded bytes that are taken for the body.
 TEST(http_client, an_answer_with_a_transfer_coding_but_chunked_is_none)
 {
