net: end the answer to HEAD with its head

What callers would see: a HEAD request to a plain service through entry node and agent fails as "may have run" at the end of its time, although the service has answered; so does one whose service closes the connection.

Cause: the client waits for as many bytes as the Content-Length or the chunks of the head announce, or for the end of the connection.

Change: the parser takes the answer to HEAD as whole with its head.

an_answer_to_head_ends_with_its_head failed before in all three rows (length, chunks, neither), each after the call's 5 s.

--- a/oleanderhinge/net/http_client.cpp
+++ b/oleanderhinge/net/http_client.cpp
@@ -148,12 +148,15 @@
 // Reads past informational answers.
 asio::awaitable<boost::system::error_code> read_answer(
     beast::tcp_stream& stream,
+    http::verb method,
     beast::flat_buffer& buffer,
     std::optional<answer_parser>& parser)
 {
     do {
         parser.emplace();
         parser->body_limit(max_answer);
+        // The length in an answer to HEAD is that of the answer to GET.
+        parser->skip(method == http::verb::head);
         const auto [failed, size] =
             co_await http::async_read(stream, buffer, *parser, as_pair);
         if (failed)
@@ -197,7 +200,8 @@
     }
     beast::flat_buffer buffer;
     std::optional<answer_parser> parser;
-    const auto read_failed = co_await read_answer(*stream, buffer, parser);
+    const auto read_failed =
+        co_await read_answer(*stream, message.method(), buffer, parser);
     if (read_failed) {
         stream.reset();
         co_return failed_with(http_failure::unknown, read_failed);
--- a/oleanderhinge/net/http_client_answers_test.cpp
+++ b/oleanderhinge/net/http_client_answers_test.cpp
@@ -22,7 +22,7 @@
 
 constexpr auto as_pair = asio::as_tuple(asio::use_awaitable);
 
-enum class ending : std::uint8_t { close, reset };
+enum class ending : std::uint8_t { keep, close, reset };
 enum class carrier : std::uint8_t { fresh, kept };
 
 // Answers the last request of `expected` with `bytes`, and those before it with
@@ -44,12 +44,17 @@
     }
     if (then == ending::reset)
         socket.set_option(tcp::socket::linger(true, 0));
+    if (then == ending::keep)
+        co_await socket.async_wait(tcp::socket::wait_read, as_pair);
     socket.close();
 }
 
 // The outcome of a call whose answer is `bytes`.
 http_outcome answered_with(
-    const std::string& bytes, ending then, carrier on = carrier::fresh)
+    const std::string& bytes,
+    ending then,
+    carrier on = carrier::fresh,
+    const std::string& method = "GET")
 {
     asio::io_context io;
     tcp::acceptor acceptor(
@@ -63,7 +68,7 @@
         io,
         [&]() -> asio::awaitable<void> {
             for (int i = 0; i < calls; ++i) {
-                http_call call{"GET", "/", {}, ""};
+                http_call call{method, "/", {}, ""};
                 outcome = co_await client.call(
                     server, std::move(call), 5s, reuse::allowed);
             }
@@ -170,5 +175,20 @@
     }
 }
 
+// Guards against a wait for the body that the answer to HEAD does not have.
+TEST(http_client, an_answer_to_head_ends_with_its_head)
+{
+    for (const char* field :
+         {"Content-Length: 4", "Transfer-Encoding: chunked", "X: y"}) {
+        const auto outcome = answered_with(
+            "HTTP/1.1 200 OK\r\n" + std::string(field) + "\r\n\r\n",
+            ending::keep,
+            carrier::fresh,
+            "HEAD");
+        EXPECT_EQ(outcome.failure, http_failure::none) << field;
+        EXPECT_EQ(outcome.answer.status, 200U) << field;
+    }
+}
+
 } // namespace
 } // namespace oleanderhinge::net
