net: send a stream to a caller of HTTP/1.0 without chunks

What callers saw: a caller of HTTP/1.0 got chunk sizes inside the body of a stream. With `Connection: keep-alive` it waited for the end of the connection until the idle time was over.

Cause: begin_stream chunked its answer whatever the caller's version.

Change: such a stream goes without chunks and ends with its connection. If it broke off, the connection is reset: a plain close, or a shutdown before the reset, would be its end. The reset is set at the start of the stream and taken back at its end, so that a close by a time-out is one, too.

Ruled out: whole answers; they have a length in both versions.

a_stream_to_a_caller_of_http_1_0_ends_with_its_connection failed before: body "4\r\none \r\n3\r\ntwo\r\n0\r\n\r\n", and a plain close behind the stream that broke off; with keep-alive after 75 s. The end by the death of the process was not run.

--- a/oleanderhinge/net/http_server.cpp
+++ b/oleanderhinge/net/http_server.cpp
@@ -75,8 +75,12 @@
     {
         http::response<http::empty_body> answer(
             http::status(status), this->version);
+        if (!this->has_chunks()) {
+            this->keep_alive = false;
+            this->reset_on_close(true);
+        }
         this->set_headers(answer, content_type, headers);
-        answer.chunked(true);
+        answer.chunked(this->has_chunks());
         this->answered = true;
         this->streaming = true;
         http::response_serializer<http::empty_body> serializer(answer);
@@ -91,10 +95,14 @@
         if (this->failed_write)
             co_return false;
         this->stream.expires_after(this->limits.write_timeout);
+        const auto bytes = asio::buffer(data.data(), data.size());
+        if (!this->has_chunks()) {
+            const auto [failed, size] =
+                co_await asio::async_write(this->stream, bytes, as_pair);
+            co_return this->ok(failed);
+        }
         const auto [failed, size] = co_await asio::async_write(
-            this->stream,
-            http::make_chunk(asio::buffer(data.data(), data.size())),
-            as_pair);
+            this->stream, http::make_chunk(bytes), as_pair);
         co_return this->ok(failed);
     }
 
@@ -103,6 +111,10 @@
         if (this->failed_write)
             co_return false;
         this->streaming = false;
+        if (!this->has_chunks()) {
+            this->reset_on_close(false);
+            co_return true;
+        }
         this->stream.expires_after(this->limits.write_timeout);
         const auto [failed, size] = co_await asio::async_write(
             this->stream, http::make_chunk_last(), as_pair);
@@ -148,6 +160,8 @@
 
     bool has_answered() const { return this->answered; }
 
+    bool is_unended_stream() const { return this->streaming; }
+
 private:
     template <class Answer>
     void set_headers(
@@ -166,6 +180,17 @@
         answer.keep_alive(this->keep_alive);
     }
 
+    // A stream to a caller of HTTP/1.0 has none and ends with its connection.
+    bool has_chunks() const { return this->version >= 11; }
+
+    // Tells the caller that a stream without chunks broke off.
+    void reset_on_close(bool reset)
+    {
+        boost::system::error_code ignored;
+        this->stream.socket().set_option(
+            tcp::socket::linger(reset, 0), ignored);
+    }
+
     bool ok(boost::system::error_code failed)
     {
         if (failed)
@@ -279,6 +304,10 @@
                 base::may_have_run(
                     base::failure_code::internal, "internal error"));
         --this->in_progress;
+        boost::system::error_code ignored;
+        // Not shut down first, which would look like the end of the stream.
+        if (exchange.is_unended_stream())
+            stream.socket().close(ignored);
         co_return exchange.reusable();
     }
 
--- a/oleanderhinge/net/http_server.hpp
+++ b/oleanderhinge/net/http_server.hpp
@@ -48,7 +48,9 @@
 };
 
 // One request and its answer. Either `respond` once, or `begin_stream`, any
-// number of `write_chunk`, `end_stream`.
+// number of `write_chunk`, `end_stream`. A stream without its end does not look
+// complete to the client: it lacks the last chunk, or, for HTTP/1.0, its
+// connection is reset.
 class http_exchange
 {
 public:
--- /dev/null
+++ b/oleanderhinge/net/http_server_framing_test.cpp
@@ -0,0 +1,89 @@
+// Guards against answers that a caller cannot delimit.
+#include "oleanderhinge/net/http_server.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+namespace oleanderhinge::net
+{
+namespace
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+constexpr auto as_pair = asio::as_tuple(asio::use_awaitable);
+
+// /stream answers in two chunks, /broken leaves off after them.
+asio::awaitable<void> serve(http_request request, http_exchange& exchange)
+{
+    co_await exchange.begin_stream(200, "text/plain", {});
+    co_await exchange.write_chunk("one ");
+    co_await exchange.write_chunk("two");
+    if (request.target() == "/stream")
+        co_await exchange.end_stream();
+}
+
+struct received {
+    std::string head;
+    std::string body;
+    // Whether the connection ended with a plain close.
+    bool closed = false;
+};
+
+// All bytes that the server sends until it ends the connection.
+received ask(const std::string& requests)
+{
+    asio::io_context io;
+    http_server server(io, {}, serve);
+    const auto local = base::handle(
+        [&] {
+            return server.listen({"127.0.0.1", 0});
+        },
+        [](const base::error&) { return wire::endpoint(); });
+    received got;
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void> {
+            tcp::socket socket(io);
+            co_await socket.async_connect(
+                {asio::ip::address_v4::loopback(), local.port}, as_pair);
+            co_await asio::async_write(socket, asio::buffer(requests), as_pair);
+            std::string bytes;
+            const auto [failed, size] = co_await asio::async_read(
+                socket, asio::dynamic_buffer(bytes), as_pair);
+            got.closed = failed == asio::error::eof;
+            const auto end = bytes.find("\r\n\r\n");
+            got.head = bytes.substr(0, end);
+            if (end != std::string::npos)
+                got.body = bytes.substr(end + 4);
+            io.stop();
+        },
+        asio::detached);
+    io.run();
+    return got;
+}
+
+// Guards against chunks in the body of a caller that knows none, and against a
+// stream that broke off and looks complete to it.
+TEST(http_server, a_stream_to_a_caller_of_http_1_0_ends_with_its_connection)
+{
+    for (const char* fields : {"", "Connection: keep-alive\r\n"}) {
+        const auto tail = " HTTP/1.0\r\n" + std::string(fields) + "\r\n";
+        const auto whole = ask("GET /stream" + tail);
+        EXPECT_EQ(whole.head.find("chunked"), std::string::npos);
+        EXPECT_EQ(whole.head.find("keep-alive"), std::string::npos);
+        EXPECT_EQ(whole.body, "one two");
+        EXPECT_TRUE(whole.closed);
+        EXPECT_FALSE(ask("GET /broken" + tail).closed);
+    }
+}
+
+} // namespace
+} // namespace oleanderhinge::net
