net: send no body in the answer to HEAD

What callers would see: the answer to HEAD came with a body. On a kept connection its bytes stand where the head of the next answer is expected.

Cause: the server wrote each answer alike, whatever the method.

Change: the answer to HEAD is its head alone, for whole answers and streams. Its Content-Length is that of the body given, and is left out where none is given, since the length of the answer to GET is not known then.

an_answer_to_head_has_no_body failed before: "one two" behind the head, three chunks behind that of a stream, and the same chunks in front of the next answer on the connection.

--- a/oleanderhinge/net/http_server.cpp
+++ b/oleanderhinge/net/http_server.cpp
@@ -40,11 +40,13 @@
         beast::tcp_stream& connection,
         const http_limits& bounds,
         const std::atomic<bool>& server_closing,
+        http::verb request_method,
         unsigned http_version,
         bool keep)
         : stream(connection)
         , limits(bounds)
         , closing(server_closing)
+        , method(request_method)
         , version(http_version)
         , keep_alive(keep)
     {
@@ -59,10 +61,16 @@
         http::response<http::string_body> answer(
             http::status(status), this->version);
         this->set_headers(answer, content_type, headers);
-        answer.body() = std::move(body);
-        answer.prepare_payload();
         this->answered = true;
         this->stream.expires_after(this->limits.write_timeout);
+        if (this->is_head()) {
+            // The length of the answer to GET is not known without a body.
+            if (!body.empty())
+                answer.content_length(body.size());
+            co_return co_await this->write_head(answer);
+        }
+        answer.body() = std::move(body);
+        answer.prepare_payload();
         const auto [failed, size] =
             co_await http::async_write(this->stream, answer, as_pair);
         co_return this->ok(failed);
@@ -83,17 +91,16 @@
         answer.chunked(this->has_chunks());
         this->answered = true;
         this->streaming = true;
-        http::response_serializer<http::empty_body> serializer(answer);
         this->stream.expires_after(this->limits.write_timeout);
-        const auto [failed, size] = co_await http::async_write_header(
-            this->stream, serializer, as_pair);
-        co_return this->ok(failed);
+        co_return co_await this->write_head(answer);
     }
 
     asio::awaitable<bool> write_chunk(std::string_view data) override
     {
         if (this->failed_write)
             co_return false;
+        if (this->is_head())
+            co_return true;
         this->stream.expires_after(this->limits.write_timeout);
         const auto bytes = asio::buffer(data.data(), data.size());
         if (!this->has_chunks()) {
@@ -115,6 +122,8 @@
             this->reset_on_close(false);
             co_return true;
         }
+        if (this->is_head())
+            co_return true;
         this->stream.expires_after(this->limits.write_timeout);
         const auto [failed, size] = co_await asio::async_write(
             this->stream, http::make_chunk_last(), as_pair);
@@ -180,6 +189,18 @@
         answer.keep_alive(this->keep_alive);
     }
 
+    template <class Answer>
+    asio::awaitable<bool> write_head(Answer& answer)
+    {
+        http::response_serializer<typename Answer::body_type> serializer(
+            answer);
+        const auto [failed, size] = co_await http::async_write_header(
+            this->stream, serializer, as_pair);
+        co_return this->ok(failed);
+    }
+
+    bool is_head() const { return this->method == http::verb::head; }
+
     // A stream to a caller of HTTP/1.0 has none and ends with its connection.
     bool has_chunks() const { return this->version >= 11; }
 
@@ -202,6 +223,7 @@
     const http_limits& limits;
     // Whether connections close after their present exchange.
     const std::atomic<bool>& closing;
+    const http::verb method;
     const unsigned version;
     bool keep_alive;
     std::shared_ptr<std::function<void()>> leave;
@@ -289,6 +311,7 @@
             stream,
             this->limits,
             this->closing,
+            request.method(),
             request.version(),
             request.keep_alive());
         ++this->in_progress;
@@ -319,7 +342,12 @@
                 boost::system::error_code(http::error::bad_method).category())
             co_return;
         stream_exchange exchange(
-            stream, this->limits, this->closing, 11, false);
+            stream,
+            this->limits,
+            this->closing,
+            http::verb::unknown,
+            11,
+            false);
         auto failure = base::not_run(
             base::failure_code::invalid_request,
             "malformed request: " + failed.message());
--- a/oleanderhinge/net/http_server_framing_test.cpp
+++ b/oleanderhinge/net/http_server_framing_test.cpp
@@ -20,9 +20,13 @@
 
 constexpr auto as_pair = asio::as_tuple(asio::use_awaitable);
 
-// /stream answers in two chunks, /broken leaves off after them.
+// /whole answers at once, /stream in two chunks, /broken leaves off after them.
 asio::awaitable<void> serve(http_request request, http_exchange& exchange)
 {
+    if (request.target() == "/whole") {
+        co_await exchange.respond(200, "text/plain", "one two", {});
+        co_return;
+    }
     co_await exchange.begin_stream(200, "text/plain", {});
     co_await exchange.write_chunk("one ");
     co_await exchange.write_chunk("two");
@@ -85,5 +89,25 @@
     }
 }
 
+// Guards against a body behind the answer to HEAD, which the caller takes for
+// the next answer.
+TEST(http_server, an_answer_to_head_has_no_body)
+{
+    for (const char* target : {"/whole", "/stream"}) {
+        const auto got =
+            ask("HEAD " + std::string(target) +
+                " HTTP/1.1\r\nConnection: close\r\n\r\n");
+        EXPECT_EQ(got.body, "") << got.head;
+        EXPECT_TRUE(got.closed);
+    }
+    EXPECT_NE(
+        ask("HEAD /whole HTTP/1.1\r\nConnection: close\r\n\r\n")
+            .head.find("Content-Length: 7"),
+        std::string::npos);
+    const auto kept = ask("HEAD /stream HTTP/1.1\r\n\r\n"
+                          "GET /whole HTTP/1.1\r\nConnection: close\r\n\r\n");
+    EXPECT_TRUE(kept.body.starts_with("HTTP/1.1 200 OK")) << kept.body;
+}
+
 } // namespace
 } // namespace oleanderhinge::net
