agent: take no late copy of an answer for the answer to a step

What callers would see: an engine sends an answer once more, when the next step has been written to the connection. Its text goes to the caller as the next token, of another request even; a refusal (4xx) to another step becomes "not run" for a step that the engine runs.

Cause: steps and the release of their state share kept connections, the check for unread bytes comes before the step is written, and an answer named no step.

Ruled out: a new connection for each step, which costs one for each token and stage. Requiring the numbers of each answer: an engine that does not repeat them would serve no step.

Change: engines should repeat the request, attempt and token of a step, and the agent takes an answer or a refusal that names another step as "may have run".

--- a/oleanderhinge/agent/backend.cpp
+++ b/oleanderhinge/agent/backend.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <sstream>
 
 namespace oleanderhinge::agent
@@ -53,6 +54,47 @@
     return info;
 }
 
+bool is_refusal(std::uint32_t status)
+{
+    return status >= 400 && status < 500;
+}
+
+// Its code is `none` if the engine answered the step or refused it.
+base::verdict failure_without_answer(const net::http_outcome& outcome)
+{
+    using base::failure_code;
+    const auto status = outcome.answer.status;
+    if (outcome.failure == net::http_failure::not_sent)
+        return base::not_run(
+            failure_code::server_failed,
+            "the engine cannot be reached: " + outcome.detail);
+    if (outcome.failure != net::http_failure::none)
+        return base::may_have_run(
+            failure_code::server_failed,
+            "no answer from the engine: " + outcome.detail);
+    if (status != 200 && !is_refusal(status))
+        return base::may_have_run(
+            failure_code::server_failed,
+            "the engine failed with " + std::to_string(status));
+    return {};
+}
+
+// Whether the answer states that it is that to another step: a late copy of an
+// earlier one may come on a kept connection.
+bool names_another_step(const chain::run_step& step, const json::value& answer)
+{
+    if (!answer.is_object())
+        return false;
+    const json::object own{
+        {"request", to_text(step.request)},
+        {"attempt", step.attempt.value()},
+        {"token", step.token.value()}};
+    return std::ranges::any_of(own, [&](const auto& field) {
+        const auto* stated = answer.as_object().if_contains(field.key());
+        return stated != nullptr && *stated != field.value();
+    });
+}
+
 // Reads the answer to `run_request`; throws if it does not have the expected
 // form.
 void parse_step(const json::object& o, chain::step_finished& event)
@@ -154,26 +196,23 @@
     event.attempt = step.attempt;
     event.token = step.token;
     const auto status = outcome.answer.status;
-    if (outcome.failure == net::http_failure::not_sent)
-        event.failure = base::not_run(
-            failure_code::server_failed,
-            "the engine cannot be reached: " + outcome.detail);
-    else if (outcome.failure != net::http_failure::none)
+    event.failure = failure_without_answer(outcome);
+    if (event.failure.code != failure_code::none)
+        return event;
+    // Null if it cannot be parsed.
+    boost::system::error_code malformed;
+    const auto answer = json::parse(outcome.answer.body, malformed);
+    if (names_another_step(step, answer))
         event.failure = base::may_have_run(
-            failure_code::server_failed,
-            "no answer from the engine: " + outcome.detail);
-    else if (status >= 400 && status < 500)
+            failure_code::server_failed, "the engine answered another step");
+    else if (is_refusal(status))
         event.failure = base::not_run(
             failure_code::server_failed,
             "the engine refused the step with " + std::to_string(status));
-    else if (status != 200)
-        event.failure = base::may_have_run(
-            failure_code::server_failed,
-            "the engine failed with " + std::to_string(status));
     if (event.failure.code != failure_code::none)
         return event;
     try {
-        parse_step(json::parse(outcome.answer.body).as_object(), event);
+        parse_step(answer.as_object(), event);
     } catch (const std::exception& e) {
         event = {step.request, step.attempt, step.token, {}, {}, {}, {}, {}};
         event.failure = base::may_have_run(
--- a/oleanderhinge/agent/backend.hpp
+++ b/oleanderhinge/agent/backend.hpp
@@ -54,7 +54,8 @@
 base::result<backend_info> to_backend_info(const net::http_outcome& outcome);
 
 // The result of a step. A failure has the state `not_run` if nothing was sent
-// or the engine refused the step (status 4xx), and `may_have_run` otherwise.
+// or the engine refused the step (status 4xx), and `may_have_run` otherwise. An
+// answer that names another request, attempt or token is none.
 chain::step_finished
 to_step_finished(const chain::run_step& step, const net::http_outcome& outcome);
 
--- a/oleanderhinge/agent/backend_test.cpp
+++ b/oleanderhinge/agent/backend_test.cpp
@@ -69,12 +69,25 @@
         error_code::unavailable);
 }
 
-TEST(backend, verdict_of_a_step)
+// Request 7-1, attempt 2, token 3.
+chain::run_step numbered_step()
 {
     chain::run_step step;
     step.request = {base::incarnation{7}, 1};
     step.attempt = base::attempt_number{2};
     step.token = base::token_index{3};
+    return step;
+}
+
+constexpr auto valid_step =
+    R"({"request":"7-1","attempt":2,"token":3,"activation":"","text":"w",)"
+    R"("last":true,"finish_reason":"stop"})";
+
+TEST(backend, verdict_of_a_step)
+{
+    const auto step = numbered_step();
+    const std::string refusal =
+        R"({"request":"7-1","attempt":2,"token":3,"error":"full"})";
     struct row {
         const char* name;
         net::http_outcome outcome;
@@ -88,13 +101,14 @@
         {"no answer",
          {net::http_failure::unknown, "", {}},
          execution::may_have_run},
-        {"refused", answered(409, "{}"), execution::not_run},
+        {"refused", answered(409, refusal), execution::not_run},
+        {"refused without numbers", answered(409, "{}"), execution::not_run},
         {"failed", answered(500, "{}"), execution::may_have_run},
         {"odd status", answered(302, "{}"), execution::may_have_run},
         {"garbage", answered(200, "\x01\x02"), execution::may_have_run},
-        {"no activation", answered(200, "{}"), execution::may_have_run},
+        {"no activation", answered(200, refusal), execution::may_have_run},
         {"wrong type",
-         answered(200, R"({"activation":"x","last":"yes"})"),
+         answered(200, replace_first(valid_step, "true", "\"yes\"")),
          execution::may_have_run},
     };
     for (const auto& r : rows) {
@@ -106,16 +120,33 @@
         // No part of a bad answer is used.
         EXPECT_EQ(event.activation, "") << r.name;
     }
-    const auto good = to_step_finished(
-        step,
-        answered(
-            200,
-            R"({"activation":"","text":"w","last":true,"finish_reason":"stop"})"));
+    const auto good = to_step_finished(step, answered(200, valid_step));
     EXPECT_EQ(good.failure.code, base::failure_code::none);
     EXPECT_EQ(good.text, "w");
     EXPECT_TRUE(good.last);
 }
 
+// Guards against a late copy of an earlier answer on a kept connection that is
+// taken for the answer to a step.
+TEST(backend, the_answer_to_another_step_is_none)
+{
+    const std::pair<const char*, const char*> rows[] = {
+        {"\"7-1\"", "\"7-2\""},
+        {"\"attempt\":2", "\"attempt\":1"},
+        {"\"token\":3", "\"token\":2"},
+        {"\"token\":3", "\"token\":\"3\""}};
+    for (const auto& [from, to] : rows)
+        for (const auto status : {200U, 409U}) {
+            const auto event = to_step_finished(
+                numbered_step(),
+                answered(status, replace_first(valid_step, from, to)));
+            EXPECT_EQ(event.failure.code, base::failure_code::server_failed)
+                << to;
+            EXPECT_EQ(event.failure.state, base::execution::may_have_run) << to;
+            EXPECT_EQ(event.text, "") << to;
+        }
+}
+
 TEST(backend, verdict_of_a_call)
 {
     EXPECT_EQ(
--- a/standins/model_engine.cpp
+++ b/standins/model_engine.cpp
@@ -7,9 +7,11 @@
 //   {"request": "7-1", "attempt": 1, "token": 0, "next_layer": 0,
 //    "activation": "", "prefill": true, "prompt": "...", "delivered": [...],
 //    "max_tokens": 64}
-// and answers {"activation": ..., "text": ..., "last": ...,
-// "finish_reason": ...}. `prompt` and `delivered` come with `prefill` only; the
-// engine keeps them until DELETE /v1/requests/{request}.{attempt}.
+// and answers {"request": ..., "attempt": ..., "token": ..., "activation": ...,
+// "text": ..., "last": ..., "finish_reason": ...}, or an error; both repeat the
+// step's request, attempt and token. `prompt` and `delivered` come with
+// `prefill` only; the engine keeps them until DELETE
+// /v1/requests/{request}.{attempt}.
 #include "oleanderhinge/net/http_server.hpp"
 #include "oleanderhinge/net/process.hpp"
 
@@ -228,8 +230,14 @@
             fault = e.what();
         }
         if (!fault.empty())
-            co_return co_await reply_error(exchange, 409, fault);
-        co_await reply(exchange, std::move(answer));
+            answer = {{"error", fault}};
+        for (const char* name : {"request", "attempt", "token"})
+            if (const auto* value = parsed.as_object().if_contains(name))
+                answer[name] = *value;
+        co_await exchange.respond(
+            fault.empty() ? 200 : 409,
+            "application/json",
+            json::serialize(answer));
     }
 
     // Checks the step, applies the layers and records the run.
