--- a/oleanderhinge/gateway/headers.cpp
+++ b/oleanderhinge/gateway/headers.cpp
@@ -62,13 +62,6 @@
     return boost::algorithm::join(values, ", ");
 }
 
-bool has_transfer_coding(const http_fields& fields)
-{
-    const auto codings = joined_values(fields, http::field::transfer_encoding);
-    return fields.count(http::field::transfer_encoding) != 0 &&
-           !boost::beast::iequals(codings, "chunked");
-}
-
 wire::header make_retry_after(std::chrono::milliseconds time)
 {
     const auto hundredths = (time.count() + 9) / 10;
--- a/oleanderhinge/gateway/headers.hpp
+++ b/oleanderhinge/gateway/headers.hpp
@@ -30,10 +30,6 @@
 // if they differ.
 std::string distinct_values(const http_fields& fields, std::string_view name);
 
-// Whether the body has a transfer coding other than chunked, which would be
-// lost on the way to the caller.
-bool has_transfer_coding(const http_fields& fields);
-
 // Retry-After in seconds with two decimals, rounded up.
 wire::header make_retry_after(std::chrono::milliseconds time);
 
--- a/oleanderhinge/gateway/upstream.cpp
+++ b/oleanderhinge/gateway/upstream.cpp
@@ -1,6 +1,6 @@
 #include "oleanderhinge/gateway/upstream.hpp"
 
-#include "oleanderhinge/gateway/headers.hpp"
+#include "oleanderhinge/net/answer_head.hpp"
 #include "oleanderhinge/net/idle_connection.hpp"
 #include "oleanderhinge/net/second_answer.hpp"
 
@@ -86,7 +86,7 @@
     this->head = this->answer->get().base();
     if (net::holds_second_answer(this->answer->get().base()))
         co_return http::error::bad_value;
-    if (has_transfer_coding(this->fields()))
+    if (!net::has_plain_framing(this->answer->get().base()))
         co_return http::error::bad_transfer_encoding;
     co_return error_code{};
 }
