--- a/oleanderhinge/net/http_client_test.cpp
+++ b/oleanderhinge/net/http_client_test.cpp
@@ -150,6 +150,7 @@
              "HTTP/1.1 200 OK\r\n\r\ndone" + second,
              "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\ndone" + second,
              "HTTP/1.1 200 OK\r\nNote: a" + second,
+             "HTTP/1.1 200 O" + second,
          }) {
         asio::io_context io;
         copying_server server(io, second_copy::none);
