net: bound the framing that is read of calls and answers

What operators saw: nothing yet; a caller that writes an extension of a chunk, or a trailer, without end takes memory of a process as fast as it writes, for up to the read timeout. So does a server that answers a call of ours.

Cause: the parser limits heads and bodies; the framing between and behind the chunks had no limit. Bytes that are read and not parsed yet are limited now. A request with more is answered as one with too large a head.

--- a/oleanderhinge/net/http_client.cpp
+++ b/oleanderhinge/net/http_client.cpp
@@ -30,6 +30,9 @@
 {
 
 constexpr std::size_t max_answer = std::size_t(4) << 20;
+// Limit on bytes that are read and not parsed yet, such as an extension of a
+// chunk or a trailer.
+constexpr std::size_t max_unparsed_bytes = std::size_t(64) << 10;
 // A kept connection that the server closed meanwhile leaves it unknown whether
 // the call ran. Servers close idle connections after tens of seconds.
 constexpr auto max_idle_time = std::chrono::seconds(5);
@@ -198,7 +201,7 @@
         stream.reset();
         co_return failed_with(http_failure::unknown, write_failed);
     }
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(max_unparsed_bytes);
     std::optional<answer_parser> parser;
     const auto read_failed =
         co_await read_answer(*stream, message.method(), buffer, parser);
--- a/oleanderhinge/net/http_server.cpp
+++ b/oleanderhinge/net/http_server.cpp
@@ -32,6 +32,9 @@
 
 // Completes with the error code instead of throwing.
 constexpr auto as_pair = asio::as_tuple(asio::use_awaitable);
+// Limit on bytes behind the head that are read and not parsed yet, such as an
+// extension of a chunk or a trailer.
+constexpr std::size_t max_unparsed_bytes = std::size_t(64) << 10;
 
 class stream_exchange final : public http_exchange
 {
@@ -271,7 +274,8 @@
     {
         beast::tcp_stream stream(std::move(socket));
         const auto id = self->register_stream(stream);
-        beast::flat_buffer buffer;
+        beast::flat_buffer buffer(
+            self->limits.header_bytes + max_unparsed_bytes);
         boost::system::error_code ignored;
         stream.socket().set_option(tcp::no_delay(true), ignored);
         // A request may have been read together with the one before it.
@@ -352,7 +356,8 @@
             base::failure_code::invalid_request,
             "malformed request: " + failed.message());
         const bool large = failed == http::error::body_limit ||
-                           failed == http::error::header_limit;
+                           failed == http::error::header_limit ||
+                           failed == http::error::buffer_overflow;
         co_await exchange.respond(
             large ? 413 : 400,
             "application/problem+json",
