gateway: end the answer to HEAD with its head

What callers saw: HEAD to a plain service had 504 at the end of its time, although the server had answered.

Cause: the parser waited for as many bytes as Content-Length names, which the answer to HEAD does not have. It takes the head for the whole answer now.

--- a/oleanderhinge/gateway/answer_framing_test.cpp
+++ b/oleanderhinge/gateway/answer_framing_test.cpp
@@ -205,7 +205,8 @@
 }
 
 // An answer and a further one, cut after each byte. Guards against a success
-// with anything but the server's whole body, on new and on kept connections.
+// with anything but the server's whole body, on new and on kept connections,
+// and against a whole one that fails.
 TEST_F(answer_framing, an_answer_cut_anywhere_is_whole_or_no_success)
 {
     const auto earlier = with_length("200 OK", "Id: r0\r\nSeal: 1\r\n", "r0");
@@ -232,6 +233,11 @@
         const bool looks_whole = kind == framing::connection &&
                                  then == after_answer::close &&
                                  cut < answered.size() + recognized;
+        if (cut >= answered.size() && kind != framing::connection &&
+            then == after_answer::close) {
+            EXPECT_EQ(view.status, 200U)
+                << int(kind) << further.what << cut << kept;
+        }
         if (view.status == 200 && !looks_whole) {
             EXPECT_EQ(view.body, "done")
                 << int(kind) << further.what << cut << int(then) << kept;
@@ -249,5 +255,20 @@
         }
 }
 
+// Guards against a wait for a body that the answer to HEAD does not have.
+TEST_F(answer_framing, the_answer_to_head_ends_with_its_head)
+{
+    this->method = http::verb::head;
+    for (const auto* target : {"/once/x", "/read/x"}) {
+        this->use_raw_server(true);
+        this->raw.answers = {
+            {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n" + genuine + "\r\n"}};
+        const auto view = this->watch(target);
+        EXPECT_EQ(view.status, 200U) << target;
+        EXPECT_EQ(view.body, "") << target;
+        EXPECT_TRUE(view.complete) << target;
+    }
+}
+
 } // namespace
 } // namespace oleanderhinge::gateway
--- a/oleanderhinge/gateway/raw_answers_fixture_test.hpp
+++ b/oleanderhinge/gateway/raw_answers_fixture_test.hpp
@@ -100,7 +100,7 @@
                 co_await socket.async_connect(
                     {asio::ip::address_v4::loopback(), this->address.port},
                     as_pair);
-                net::http_request request(http::verb::post, target, 11);
+                net::http_request request(this->method, target, 11);
                 request.set(http::field::host, "127.0.0.1");
                 request.set("Id", this->request_id);
                 request.set("Key", this->key);
@@ -111,6 +111,7 @@
                 co_await http::async_write(socket, request, as_pair);
                 boost::beast::flat_buffer buffer;
                 http::response_parser<http::string_body> parser;
+                parser.skip(this->method == http::verb::head);
                 co_await http::async_read(socket, buffer, parser, as_pair);
                 view = {
                     parser.get().result_int(),
@@ -126,6 +127,7 @@
     }
 
     raw_backend raw;
+    http::verb method = http::verb::post;
     std::string last_event;
 };
 
--- a/oleanderhinge/gateway/upstream.cpp
+++ b/oleanderhinge/gateway/upstream.cpp
@@ -64,6 +64,7 @@
 {
     if (this->cancelled)
         co_return asio::error::operation_aborted;
+    this->head_alone = request.method() == http::verb::head;
     this->stream.expires_at(limit);
     const auto [failed, size] =
         co_await http::async_write(this->stream, request, as_pair);
@@ -78,6 +79,7 @@
     do {
         this->answer.emplace();
         this->answer->body_limit(boost::none);
+        this->answer->skip(this->head_alone);
         const auto [failed, size] = co_await http::async_read_header(
             this->stream, this->buffer, *this->answer, as_pair);
         if (failed)
--- a/oleanderhinge/gateway/upstream.hpp
+++ b/oleanderhinge/gateway/upstream.hpp
@@ -95,6 +95,8 @@
     const wire::endpoint peer;
     bool is_new;
     bool cancelled = false;
+    // The present request has the method HEAD, whose answer is a head alone.
+    bool head_alone = false;
     boost::beast::flat_buffer buffer;
     std::optional<parser> answer;
     // The parser adds the fields of a trailer to its own.
