--- a/oleanderhinge/net/http_server.cpp
+++ b/oleanderhinge/net/http_server.cpp
@@ -1,6 +1,7 @@
 #include "oleanderhinge/net/http_server.hpp"
 
 #include "oleanderhinge/net/internal/listen.hpp"
+#include "oleanderhinge/net/internal/stream_exchange.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -26,6 +27,7 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 using asio::ip::tcp;
+using internal::stream_exchange;
 
 namespace
 {
@@ -36,205 +38,6 @@
 // extension of a chunk or a trailer.
 constexpr std::size_t max_unparsed_bytes = std::size_t(64) << 10;
 
-class stream_exchange final : public http_exchange
-{
-public:
-    stream_exchange(
-        beast::tcp_stream& connection,
-        const http_limits& bounds,
-        const std::atomic<bool>& server_closing,
-        http::verb request_method,
-        unsigned http_version,
-        bool keep)
-        : stream(connection)
-        , limits(bounds)
-        , closing(server_closing)
-        , method(request_method)
-        , version(http_version)
-        , keep_alive(keep)
-    {
-    }
-
-    asio::awaitable<bool> respond(
-        unsigned status,
-        std::string_view content_type,
-        std::string body,
-        std::vector<wire::header> headers) override
-    {
-        http::response<http::string_body> answer(
-            http::status(status), this->version);
-        this->set_headers(answer, content_type, headers);
-        this->answered = true;
-        this->stream.expires_after(this->limits.write_timeout);
-        if (this->is_head()) {
-            // The length of the answer to GET is not known without a body.
-            if (!body.empty())
-                answer.content_length(body.size());
-            co_return co_await this->write_head(answer);
-        }
-        answer.body() = std::move(body);
-        answer.prepare_payload();
-        const auto [failed, size] =
-            co_await http::async_write(this->stream, answer, as_pair);
-        co_return this->ok(failed);
-    }
-
-    asio::awaitable<bool> begin_stream(
-        unsigned status,
-        std::string_view content_type,
-        std::vector<wire::header> headers) override
-    {
-        http::response<http::empty_body> answer(
-            http::status(status), this->version);
-        if (!this->has_chunks()) {
-            this->keep_alive = false;
-            this->reset_on_close(true);
-        }
-        this->set_headers(answer, content_type, headers);
-        answer.chunked(this->has_chunks());
-        this->answered = true;
-        this->streaming = true;
-        this->stream.expires_after(this->limits.write_timeout);
-        co_return co_await this->write_head(answer);
-    }
-
-    asio::awaitable<bool> write_chunk(std::string_view data) override
-    {
-        if (this->failed_write)
-            co_return false;
-        if (this->is_head())
-            co_return true;
-        this->stream.expires_after(this->limits.write_timeout);
-        const auto bytes = asio::buffer(data.data(), data.size());
-        if (!this->has_chunks()) {
-            const auto [failed, size] =
-                co_await asio::async_write(this->stream, bytes, as_pair);
-            co_return this->ok(failed);
-        }
-        const auto [failed, size] = co_await asio::async_write(
-            this->stream, http::make_chunk(bytes), as_pair);
-        co_return this->ok(failed);
-    }
-
-    asio::awaitable<bool> end_stream() override
-    {
-        if (this->failed_write)
-            co_return false;
-        this->streaming = false;
-        if (!this->has_chunks()) {
-            this->reset_on_close(false);
-            co_return true;
-        }
-        if (this->is_head())
-            co_return true;
-        this->stream.expires_after(this->limits.write_timeout);
-        const auto [failed, size] = co_await asio::async_write(
-            this->stream, http::make_chunk_last(), as_pair);
-        co_return this->ok(failed);
-    }
-
-    bool client_gone() override
-    {
-        if (this->failed_write)
-            return true;
-        auto& socket = this->stream.socket();
-        boost::system::error_code failed;
-        socket.non_blocking(true, failed);
-        char byte = 0;
-        socket.receive(
-            asio::buffer(&byte, 1), tcp::socket::message_peek, failed);
-        return failed && failed != asio::error::would_block &&
-               failed != asio::error::try_again;
-    }
-
-    void watch_client(std::function<void()> callback) override
-    {
-        this->leave =
-            std::make_shared<std::function<void()>>(std::move(callback));
-        // The wait may outlive the exchange; it then finds no callback.
-        this->stream.socket().async_wait(
-            tcp::socket::wait_read,
-            [this, held = std::weak_ptr(this->leave)](
-                boost::system::error_code failed) {
-                const auto notify = held.lock();
-                if (notify && !failed && this->client_gone())
-                    (*notify)();
-            });
-    }
-
-    // A stream without its end must not look complete, so the connection is
-    // closed then.
-    bool reusable() const
-    {
-        return this->answered && !this->streaming && !this->failed_write &&
-               this->keep_alive;
-    }
-
-    bool has_answered() const { return this->answered; }
-
-    bool is_unended_stream() const { return this->streaming; }
-
-private:
-    template <class Answer>
-    void set_headers(
-        Answer& answer,
-        std::string_view content_type,
-        const std::vector<wire::header>& headers)
-    {
-        if (this->limits.names_itself)
-            answer.set(http::field::server, "oleanderhinge");
-        if (!content_type.empty())
-            answer.set(http::field::content_type, content_type);
-        for (const auto& field : headers)
-            answer.insert(field.name, field.value);
-        // A stop may have begun since the request was read.
-        this->keep_alive = this->keep_alive && !this->closing;
-        answer.keep_alive(this->keep_alive);
-    }
-
-    template <class Answer>
-    asio::awaitable<bool> write_head(Answer& answer)
-    {
-        http::response_serializer<typename Answer::body_type> serializer(
-            answer);
-        const auto [failed, size] = co_await http::async_write_header(
-            this->stream, serializer, as_pair);
-        co_return this->ok(failed);
-    }
-
-    bool is_head() const { return this->method == http::verb::head; }
-
-    // A stream to a caller of HTTP/1.0 has none and ends with its connection.
-    bool has_chunks() const { return this->version >= 11; }
-
-    // Tells the caller that a stream without chunks broke off.
-    void reset_on_close(bool reset)
-    {
-        boost::system::error_code ignored;
-        this->stream.socket().set_option(
-            tcp::socket::linger(reset, 0), ignored);
-    }
-
-    bool ok(boost::system::error_code failed)
-    {
-        if (failed)
-            this->failed_write = true;
-        return !failed;
-    }
-
-    beast::tcp_stream& stream;
-    const http_limits& limits;
-    // Whether connections close after their present exchange.
-    const std::atomic<bool>& closing;
-    const http::verb method;
-    const unsigned version;
-    bool keep_alive;
-    std::shared_ptr<std::function<void()>> leave;
-    bool answered = false;
-    bool streaming = false;
-    bool failed_write = false;
-};
-
 } // namespace
 
 struct http_server::impl : std::enable_shared_from_this<http_server::impl> {
