--- a/oleanderhinge/gateway/metrics.cpp
+++ b/oleanderhinge/gateway/metrics.cpp
@@ -59,8 +59,8 @@
     , withheld(net::add_counter(
           registry,
           "oleanderhinge_gateway_withheld_total",
-          "Requests not sent to the chosen server, since it left or asked for "
-          "a pause while the connection was opened"))
+          "Requests not sent to the chosen server, since it left, asked for "
+          "a pause or would outlast a stop when the connection was open"))
     , events(net::add_counter(
           registry,
           "oleanderhinge_gateway_events_total",
