gateway: answer requests that a planned stop would cut off

What callers saw: at the end of a planned stop their connection closed without an answer, also for requests that may not be repeated.

Cause: a request that was accepted before the stop, or whose time was estimated too short, runs until the process closes all connections.

Change: 0.3 s before the end, requests whose callers have nothing yet end as at their deadline, with 504 or 502 as they may have run. That is no evidence of a crash, and no attempt follows.

Ruled out: streams that have begun; the close shows that they are incomplete.

Evidence: without the call in tick, none of the three rows had an answer before the end.

--- a/oleanderhinge/gateway/drain_test.cpp
+++ b/oleanderhinge/gateway/drain_test.cpp
@@ -241,5 +241,47 @@
     EXPECT_EQ(this->runs(), 0U);
 }
 
+// A server takes longer than the drain. Guards against a request that was
+// accepted before it and is cut off without an answer.
+TEST_F(drain, a_request_that_does_not_end_in_time_gets_an_answer)
+{
+    struct row {
+        const char* target;
+        unsigned status;
+    };
+    for (const auto& row : {
+             row{"/once/x", 504U},
+             row{"/read/x", 504U},
+             row{"/talk/x", 502U},
+         }) {
+        this->begin_drain(early);
+        int sent = 0;
+        bool ended = false;
+        asio::steady_timer process_end(this->io);
+        this->first.behave =
+            [&](const net::http_request& request,
+                net::http_exchange& exchange) -> asio::awaitable<void> {
+            if (request.target() == "/state")
+                co_return (void) co_await exchange.respond(200, "", "", {});
+            ++sent;
+            this->begin_drain(1s);
+            process_end.expires_after(1s);
+            co_await process_end.async_wait(asio::use_awaitable);
+            ended = true;
+        };
+        this->second.behave = this->first.behave;
+        this->start_stall_checks();
+        const auto outcome = this->ask(row.target);
+        EXPECT_FALSE(ended) << row.target;
+        EXPECT_EQ(outcome.answer.status, row.status) << row.target;
+        EXPECT_NE(
+            outcome.answer.body.find("\"may_have_run\""), std::string::npos)
+            << row.target;
+        EXPECT_EQ(sent, 1) << row.target;
+        while (!ended)
+            this->io.run_one();
+    }
+}
+
 } // namespace
 } // namespace oleanderhinge::gateway
--- a/oleanderhinge/gateway/forwarder.cpp
+++ b/oleanderhinge/gateway/forwarder.cpp
@@ -21,6 +21,8 @@
 {
 
 constexpr auto no_table_retry_after = milliseconds(1000);
+// Time before the end of a drain for the answers to requests that are ended.
+constexpr auto drain_answer_time = milliseconds(300);
 // Retry-After of refused requests: the time in which memory comes free on a
 // path or an ejected server is used again. It is randomised, so that callers do
 // not all return at the same time.
@@ -79,8 +81,11 @@
 
 void forwarder::tick()
 {
-    this->signals.tick(base::monotonic_now());
+    const auto now = base::monotonic_now();
+    this->signals.tick(now);
     this->stalls.tick();
+    if (this->drain_end && now + drain_answer_time >= *this->drain_end)
+        this->end_unanswered();
 }
 
 void forwarder::note_gateways(std::uint32_t count, base::time_point now)
@@ -118,12 +123,12 @@
 asio::awaitable<void>
 forwarder::handle(net::http_request incoming, net::http_exchange& exchange)
 {
-    ++this->active;
-    this->stats.in_progress.Set(double(this->active));
     // Shared, since the callback may outlive this coroutine.
     const auto held =
         std::make_shared<forwarding_request>(std::move(incoming), exchange);
     auto& request = *held;
+    this->running.insert(held);
+    this->stats.in_progress.Set(double(this->running.size()));
     request.index = this->index;
     request.arrived = steady_now();
     request.metadata = this->protocol.read_request(request.incoming.base());
@@ -138,8 +143,8 @@
             left->connection->cancel();
     });
     co_await this->serve(request);
-    --this->active;
-    this->stats.in_progress.Set(double(this->active));
+    this->running.erase(held);
+    this->stats.in_progress.Set(double(this->running.size()));
     this->log_answer(request);
 }
 
--- a/oleanderhinge/gateway/forwarder.hpp
+++ b/oleanderhinge/gateway/forwarder.hpp
@@ -61,7 +61,8 @@
     // Uses a table for new requests and for those that wait for the first one.
     void set_table(std::shared_ptr<const route_index> index);
 
-    // Detects stalled streams and ends back-offs. Call it ten times a second.
+    // Detects stalled streams, and ends back-offs and, late in a drain,
+    // requests without an answer. Call it ten times a second.
     void tick();
     // Notes how many gateways share the retry budgets, as a member of control
     // counts them.
@@ -73,11 +74,12 @@
     handle(net::http_request incoming, net::http_exchange& exchange);
 
     // From now on, makes no attempt at a request that would probably not end
-    // before `end`, at which the process ends.
+    // before `end`, at which the process ends. Shortly before, ends those that
+    // have no answer yet.
     void begin_drain(base::time_point end);
 
     // Requests that `handle` serves at present.
-    std::size_t in_progress() const { return this->active; }
+    std::size_t in_progress() const { return this->running.size(); }
 
 private:
     struct attempt_result;
@@ -87,6 +89,7 @@
     std::optional<base::verdict> drain_verdict(
         const forwarding_request& request, base::time_point now) const;
     void note_end(const forwarding_request& request, base::time_point started);
+    void end_unanswered();
     boost::asio::awaitable<void> serve_call(forwarding_request& request);
     boost::asio::awaitable<void> serve_stream(forwarding_request& request);
     boost::asio::awaitable<attempt_result>
@@ -172,7 +175,7 @@
     std::optional<base::time_point> drain_end;
     base::random_source random;
     request_log log;
-    std::size_t active = 0;
+    std::set<std::shared_ptr<forwarding_request>> running;
     // Requests that arrived before the first table.
     std::set<std::shared_ptr<forwarding_request>> table_waiters;
 };
--- a/oleanderhinge/gateway/internal/forwarder_drain.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_drain.cpp
@@ -36,21 +36,37 @@
         cancel_wait(*waiting);
 }
 
+// Ends the attempts of requests whose callers have nothing yet, as at their
+// deadline, so that they get an answer before the process ends.
+void forwarder::end_unanswered()
+{
+    for (const auto& request : this->running) {
+        if (request->head_sent)
+            continue;
+        request->deadline = std::min(request->deadline, steady_now());
+        if (request->connection)
+            request->connection->cancel();
+    }
+}
+
 // Why no attempt at the request may begin at `now`: the node probably ends
 // before its answer, and before its deadline, at which it gets one in any case.
 // A stream that has begun goes on, since its caller keeps the events.
 std::optional<base::verdict> forwarder::drain_verdict(
     const forwarding_request& request, base::time_point now) const
 {
-    if (!this->drain_end || request.head_sent ||
-        to_time_point(request.deadline) <= *this->drain_end)
+    if (!this->drain_end || request.head_sent)
+        return {};
+    const auto deadline = to_time_point(request.deadline);
+    const bool time_left = now < deadline;
+    if (time_left && deadline <= *this->drain_end)
         return {};
     const auto presumed = presumed_duration(*request.route, *request.service);
     const auto found = this->durations.find(request.service->name);
     const auto expected = found == this->durations.end()
                               ? presumed
                               : expected_duration(found->second, presumed, now);
-    if (now + expected < *this->drain_end)
+    if (time_left && now + expected < *this->drain_end)
         return {};
     return base::not_run(
         failure_code::server_leaving,
