--- a/oleanderhinge/gateway/request_times_test.cpp
+++ b/oleanderhinge/gateway/request_times_test.cpp
@@ -26,6 +26,7 @@
     return now + expected_duration(times, 1s, now) < limit;
 }
 
+// Guards against a stop that takes long requests and cuts them off.
 TEST(request_times, long_requests_are_accepted_only_if_they_end_in_time)
 {
     request_times times;
@@ -40,6 +41,7 @@
     EXPECT_FALSE(ends_before(times, signal, end));
 }
 
+// Guards against refusals for minutes after one long request.
 TEST(request_times, a_long_request_is_forgotten)
 {
     request_times times;
@@ -76,6 +78,8 @@
     EXPECT_LT(expected_duration(times, 1s, start + 20s), 6s);
 }
 
+// Guards against a presumed time that ignores what operators state, and against
+// one out of range.
 TEST(request_times, operators_state_what_requests_take_without_load)
 {
     wire::forwarding_route route;
--- a/oleanderhinge/net/http_framing_limits_test.cpp
+++ b/oleanderhinge/net/http_framing_limits_test.cpp
@@ -46,6 +46,7 @@
     co_return failed.failed();
 }
 
+// Guards against a client whose memory grows until the time of the call ends.
 TEST(http_framing_limits, a_client_reads_no_answer_without_end)
 {
     for (const auto& begin : beginnings("HTTP/1.1 200 OK\r\n")) {
@@ -80,6 +81,7 @@
     }
 }
 
+// Guards against a server whose memory any caller can fill.
 TEST(http_framing_limits, a_server_reads_no_request_without_end)
 {
     for (const auto& begin : beginnings("POST / HTTP/1.1\r\nHost: x\r\n")) {
--- a/oleanderhinge/net/second_answer_test.cpp
+++ b/oleanderhinge/net/second_answer_test.cpp
@@ -11,6 +11,7 @@
 namespace
 {
 
+// Guards against heads that are missed and texts that are taken for one.
 TEST(second_answer, status_lines_are_found)
 {
     struct row {
