--- a/oleanderhinge/gateway/request_times.hpp
+++ b/oleanderhinge/gateway/request_times.hpp
@@ -22,8 +22,7 @@
 
 // Half-life of the longest duration.
 inline constexpr base::duration duration_half_life = std::chrono::seconds(15);
-// Assumed of a service that neither its requests nor its operator tell anything
-// about.
+// The least that is presumed of a service without an answered request.
 inline constexpr base::duration least_presumed_duration =
     std::chrono::seconds(1);
 
--- a/oleanderhinge/net/http_client_test.cpp
+++ b/oleanderhinge/net/http_client_test.cpp
@@ -105,6 +105,25 @@
     int requests = 0;
 };
 
+// The outcome of one call to the server.
+http_outcome ask(asio::io_context& io, copying_server& server)
+{
+    http_client client(io, 1);
+    http_outcome outcome;
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void> {
+            http_call call{"GET", "/", {}, ""};
+            outcome = co_await client.call(
+                server.address(), std::move(call), 5s, reuse::allowed);
+            server.stop();
+            io.stop();
+        },
+        asio::detached);
+    io.run();
+    return outcome;
+}
+
 TEST(http_client, a_second_copy_of_an_answer_is_not_the_next_answer)
 {
     struct row {
@@ -155,19 +174,7 @@
         asio::io_context io;
         copying_server server(io, second_copy::none);
         server.only_answer = bytes;
-        http_client client(io, 1);
-        http_outcome outcome;
-        asio::co_spawn(
-            io,
-            [&]() -> asio::awaitable<void> {
-                http_call call{"GET", "/", {}, ""};
-                outcome = co_await client.call(
-                    server.address(), std::move(call), 5s, reuse::allowed);
-                server.stop();
-                io.stop();
-            },
-            asio::detached);
-        io.run();
+        const auto outcome = ask(io, server);
         EXPECT_EQ(outcome.failure, http_failure::unknown) << bytes;
         EXPECT_EQ(outcome.answer.body, "") << bytes;
     }
@@ -180,19 +187,7 @@
     asio::io_context io;
     copying_server server(io, second_copy::none);
     server.before_answers = informational;
-    http_client client(io, 1);
-    http_outcome outcome;
-    asio::co_spawn(
-        io,
-        [&]() -> asio::awaitable<void> {
-            http_call call{"GET", "/", {}, ""};
-            outcome = co_await client.call(
-                server.address(), std::move(call), 5s, reuse::allowed);
-            server.stop();
-            io.stop();
-        },
-        asio::detached);
-    io.run();
+    const auto outcome = ask(io, server);
     EXPECT_EQ(outcome.answer.status, 200U);
     EXPECT_EQ(outcome.answer.body, "1");
 }
--- a/oleanderhinge/net/second_answer.hpp
+++ b/oleanderhinge/net/second_answer.hpp
@@ -1,7 +1,7 @@
 // Detects the head of another HTTP answer inside the body of one.
 //
 // A faulty server writes a second answer, or an error after its answer broke
-// off, on the same connection. Where neither a length nor chunks tell the end
+// off, on the same connection. Where neither a length nor chunks mark the end
 // of the first body, the bytes of the second one would count as part of it.
 //
 // Example:
