gateway: construct the forwarder of two tests once, drop an unused include

Two tests of planned stops built the same forwarder without a table; a function of their fixture does now. request_times uses nothing of <cmath>.

--- a/oleanderhinge/gateway/drain_test.cpp
+++ b/oleanderhinge/gateway/drain_test.cpp
@@ -73,6 +73,18 @@
         };
     }
 
+    // Has no table yet.
+    forwarder make_forwarder()
+    {
+        return forwarder(
+            this->io,
+            this->protocol,
+            this->selector,
+            this->quarantine,
+            this->stats,
+            {});
+    }
+
     // Callers ask a forwarder without a table, which calls `meanwhile` while
     // the first one waits.
     net::http_outcome
@@ -203,13 +215,7 @@
 // request that is sent after the decision has become untrue.
 TEST_F(drain, a_request_that_waits_for_its_connection_is_not_sent_late)
 {
-    forwarder fresh(
-        this->io,
-        this->protocol,
-        this->selector,
-        this->quarantine,
-        this->stats,
-        {});
+    auto fresh = this->make_forwarder();
     fresh.set_table(this->index);
     const auto outcome = this->ask_fresh(
         fresh, [&] { fresh.begin_drain(base::monotonic_now() + late); });
@@ -221,13 +227,7 @@
 // wait until the process ends, without an answer.
 TEST_F(drain, a_request_without_a_table_is_answered_before_the_end)
 {
-    forwarder fresh(
-        this->io,
-        this->protocol,
-        this->selector,
-        this->quarantine,
-        this->stats,
-        {});
+    auto fresh = this->make_forwarder();
     bool ended = false;
     asio::steady_timer process_end(this->io, 500ms);
     process_end.async_wait(
--- a/oleanderhinge/gateway/request_times.cpp
+++ b/oleanderhinge/gateway/request_times.cpp
@@ -3,7 +3,6 @@
 #include "oleanderhinge/base/decay.hpp"
 
 #include <algorithm>
-#include <cmath>
 
 namespace oleanderhinge::gateway
 {
