--- a/tests/harness/processes.cpp
+++ b/tests/harness/processes.cpp
@@ -1,8 +1,7 @@
 #include "tests/harness/processes.hpp"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/ip/udp.hpp>
+#include "tests/harness/ports.hpp"
+
 #include <gtest/gtest.h>
 
 #include <csignal>
@@ -141,25 +140,8 @@
 
 std::uint16_t processes::free_port()
 {
-    namespace asio = boost::asio;
-    // Ports that the kernel gives to outgoing connections begin at 32768; one
-    // of those could be taken before its process has bound it.
-    constexpr std::uint32_t first = 20000;
-    constexpr std::uint32_t count = 12000;
-    static std::uint32_t next = std::uint32_t(::getpid()) * 61;
-    asio::io_context io;
-    while (true) {
-        const auto port = std::uint16_t(first + next++ % count);
-        const auto address = asio::ip::address_v4::loopback();
-        boost::system::error_code tcp_failed;
-        boost::system::error_code udp_failed;
-        asio::ip::tcp::acceptor tcp(io, asio::ip::tcp::v4());
-        tcp.bind({address, port}, tcp_failed);
-        asio::ip::udp::socket udp(io, asio::ip::udp::v4());
-        udp.bind({address, port}, udp_failed);
-        if (!tcp_failed && !udp_failed)
-            return port;
-    }
+    static port_allocator ports(std::uint32_t(::getpid()));
+    return ports.take();
 }
 
 } // namespace oleanderhinge::tests
