tests: show why a deployment failed

A test whose deployment does not serve ends at once. It went on, and graceful_shutdown_* then waited for a process that had never got its signal.

--- a/tests/failure_test.cpp
+++ b/tests/failure_test.cpp
@@ -110,7 +110,8 @@
         {"head engine killed", 0, true, SIGKILL},
     };
     for (const auto& r : rows) {
-        this->begin({.replicas = 2, .services = 0, .step_ms = 5});
+        ASSERT_NO_FATAL_FAILURE(
+            this->begin({.replicas = 2, .services = 0, .step_ms = 5}));
         this->remember_sizes();
         std::string victim;
         const auto answer = this->chat_during([&] {
@@ -132,7 +133,8 @@
 // end with an error and never look complete.
 TEST_F(failure, an_answer_that_cannot_go_on_ends_with_an_error)
 {
-    this->begin({.replicas = 1, .services = 0, .step_ms = 5});
+    ASSERT_NO_FATAL_FAILURE(
+        this->begin({.replicas = 1, .services = 0, .step_ms = 5}));
     const auto answer = this->chat_during([&] {
         this->f->run.signal(fleet::agent_of(fleet::server_name(1, 0)), SIGKILL);
     });
@@ -145,7 +147,8 @@
 // Callers at the same time, tokens interleaved: each gets its own answer.
 TEST_F(failure, many_callers_get_their_own_answers_while_a_stage_is_restarted)
 {
-    this->begin({.replicas = 2, .services = 0, .step_ms = 2});
+    ASSERT_NO_FATAL_FAILURE(
+        this->begin({.replicas = 2, .services = 0, .step_ms = 2}));
     std::vector<chat_result> answers(24);
     std::vector<std::jthread> callers;
     std::atomic<std::size_t> done{0};
@@ -175,7 +178,8 @@
 // `not_run`, and a resend must not book again.
 TEST_F(failure, an_agent_that_dies_during_a_booking_never_leads_to_a_second_one)
 {
-    this->begin({.stages = 3, .services = 1, .service_delay_ms = 1500});
+    ASSERT_NO_FATAL_FAILURE(
+        this->begin({.stages = 3, .services = 1, .service_delay_ms = 1500}));
     http_reply first;
     std::jthread caller([&] { first = this->f->reserve(0, "order-7"); });
     ASSERT_TRUE(wait_until([&] { return this->f->bookings().size() == 1; }));
@@ -195,7 +199,8 @@
 // another entry node.
 TEST_F(failure, a_resend_through_another_entry_node_does_not_book_again)
 {
-    this->begin({.entries = 2, .services = 1, .service_delay_ms = 1500});
+    ASSERT_NO_FATAL_FAILURE(
+        this->begin({.entries = 2, .services = 1, .service_delay_ms = 1500}));
     http_reply first;
     std::jthread caller([&] { first = this->f->reserve(0, "order-9"); });
     ASSERT_TRUE(wait_until([&] { return this->f->bookings().size() == 1; }));
@@ -210,7 +215,8 @@
 // Concurrent resends of one key through both entry nodes book once.
 TEST_F(failure, concurrent_resends_book_once)
 {
-    this->begin({.entries = 2, .services = 1, .service_delay_ms = 200});
+    ASSERT_NO_FATAL_FAILURE(
+        this->begin({.entries = 2, .services = 1, .service_delay_ms = 200}));
     std::vector<http_reply> replies(8);
     std::vector<std::jthread> callers;
     for (std::size_t i = 0; i < replies.size(); ++i)
@@ -232,7 +238,8 @@
          {fleet::agent_of(fleet::server_name(0, 0)),
           fleet::agent_of(fleet::server_name(1, 0)),
           fleet::entry_name(0)}) {
-        this->begin({.replicas = 2, .services = 0, .step_ms = 5});
+        ASSERT_NO_FATAL_FAILURE(
+            this->begin({.replicas = 2, .services = 0, .step_ms = 5}));
         const auto answer =
             this->chat_during([&] { this->f->run.signal(name, SIGTERM); });
         EXPECT_TRUE(answer.complete) << name << ": " << answer.problem;
--- a/tests/harness/processes.cpp
+++ b/tests/harness/processes.cpp
@@ -7,6 +7,7 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <deque>
 #include <fcntl.h>
 #include <fstream>
 #include <spawn.h>
@@ -33,6 +34,29 @@
     return name;
 }
 
+// Ends of the logs of all processes, for runs whose files are not kept.
+void print_logs(const std::filesystem::path& folder)
+{
+    constexpr std::size_t line_count = 3;
+    for (const auto& entry : std::filesystem::directory_iterator(folder)) {
+        if (entry.path().extension() != ".log")
+            continue;
+        std::ifstream in(entry.path());
+        std::deque<std::string> last;
+        for (std::string line; std::getline(in, line);) {
+            last.push_back(line);
+            if (last.size() > line_count)
+                last.pop_front();
+        }
+        for (const auto& line : last)
+            std::fprintf(
+                stderr,
+                "%s: %.300s\n",
+                entry.path().filename().c_str(),
+                line.c_str());
+    }
+}
+
 int exit_code(int status)
 {
     return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
@@ -53,6 +77,7 @@
     }
     if (testing::Test::HasFailure()) {
         std::fprintf(stderr, "files kept in %s\n", this->folder.c_str());
+        print_logs(this->folder);
         return;
     }
     std::error_code ignored;
