tests: print the events of a failed deployment, ask its leader first

The events of entry nodes and agents tell why an attempt failed; they were gone with the processes.

Calls to control began with its first member each time.

--- a/tests/harness/fleet.cpp
+++ b/tests/harness/fleet.cpp
@@ -3,7 +3,9 @@
 #include "oleanderhinge/base/hash.hpp"
 
 #include <boost/json.hpp>
+#include <gtest/gtest.h>
 
+#include <cstdio>
 #include <sstream>
 
 namespace oleanderhinge::tests
@@ -82,6 +84,28 @@
         this->servers.push_back({port(), port(), port(), port()});
 }
 
+fleet::~fleet()
+{
+    if (!testing::Test::HasFailure())
+        return;
+    for (std::size_t i = 0; i < this->entries.size(); ++i)
+        this->print_events(entry_name(i), this->entries[i].management);
+    for (std::size_t i = 0; i < this->servers.size(); ++i)
+        this->print_events(
+            "agent " + std::to_string(i), this->servers[i].management);
+}
+
+void fleet::print_events(const std::string& name, std::uint16_t management)
+{
+    const auto reply = call(
+        management, {"GET", "/events", "", {}}, std::chrono::milliseconds(500));
+    constexpr std::size_t longest = 4000;
+    const auto from =
+        reply.body.size() > longest ? reply.body.size() - longest : 0;
+    std::fprintf(
+        stderr, "%s: %s\n", name.c_str(), reply.body.substr(from).c_str());
+}
+
 std::string fleet::control_name(std::size_t i)
 {
     return "control-" + std::to_string(i);
@@ -261,12 +285,19 @@
     sent.headers.emplace_back(
         "Authorization", std::string("Bearer ") + admin_token);
     http_reply reply;
-    // Only the leader answers; the others redirect or have none.
+    // Only the leader answers; the others redirect or have none. The one that
+    // answered last comes first, as a frozen one takes the whole limit.
     wait_until([&] {
-        for (const auto& ports : this->controls) {
-            reply = call(ports.admin, sent, std::chrono::seconds(10));
-            if (reply.status != 0 && reply.status != 307 && reply.status != 503)
-                return true;
+        const auto count = this->controls.size();
+        const auto from = this->last_answering;
+        for (std::size_t i = 0; i < count; ++i) {
+            const auto member = (from + i) % count;
+            reply = call(
+                this->controls[member].admin, sent, std::chrono::seconds(10));
+            if (reply.status == 0 || reply.status == 307 || reply.status == 503)
+                continue;
+            this->last_answering = member;
+            return true;
         }
         return false;
     });
--- a/tests/harness/fleet.hpp
+++ b/tests/harness/fleet.hpp
@@ -54,6 +54,10 @@
     static constexpr const char* admin_token = "operators-only-token";
 
     explicit fleet(fleet_options chosen);
+    // Prints the events of the processes that run if a test has failed.
+    ~fleet();
+    fleet(const fleet&) = delete;
+    fleet& operator=(const fleet&) = delete;
 
     // Starts all processes and waits until control has a leader.
     void start();
@@ -132,6 +136,10 @@
         const server_ports& ports,
         const std::string& kind_lines) const;
     std::string node_lines(const std::string& vm) const;
+    void print_events(const std::string& name, std::uint16_t management);
+
+    // Member of control that answered the last admin call.
+    std::size_t last_answering = 0;
 };
 
 } // namespace oleanderhinge::tests
