entry: go on with an answer at a server that refused before

An answer that had begun ended with an error ("layers are covered only up to 8 of 24") while a sound server held the missing layers: that server had refused an earlier attempt of the request, and a refusal excluded it for as long as the request lasted. Its callers had paid for the tokens before.

Now a server that refused is chosen again once tokens were delivered, if there is no chain without it. Before the first token it stays excluded: the caller can be refused, as not run. A server that failed stays excluded.

Without the change to either place, its new test failed (a_refusal_excludes_no_server_*, selects_a_server_of_last_resort_*).

--- a/bench/policy_simulation.hpp
+++ b/bench/policy_simulation.hpp
@@ -381,6 +381,7 @@
                          place,
                          base::region_id{"region"},
                          j.avoid,
+                         {},
                          hashes(j)},
                         chooser,
                         this->now));
--- a/oleanderhinge/entry/model_request.cpp
+++ b/oleanderhinge/entry/model_request.cpp
@@ -209,8 +209,8 @@
         message.position >= request.chain.size())
         return actions;
     // A refusal does not count towards ejection, since the server did not
-    // fail. Later attempts of this request use other servers.
-    request.avoid.insert(request.chain[message.position].server);
+    // fail.
+    request.refused.insert(request.chain[message.position].server);
     abandon_attempt(request, message.reason, actions);
     return actions;
 }
@@ -352,6 +352,15 @@
     return actions;
 }
 
+chain_exclusions exclusions_of(const model_request& request)
+{
+    if (!request.answer.delivered.empty())
+        return {request.avoid, request.refused};
+    auto excluded = request.avoid;
+    excluded.insert(request.refused.begin(), request.refused.end());
+    return {std::move(excluded), {}};
+}
+
 base::execution execution_so_far(const model_request& request)
 {
     if (!request.answer.delivered.empty())
--- a/oleanderhinge/entry/model_request.hpp
+++ b/oleanderhinge/entry/model_request.hpp
@@ -67,9 +67,11 @@
     // Positions in the chain whose stage granted a slot to this attempt.
     std::set<std::uint32_t> granted;
     chain::answer_assembly answer;
-    // Servers that failed or refused this request, or were in a chain that
-    // stalled. Later attempts exclude them.
+    // Servers that failed this request, or were in a chain that stalled. Later
+    // attempts exclude them.
     std::set<base::backend_server_id> avoid;
+    // Servers that refused an attempt of this request.
+    std::set<base::backend_server_id> refused;
     base::time_point accepted;
     // Last grant, token or change of phase that the stall limits count from.
     base::time_point last_progress;
@@ -81,8 +83,8 @@
     std::size_t resumed_from = 0;
 };
 
-// Choose a chain that excludes the servers in `avoid`, then call `on_chosen`
-// or `on_no_chain`.
+// Choose a chain within `exclusions_of`, then call `on_chosen` or
+// `on_no_chain`.
 struct choose_chain_action {
 };
 // Send `content` to the agent of the stage at `position` of the chain.
@@ -123,6 +125,13 @@
     report_stage_action>;
 using model_actions = std::vector<model_action>;
 
+// Servers that the next chain leaves out: some always, the others while there
+// is a chain without them.
+struct chain_exclusions {
+    std::set<base::backend_server_id> always;
+    std::set<base::backend_server_id> while_possible;
+};
+
 model_request make_model_request(model_request_spec spec, base::time_point now);
 
 // Commands. Each handles one event and returns the actions to perform, in
@@ -177,6 +186,11 @@
 
 // Queries.
 
+// Servers that failed are left out. Those that refused are, too, until a token
+// was delivered: then the answer ends if it cannot go on, and a refusing server
+// may have room by now.
+chain_exclusions exclusions_of(const model_request& request);
+
 // `ran` if a token was delivered, `may_have_run` if an attempt was started,
 // else `not_run`.
 base::execution execution_so_far(const model_request& request);
--- a/oleanderhinge/entry/model_request_test.cpp
+++ b/oleanderhinge/entry/model_request_test.cpp
@@ -211,6 +211,29 @@
     }
 }
 
+// Guards against an answer that ends in its middle since the only server left
+// for a stage refused an earlier attempt.
+TEST(model_request, a_refusal_excludes_no_server_for_good_once_tokens_are_out)
+{
+    const base::backend_server_id refusing{"a1"};
+    const base::backend_server_id lost{"a2"};
+    for (const bool delivered : {false, true}) {
+        auto r = at_phase(request_phase::opening_rest);
+        on_refused(r, {r.spec.id, r.attempt, 1, {}, {}}, start);
+        on_retry(r, 0ms, start);
+        on_chosen(r, make_chain("a"), start);
+        for (std::uint32_t i = 0; i < 3; ++i)
+            on_granted(r, granted(r, i), start);
+        if (delivered)
+            on_token(r, make_token(r, 0), start);
+        on_link_lost(r, {"127.0.0.1", 7002}, start);
+        const auto excluded = exclusions_of(r);
+        EXPECT_TRUE(excluded.always.contains(lost)) << delivered;
+        EXPECT_EQ(excluded.always.contains(refusing), !delivered);
+        EXPECT_EQ(excluded.while_possible.contains(refusing), delivered);
+    }
+}
+
 TEST(model_request, a_retry_resumes_from_the_delivered_tokens)
 {
     auto r = at_phase(request_phase::streaming);
--- a/oleanderhinge/entry/request_effects.cpp
+++ b/oleanderhinge/entry/request_effects.cpp
@@ -263,7 +263,7 @@
                 stages,
                 this->routes.choose_chain(
                     request.spec.route,
-                    request.avoid,
+                    exclusions_of(request),
                     request.spec.prompt,
                     now));
             this->update_request<model_request>(
--- a/oleanderhinge/entry/router.cpp
+++ b/oleanderhinge/entry/router.cpp
@@ -80,7 +80,7 @@
 
 base::result<std::vector<wire::stage>> router::choose_chain(
     const wire::route& route,
-    const std::set<base::backend_server_id>& avoid,
+    const chain_exclusions& excluded,
     const std::string& prompt,
     base::time_point now)
 {
@@ -92,7 +92,9 @@
     query.work_rank = route.work_rank;
     query.data_centre = this->here.data_centre;
     query.region = this->here.region;
-    query.avoid.assign(avoid.begin(), avoid.end());
+    query.avoid.assign(excluded.always.begin(), excluded.always.end());
+    query.last_resort.assign(
+        excluded.while_possible.begin(), excluded.while_possible.end());
     query.prefixes = routing::prefix_hashes(prompt);
     const std::lock_guard lock(this->view_mutex);
     BOOST_LEAF_AUTO(
--- a/oleanderhinge/entry/router.hpp
+++ b/oleanderhinge/entry/router.hpp
@@ -5,11 +5,12 @@
 // Example:
 //   router routes{place, seed, now};
 //   routes.put(announcement, expires, now);
-//   auto chain = routes.choose_chain(route, avoid, prompt, now);
+//   auto chain = routes.choose_chain(route, excluded, prompt, now);
 #pragma once
 
 #include "oleanderhinge/base/error.hpp"
 #include "oleanderhinge/base/random.hpp"
+#include "oleanderhinge/entry/model_request.hpp"
 #include "oleanderhinge/retry/budget.hpp"
 #include "oleanderhinge/routing/choose.hpp"
 #include "oleanderhinge/wire/configuration.hpp"
@@ -72,12 +73,12 @@
     // them commands.
 
     // Chooses a server for each stage so that the stages cover all layers of
-    // the route's model, without the servers in `avoid`. Assumes that the
+    // the route's model, without the excluded servers. Assumes that the
     // chosen servers will cache the prompt. Fails with `unavailable` if no
     // chain of usable servers covers the model.
     base::result<std::vector<wire::stage>> choose_chain(
         const wire::route& route,
-        const std::set<base::backend_server_id>& avoid,
+        const chain_exclusions& excluded,
         const std::string& prompt,
         base::time_point now);
     // Chooses a server of the route's service that is not in `avoid`. Fails
--- a/oleanderhinge/routing/choose.cpp
+++ b/oleanderhinge/routing/choose.cpp
@@ -214,9 +214,7 @@
     return result;
 }
 
-} // namespace
-
-base::result<chain> choose_chain(
+base::result<chain> find_chain(
     const server_view& v,
     const chain_query& query,
     base::random_source& random,
@@ -257,6 +255,26 @@
     return to_chain(search, end);
 }
 
+} // namespace
+
+base::result<chain> choose_chain(
+    const server_view& v,
+    const chain_query& query,
+    base::random_source& random,
+    base::time_point now)
+{
+    if (query.last_resort.empty())
+        return find_chain(v, query, random, now);
+    auto preferred = query;
+    preferred.avoid.insert(
+        preferred.avoid.end(),
+        query.last_resort.begin(),
+        query.last_resort.end());
+    if (auto found = find_chain(v, preferred, random, now))
+        return found;
+    return find_chain(v, query, random, now);
+}
+
 base::result<server_choice> choose_server(
     const server_view& v,
     const service_query& query,
--- a/oleanderhinge/routing/choose.hpp
+++ b/oleanderhinge/routing/choose.hpp
@@ -31,8 +31,10 @@
     // Location of the entry node.
     base::data_centre_id data_centre;
     base::region_id region;
-    // Servers that have failed or refused this request; never selected.
+    // Servers that are never selected.
     std::vector<base::backend_server_id> avoid;
+    // Servers that are selected only if there is no chain without them.
+    std::vector<base::backend_server_id> last_resort;
     // Result of `prefix_hashes` for the prompt; empty to ignore cached
     // prefixes.
     std::vector<prefix_hash> prefixes;
--- a/oleanderhinge/routing/choose_test.cpp
+++ b/oleanderhinge/routing/choose_test.cpp
@@ -121,6 +121,38 @@
     }
 }
 
+// Guards against ending an answer that has begun while a server is left that
+// only refused an earlier attempt.
+TEST(choose_chain, selects_a_server_of_last_resort_if_there_is_no_other)
+{
+    struct row {
+        const char* seen;
+        std::vector<base::backend_server_id> avoid;
+        std::vector<base::backend_server_id> last_resort;
+        std::vector<std::string> expected;
+    };
+    const base::backend_server_id x{"x1"};
+    const base::backend_server_id y{"y1"};
+    const row rows[] = {
+        {"another one is left", {}, {x}, {"x0", "y1"}},
+        {"the other one failed", {y}, {x}, {"x0", "x1"}},
+        {"both refused", {}, {x, y}, {"x0", "x1"}},
+        {"it failed, too", {x, y}, {x}, {}},
+    };
+    server_view v;
+    for (const auto& s :
+         {make_server("x0", 0, 16),
+          make_server("x1", 16, 32),
+          make_server("y1", 16, 32, "dc-b")})
+        put_server(v, s, start);
+    for (const auto& r : rows) {
+        auto query = make_query();
+        query.avoid = r.avoid;
+        query.last_resort = r.last_resort;
+        EXPECT_EQ(ids(v, query), r.expected) << r.seen;
+    }
+}
+
 TEST(choose_chain, names_the_gap_when_no_chain_covers_the_model)
 {
     server_view v;
