net: skip the empty lines before a request

What callers saw: a caller that sends a line end behind its request got a 400 that no request had asked for, on its kept connection, which then closed. Its next request, or one that the empty line had come with, was not answered. RFC 9112, section 2.2: a server ignores an empty line before the request line.

Cause: whatever arrived on a kept connection counted as the beginning of a request and went to the parser, which takes no empty line.

Ruled out: that such bytes hold a planned stop for the 10 s in which a request is read.

Change: empty lines are removed before the parser sees them, within the time for which a connection may be idle. A connection on which only they have come is idle, so that a stop closes it; a part of a request line is waited for as before.

Tests: net.http_server_empty_lines, 15 cases.

--- a/oleanderhinge/net/http_server.cpp
+++ b/oleanderhinge/net/http_server.cpp
@@ -38,6 +38,29 @@
 // extension of a chunk or a trailer.
 constexpr std::size_t max_unparsed_bytes = std::size_t(64) << 10;
 
+// Removes the empty lines that a client may send before a request (RFC 9112,
+// section 2.2).
+void remove_empty_lines(beast::flat_buffer& buffer)
+{
+    const auto bytes = buffer.data();
+    const std::string_view unread(
+        static_cast<const char*>(bytes.data()), bytes.size());
+    std::size_t size = 0;
+    while (unread.substr(size).starts_with("\r\n") ||
+           unread.substr(size).starts_with('\n'))
+        size += unread[size] == '\r' ? 2 : 1;
+    buffer.consume(size);
+}
+
+// Whether the buffer holds the beginning of a request. Expects no empty lines
+// before it; one may lack its end.
+bool holds_request(const beast::flat_buffer& buffer)
+{
+    const auto bytes = buffer.data();
+    return bytes.size() > 1 || (bytes.size() == 1 && *static_cast<const char*>(
+                                                         bytes.data()) != '\r');
+}
+
 } // namespace
 
 struct http_server::impl : std::enable_shared_from_this<http_server::impl> {
@@ -89,15 +112,17 @@
         stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     }
 
-    // Serves one request; returns whether the connection can be kept.
-    asio::awaitable<bool> exchange(
+    // Reads until a request has begun. Returns false if the client leaves or
+    // is idle for too long, or if a stop finds no request.
+    asio::awaitable<bool> await_request(
         std::uint64_t id, beast::tcp_stream& stream, beast::flat_buffer& buffer)
     {
-        http::request_parser<http::string_body> parser;
-        parser.header_limit(std::uint32_t(this->limits.header_bytes));
-        parser.body_limit(this->limits.body_bytes);
-        if (buffer.size() == 0) {
-            stream.expires_after(this->limits.idle_timeout);
+        // Empty lines do not prolong it.
+        stream.expires_after(this->limits.idle_timeout);
+        remove_empty_lines(buffer);
+        while (!holds_request(buffer)) {
+            if (this->draining && !has_bytes(stream))
+                co_return false;
             this->set_idle(id, true);
             const auto [failed, size] =
                 co_await stream.async_read_some(buffer.prepare(4096), as_pair);
@@ -105,7 +130,20 @@
             if (failed)
                 co_return false;
             buffer.commit(size);
+            remove_empty_lines(buffer);
         }
+        co_return true;
+    }
+
+    // Serves one request; returns whether the connection can be kept.
+    asio::awaitable<bool> exchange(
+        std::uint64_t id, beast::tcp_stream& stream, beast::flat_buffer& buffer)
+    {
+        http::request_parser<http::string_body> parser;
+        parser.header_limit(std::uint32_t(this->limits.header_bytes));
+        parser.body_limit(this->limits.body_bytes);
+        if (!co_await this->await_request(id, stream, buffer))
+            co_return false;
         stream.expires_after(this->limits.read_timeout);
         const auto [failed, size] =
             co_await http::async_read(stream, buffer, parser, as_pair);
--- a/oleanderhinge/net/http_server_test.cpp
+++ b/oleanderhinge/net/http_server_test.cpp
@@ -47,6 +47,7 @@
             [](const base::error&) { return wire::endpoint{}; });
         this->client.connect({asio::ip::make_address(at.address), at.port});
         this->client.non_blocking(true);
+        this->client.set_option(tcp::no_delay(true));
         while (this->server.connections() == 0)
             this->io.run_one();
         this->io.poll();
@@ -93,6 +94,27 @@
     tcp::socket client;
 };
 
+// The value: empty lines, the last of which may lack its end.
+class http_server_empty_lines : public http_server_stop,
+                                public testing::WithParamInterface<std::string>
+{
+protected:
+    // Whether the server closes the connection without waiting for a time
+    // limit or for more bytes.
+    bool closes()
+    {
+        for (int polls = 0; polls < 1000 && this->server.connections() > 0;
+             ++polls)
+            this->io.poll();
+        return this->server.connections() == 0;
+    }
+};
+
+INSTANTIATE_TEST_SUITE_P(
+    http,
+    http_server_empty_lines,
+    testing::Values("\r", "\n", "\r\n", "\r\n\r", "\r\n\r\n"));
+
 // Guards against callers that are told to keep a connection which closes after
 // this answer: their next request crosses the close.
 TEST_F(http_server_stop, an_answer_that_begins_in_a_stop_announces_the_close)
@@ -134,5 +156,46 @@
     EXPECT_NE(received.find("Connection: close"), std::string::npos);
 }
 
+// Guards against an answer that no request asked for, and against a stop that
+// waits for the request behind empty lines, of which nothing has arrived.
+TEST_P(http_server_empty_lines, are_no_request)
+{
+    this->send(request + GetParam());
+    auto received = this->read(1);
+    this->io.poll();
+    this->server.drain();
+    EXPECT_TRUE(this->closes());
+    received += this->read(1);
+    EXPECT_EQ(answers_in(received), 1);
+    EXPECT_EQ(received.rfind("HTTP/1.1 "), 0U) << received;
+}
+
+// Guards against the same for lines that are not read yet as the stop begins.
+TEST_P(http_server_empty_lines, are_no_request_when_a_stop_reads_them)
+{
+    this->send(GetParam());
+    this->server.drain();
+    EXPECT_TRUE(this->closes());
+    EXPECT_EQ(this->read(1), "");
+}
+
+// Guards against a request that is refused for the empty lines before it, or
+// that a stop drops with them before it is wholly read.
+TEST_P(http_server_empty_lines, are_no_part_of_the_next_request)
+{
+    const std::string end = GetParam().ends_with('\r') ? "\n" : "";
+    const auto bytes = GetParam() + end + request;
+    const auto half = bytes.size() - request.size() / 2;
+    for (std::size_t part = 0; part <= half; ++part) {
+        this->send(bytes.substr(0, part));
+        this->io.poll();
+        if (part == half)
+            this->server.drain();
+        this->io.poll();
+        this->send(bytes.substr(part));
+        EXPECT_EQ(answers_in(this->read(1)), 1) << part;
+    }
+}
+
 } // namespace
 } // namespace oleanderhinge::net
