net: serve a request that arrives during an answer in a drain

What callers would see: a caller sends its next request while it still reads the answer to the one before, on a connection that the answer's head promised to keep. If a planned stop began after that head, the connection was closed with the request unread, which resets it: no answer, although the request had arrived.

Cause: in a drain the loop over the requests of a connection went on only for bytes that had been read ahead, not for those that the socket held.

Ruled out: a request that was read together with the one before it; it has been served since, and its test passes without this change.

Change: only the wait for a request decides, which looks at both.

Test: net.http_server_stop.a_request_that_arrives_during_an_answer_is_answered got 1 of 2 answers without the change and gets both with it; all 45 tests of net_test pass.

--- a/oleanderhinge/net/http_server.cpp
+++ b/oleanderhinge/net/http_server.cpp
@@ -104,9 +104,7 @@
             self->limits.header_bytes + max_unparsed_bytes);
         boost::system::error_code ignored;
         stream.socket().set_option(tcp::no_delay(true), ignored);
-        // A request may have been read together with the one before it.
-        while ((!self->draining || buffer.size() > 0) &&
-               co_await self->exchange(id, stream, buffer)) {
+        while (co_await self->exchange(id, stream, buffer)) {
         }
         self->unregister(id);
         stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
--- a/oleanderhinge/net/http_server_test.cpp
+++ b/oleanderhinge/net/http_server_test.cpp
@@ -143,6 +143,19 @@
     EXPECT_EQ(answers_in(this->read(2)), 2);
 }
 
+// Guards against a request that arrives before the end of such an answer and is
+// reset, since it was not read ahead.
+TEST_F(http_server_stop, a_request_that_arrives_during_an_answer_is_answered)
+{
+    this->in_answer = [this] {
+        if (this->handled == 1)
+            this->send(request);
+        this->server.drain();
+    };
+    this->send(request);
+    EXPECT_EQ(answers_in(this->read(2)), 2);
+}
+
 // Guards against a request that is cut off while it is read.
 TEST_F(http_server_stop, a_request_that_is_half_read_is_answered)
 {
