gateway: take no answer from a head with marks that differ

A head gets two if it broke off and another answer was written behind it, so its status, its body and the statement that nothing has run may each be that of the other answer.

Cause: the mark was read as "some field of this name has a value". Ids that differ count as that of no request already.

Ruled out: to take the first mark, or to relay one of the two; nothing tells which of them the body belongs to.

Change: a mark is absent, present or ambiguous. An answer whose marks differ is a failure of a request that may have run, also if it says that nothing has run. Its Retry-After is not used, like that of an answer to another request. Unlike after the answer to another request, no further answer is waited for, since the id is that of this request. Equal marks still count as one.

--- a/oleanderhinge/gateway/answer_framing_test.cpp
+++ b/oleanderhinge/gateway/answer_framing_test.cpp
@@ -87,6 +87,29 @@
             }
 }
 
+// Two heads that were joined have the marks of both. Guards against the status
+// of one with the body of the other, and against a refusal of a request that
+// has run.
+TEST_F(answer_framing, a_head_with_marks_that_differ_is_no_answer)
+{
+    const std::string not_run = "Not-Run: 1\r\n";
+    for (const auto* target : {"/once/x", "/read/x", "/talk/x"})
+        for (const auto* status : {"200 OK", "500 Failed", "503 Full"})
+            for (const auto& fields : {genuine, not_run + genuine})
+                for (const auto* other : {"Seal: 2\r\n", "Seal: \r\n"}) {
+                    this->use_raw_server(true);
+                    this->raw.answers = {
+                        {with_length(status, fields + other, event_2)}};
+                    const auto view = this->watch(target);
+                    EXPECT_EQ(view.status, 502U)
+                        << target << status << fields << other;
+                    EXPECT_EQ(view.seals, 0U) << target << status << fields;
+                }
+    this->use_raw_server(true);
+    this->raw.answers = {{with_length("200 OK", genuine + "Seal: 1\r\n", "")}};
+    EXPECT_EQ(this->watch("/once/x").status, 200U);
+}
+
 // Guards against coded bytes that callers take for the body.
 TEST_F(answer_framing, an_answer_with_a_transfer_coding_is_no_success)
 {
--- a/oleanderhinge/gateway/forwarder_fixture_test.hpp
+++ b/oleanderhinge/gateway/forwarder_fixture_test.hpp
@@ -62,7 +62,7 @@
         answer_metadata metadata;
         metadata.id = distinct_values(fields, "Id");
         metadata.not_run = !fields["Not-Run"].empty();
-        metadata.sealed = !fields["Seal"].empty();
+        metadata.mark = read_mark(fields, "Seal");
         metadata.leaving = !fields["Leaving"].empty();
         metadata.retry_after =
             joined_values(fields, boost::beast::http::field::retry_after);
--- a/oleanderhinge/gateway/headers.cpp
+++ b/oleanderhinge/gateway/headers.cpp
@@ -11,6 +11,21 @@
 
 namespace http = boost::beast::http;
 
+namespace
+{
+
+std::set<std::string>
+values_of(const http_fields& fields, std::string_view name)
+{
+    std::set<std::string> values;
+    const auto [begin, end] = fields.equal_range(name);
+    for (auto found = begin; found != end; ++found)
+        values.emplace(found->value());
+    return values;
+}
+
+} // namespace
+
 void remove_connection_fields(http_fields& fields)
 {
     std::vector<std::string> named;
@@ -55,11 +70,16 @@
 
 std::string distinct_values(const http_fields& fields, std::string_view name)
 {
-    std::set<std::string> values;
-    const auto [begin, end] = fields.equal_range(name);
-    for (auto found = begin; found != end; ++found)
-        values.emplace(found->value());
-    return boost::algorithm::join(values, ", ");
+    return boost::algorithm::join(values_of(fields, name), ", ");
+}
+
+server_mark read_mark(const http_fields& fields, std::string_view name)
+{
+    const auto values = values_of(fields, name);
+    if (values.size() > 1)
+        return server_mark::ambiguous;
+    return values.empty() || values.begin()->empty() ? server_mark::absent
+                                                     : server_mark::present;
 }
 
 wire::header make_retry_after(std::chrono::milliseconds time)
--- a/oleanderhinge/gateway/headers.hpp
+++ b/oleanderhinge/gateway/headers.hpp
@@ -30,6 +30,9 @@
 // if they differ.
 std::string distinct_values(const http_fields& fields, std::string_view name);
 
+// The mark in the fields of this name.
+server_mark read_mark(const http_fields& fields, std::string_view name);
+
 // Retry-After in seconds with two decimals, rounded up.
 wire::header make_retry_after(std::chrono::milliseconds time);
 
--- a/oleanderhinge/gateway/internal/forwarder_attempts.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_attempts.cpp
@@ -124,15 +124,19 @@
             stray == 0 && request.connection->fresh();
         const bool is_own = metadata.id == request.metadata.id ||
                             (metadata.id.empty() && first_on_connection);
+        const bool joined = metadata.mark == server_mark::ambiguous;
         // A late answer still shows that the server leaves, but the time that
         // it asked for may be over.
-        if (!is_own)
+        if (!is_own || joined)
             metadata.retry_after.clear();
         this->signals.record(
             request.sent_to,
             request.connection->status(),
             metadata,
             base::monotonic_now());
+        if (is_own && joined)
+            co_return failed_with<attempt_result>(base::may_have_run(
+                failure_code::server_failed, "marks of several answers"));
         if (is_own) {
             request.framing = request.connection->framing();
             if (!metadata.not_run)
@@ -174,8 +178,8 @@
 // Whether the body of a successful answer is the server's own, unchanged.
 bool forwarder::has_servers_body(const upstream_connection& answer) const
 {
-    return this->protocol.read_answer(answer.status(), answer.fields())
-               .sealed &&
+    return this->protocol.read_answer(answer.status(), answer.fields()).mark ==
+               server_mark::present &&
            answer.fields()[http::field::content_encoding].empty();
 }
 
--- a/oleanderhinge/gateway/protocol_adapter.hpp
+++ b/oleanderhinge/gateway/protocol_adapter.hpp
@@ -58,6 +58,14 @@
     std::uint32_t priority = 0;
 };
 
+// The mark that genuine backend servers set in their answers.
+enum class server_mark : std::uint8_t {
+    absent,
+    present,
+    // Marks that differ, so that the head is not that of one answer.
+    ambiguous,
+};
+
 // Header fields of a backend server's answer.
 struct answer_metadata {
     // Id of the request that it answers; empty: not stated. Several ids are
@@ -65,8 +73,7 @@
     std::string id;
     // The server states that it has not run the request and will not.
     bool not_run = false;
-    // The answer carries the mark that genuine backend servers set.
-    bool sealed = false;
+    server_mark mark = server_mark::absent;
     // The server of the path that was at fault; empty address: not stated.
     wire::endpoint at_fault;
     // The answering server leaves and wants no further requests.
