net: refuse requests whose framing is unclear

What callers saw: a request with another transfer coding than chunked was taken. With "gzip, chunked" the coded bytes went on as the body, without their coding. With "gzip", "chunked, gzip", no value or the like the body counted as empty, or as long as a Content-Length beside it says, and the rest of its bytes as the next request: request smuggling, if another server stands before this one.

Cause: Boost.Beast's parser refuses Transfer-Encoding together with Content-Length only if the coding is chunked, and passes over every other one.

Change: RFC 9112, sections 6.1 and 6.3. 501 if chunked is the last coding and the others are not known; 400 if chunked is not the last one, comes twice or with parameters, if a length is stated too, and for HTTP/1.0. The connection closes.

Test: net.http_server.a_request_with_unclear_framing_is_refused.

--- a/oleanderhinge/net/http_server.cpp
+++ b/oleanderhinge/net/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "oleanderhinge/net/internal/listen.hpp"
 #include "oleanderhinge/net/internal/stream_exchange.hpp"
+#include "oleanderhinge/net/request_head.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -17,6 +18,7 @@
 #include <atomic>
 #include <bit>
 #include <mutex>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 
@@ -133,34 +135,51 @@
         co_return true;
     }
 
-    // Serves one request; returns whether the connection can be kept.
-    asio::awaitable<bool> exchange(
-        std::uint64_t id, beast::tcp_stream& stream, beast::flat_buffer& buffer)
+    // Empty if there is no request to handle; one that is malformed has been
+    // answered.
+    asio::awaitable<std::optional<http_request>>
+    read_request(beast::tcp_stream& stream, beast::flat_buffer& buffer)
     {
         http::request_parser<http::string_body> parser;
         parser.header_limit(std::uint32_t(this->limits.header_bytes));
         parser.body_limit(this->limits.body_bytes);
-        if (!co_await this->await_request(id, stream, buffer))
-            co_return false;
         stream.expires_after(this->limits.read_timeout);
         const auto [failed, size] =
             co_await http::async_read(stream, buffer, parser, as_pair);
         if (failed) {
-            co_await this->refuse(stream, failed);
-            co_return false;
+            co_await this->refuse_malformed(stream, failed);
+            co_return std::nullopt;
         }
-        auto request = parser.release();
+        const auto framing = check_framing(parser.get().base());
+        if (framing == request_framing::valid)
+            co_return parser.release();
+        const bool ambiguous = framing == request_framing::ambiguous;
+        const std::string detail =
+            ambiguous ? "ambiguous framing" : "unsupported transfer coding";
+        co_await this->refuse(stream, ambiguous ? 400 : 501, detail);
+        co_return std::nullopt;
+    }
+
+    // Serves one request; returns whether the connection can be kept.
+    asio::awaitable<bool> exchange(
+        std::uint64_t id, beast::tcp_stream& stream, beast::flat_buffer& buffer)
+    {
+        if (!co_await this->await_request(id, stream, buffer))
+            co_return false;
+        auto request = co_await this->read_request(stream, buffer);
+        if (!request)
+            co_return false;
         stream_exchange exchange(
             stream,
             this->limits,
             this->closing,
-            request.method(),
-            request.version(),
-            request.keep_alive());
+            request->method(),
+            request->version(),
+            request->keep_alive());
         ++this->in_progress;
         stream.expires_never();
         try {
-            co_await this->handler(std::move(request), exchange);
+            co_await this->handler(std::move(*request), exchange);
         } catch (const std::exception& failure) {
             this->note_handler_failure(failure);
         }
@@ -177,13 +196,24 @@
         co_return exchange.reusable();
     }
 
-    asio::awaitable<void>
-    refuse(beast::tcp_stream& stream, boost::system::error_code failed)
+    asio::awaitable<void> refuse_malformed(
+        beast::tcp_stream& stream, boost::system::error_code failed)
     {
         if (failed == http::error::end_of_stream ||
             failed.category() !=
                 boost::system::error_code(http::error::bad_method).category())
             co_return;
+        const bool large = failed == http::error::body_limit ||
+                           failed == http::error::header_limit ||
+                           failed == http::error::buffer_overflow;
+        const auto detail = "malformed request: " + failed.message();
+        co_await this->refuse(stream, large ? 413 : 400, detail);
+    }
+
+    // Answers a request that is not handled; the connection closes.
+    asio::awaitable<void>
+    refuse(beast::tcp_stream& stream, unsigned status, std::string detail)
+    {
         stream_exchange exchange(
             stream,
             this->limits,
@@ -191,17 +221,10 @@
             http::verb::unknown,
             11,
             false);
-        auto failure = base::not_run(
-            base::failure_code::invalid_request,
-            "malformed request: " + failed.message());
-        const bool large = failed == http::error::body_limit ||
-                           failed == http::error::header_limit ||
-                           failed == http::error::buffer_overflow;
+        const auto failure = base::not_run(
+            base::failure_code::invalid_request, std::move(detail));
         co_await exchange.respond(
-            large ? 413 : 400,
-            "application/problem+json",
-            problem_json(failure),
-            {});
+            status, "application/problem+json", problem_json(failure), {});
     }
 
     // The volume of the log stays bounded if every request fails.
--- a/oleanderhinge/net/http_server_framing_test.cpp
+++ b/oleanderhinge/net/http_server_framing_test.cpp
@@ -18,6 +18,7 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
+constexpr auto npos = std::string::npos;
 constexpr auto as_pair = asio::as_tuple(asio::use_awaitable);
 
 // /whole answers at once, /stream in two chunks, /broken leaves off after them.
@@ -109,5 +110,62 @@
     EXPECT_TRUE(kept.body.starts_with("HTTP/1.1 200 OK")) << kept.body;
 }
 
+// Each row: the fields of a request whose body is in chunks, with another
+// request behind it. Guards against coded bytes that are taken for the body,
+// and against a body whose end another server on the way would see elsewhere,
+// so that part of it counts as a request.
+TEST(http_server, a_request_with_unclear_framing_is_refused)
+{
+    struct row {
+        const char* version;
+        const char* fields;
+        unsigned status;
+    };
+    const row rows[] = {
+        {"1.1", "Transfer-Encoding: chunked\r\n", 200},
+        {"1.1", "Transfer-Encoding: Chunked \r\n", 200},
+        {"1.1", "Transfer-Encoding: gzip, chunked\r\n", 501},
+        {"1.1",
+         "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+         501},
+        {"1.1", "Transfer-Encoding: gzip\r\n", 400},
+        {"1.1", "Transfer-Encoding: identity\r\n", 400},
+        {"1.1", "Transfer-Encoding: \r\n", 400},
+        {"1.1", "Transfer-Encoding: xchunked\r\n", 400},
+        {"1.1", "Transfer-Encoding: chunked, gzip\r\n", 400},
+        {"1.1", "Transfer-Encoding: chunked, chunked\r\n", 400},
+        {"1.1", "Transfer-Encoding: gzip, chunked;a=b\r\n", 400},
+        {"1.1", "Transfer-Encoding: chunked;a=b\r\n", 400},
+        {"1.1", "Transfer-Encoding: \"chunked\"\r\n", 400},
+        {"1.1", "Transfer-Encoding : chunked\r\n", 400},
+        {"1.1",
+         "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+         400},
+        {"1.1",
+         "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n",
+         400},
+        {"1.1", "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n", 400},
+        {"1.1", "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n", 400},
+        {"1.1", "Transfer-Encoding: gzip\r\nContent-Length: 4\r\n", 400},
+        {"1.1", "Content-Length: 4\r\nTransfer-Encoding: gzip\r\n", 400},
+        {"1.1",
+         "Transfer-Encoding: gzip, chunked\r\nContent-Length: 4\r\n",
+         400},
+        {"1.1", "Transfer-Encoding: \r\nContent-Length: 4\r\n", 400},
+        {"1.1", "Content-Length: 4\r\nContent-Length: 5\r\n", 400},
+        {"1.0", "Transfer-Encoding: chunked\r\n", 400}};
+    for (const auto& r : rows) {
+        const auto got =
+            ask("POST /whole HTTP/" + std::string(r.version) + "\r\n" +
+                r.fields + "\r\n4\r\ndone\r\n0\r\n\r\n" +
+                "GET /whole HTTP/1.1\r\nConnection: close\r\n\r\n");
+        EXPECT_NE(got.head.find(' ' + std::to_string(r.status) + ' '), npos)
+            << r.fields << got.head;
+        EXPECT_EQ(got.body.find("HTTP/1.1") != npos, r.status == 200)
+            << r.fields << got.body;
+        EXPECT_TRUE(got.closed) << r.fields;
+    }
+}
+
 } // namespace
 } // namespace oleanderhinge::net
