gateway: take no request that a stop ended for a crash

What callers and operators would see: a stream without an event that a planned stop ends, or a call whose body is being written, counts as a crash of its server if the process of the server is gone by then. The evidence goes to all gateways and may put a sound prompt into quarantine. Where the server does not answer, the probe takes up to 0.3 s, which is the whole time that a stop leaves for the answers, so that the caller may be cut off without one.

Cause: `end_unanswered` cancels the connection, and only failures of attempts that reached their limit or their deadline were no evidence. Such a stream fails as one whose connection broke, since the limit of its first event was taken before.

Ruled out: calls whose answer is being read. They end as at their deadline.

Change: a failure after the deadline, which the stop sets, is no evidence.

a_request_that_is_ended_shows_no_crash failed before: one crash counted, and evidence shared. The wait for a silent server was read in the code, not run.

--- a/oleanderhinge/gateway/drain_test.cpp
+++ b/oleanderhinge/gateway/drain_test.cpp
@@ -283,5 +283,31 @@
     }
 }
 
+// The process of a server ends while the stop ends its request. Guards against
+// evidence of a crash in an attempt that the gateway itself ended, and against
+// an answer that waits for a probe of the server until the process has ended.
+TEST_F(drain, a_request_that_is_ended_shows_no_crash)
+{
+    bool answered = false;
+    this->first.behave = [&](const net::http_request&,
+                             net::http_exchange&) -> asio::awaitable<void> {
+        this->first.server.drain();
+        this->second.server.drain();
+        this->begin_drain(200ms);
+        asio::steady_timer timer(this->io);
+        while (!answered) {
+            timer.expires_after(5ms);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+    };
+    this->second.behave = this->first.behave;
+    this->start_stall_checks();
+    EXPECT_EQ(this->ask("/talk/x").answer.status, 502U);
+    EXPECT_EQ(this->runs(), 1U);
+    EXPECT_EQ(this->stats.crashes.Value(), 0);
+    EXPECT_TRUE(this->shared_evidence.empty());
+    answered = true;
+}
+
 } // namespace
 } // namespace oleanderhinge::gateway
--- a/oleanderhinge/gateway/internal/forwarder_crashes.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_crashes.cpp
@@ -81,8 +81,8 @@
 }
 
 // Notes a crash if the connection to the first server broke off before the
-// first event, and the server's process is gone. A stream that the gateway
-// cancelled, or whose prompt servers have answered before, is no evidence.
+// first event, and the server's process is gone. A request that the gateway
+// ended, or whose prompt servers have answered before, is no evidence.
 asio::awaitable<void> forwarder::note_crash(
     forwarding_request& request,
     const attempt_result& result,
@@ -90,7 +90,8 @@
 {
     if (request.events.event_count != 0 || !request.waits_for.address.empty() ||
         result.why.state != base::execution::may_have_run ||
-        result.why.code == failure_code::deadline_exceeded || result.timed_out)
+        result.why.code == failure_code::deadline_exceeded ||
+        result.timed_out || steady_now() >= request.deadline)
         co_return;
     const bool crashed = co_await is_process_gone(this->io, server);
     if (!crashed)
