gateway: answer requests when the process ends at once

What callers would see: a closed connection without an answer, also for requests that may not be repeated, at a second signal, and at the end of a drain whose last tick did not come in time: the process was paused or late by 0.3 s, or the request was passed on in the last 0.1 s. A request that waited for the first table was cut off in the same way.

Cause: requests without an answer are ended by the tick alone, which runs every 0.1 s and not once the process ends.

Ruled out: the writes themselves.

Change: the end of the process ends the drain first, which refuses new requests and answers those that have nothing yet.

a_process_that_ends_answers_what_it_has_accepted failed before: no answer (status 0) after two signals. requests_get_an_answer_if_it_ends_at_once fails if `end_drain` only refuses new requests. A pause of the process was not tried.

--- a/oleanderhinge/gateway/drain_test.cpp
+++ b/oleanderhinge/gateway/drain_test.cpp
@@ -283,6 +283,35 @@
     }
 }
 
+// A second signal, or a pause of the process, ends the drain without a further
+// tick. Guards against requests that are cut off without an answer by it.
+TEST_F(drain, requests_get_an_answer_if_it_ends_at_once)
+{
+    for (const auto* path : {"/once/x", "/read/x", "/talk/x"}) {
+        this->begin_drain(early);
+        bool answered = false;
+        this->first.behave = [&](const net::http_request&,
+                                 net::http_exchange&) -> asio::awaitable<void> {
+            asio::post(this->io, [this] { this->forward.end_drain(); });
+            asio::steady_timer timer(this->io);
+            while (!answered) {
+                timer.expires_after(5ms);
+                co_await timer.async_wait(asio::use_awaitable);
+            }
+        };
+        this->second.behave = this->first.behave;
+        const auto outcome = this->ask(path);
+        EXPECT_NE(
+            outcome.answer.body.find("\"may_have_run\""), std::string::npos)
+            << path;
+        answered = true;
+        while (this->first.server.active() + this->second.server.active() > 0)
+            this->io.run_one();
+        EXPECT_EQ(this->ask(path).answer.status, 503U) << path;
+    }
+    EXPECT_EQ(this->runs(), 3U);
+}
+
 // The process of a server ends while the stop ends its request. Guards against
 // evidence of a crash in an attempt that the gateway itself ended, and against
 // an answer that waits for a probe of the server until the process has ended.
--- a/oleanderhinge/gateway/forwarder.hpp
+++ b/oleanderhinge/gateway/forwarder.hpp
@@ -78,6 +78,10 @@
     // have no answer yet.
     void begin_drain(base::time_point end);
 
+    // Ends the drain now: refuses new requests and ends those that have no
+    // answer yet.
+    void end_drain();
+
     // Requests that `handle` serves at present.
     std::size_t in_progress() const { return this->running.size(); }
 
--- a/oleanderhinge/gateway/gateway_node.cpp
+++ b/oleanderhinge/gateway/gateway_node.cpp
@@ -302,6 +302,7 @@
         spdlog::info("event=stopped vm={}", this->options.vm.value());
         this->stopped = true;
         this->timer.cancel();
+        this->forward.end_drain();
         this->callers.shutdown();
         this->management.shutdown();
         for (const auto& page : this->metrics_pages)
--- /dev/null
+++ b/oleanderhinge/gateway/gateway_node_test.cpp
@@ -0,0 +1,68 @@
+// Guards against a process that ends without an answer to the requests that it
+// has accepted.
+#include "oleanderhinge/gateway/gateway_node.hpp"
+
+#include "oleanderhinge/gateway/forwarder_fixture_test.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <gtest/gtest.h>
+
+#include <csignal>
+
+namespace oleanderhinge::gateway
+{
+namespace
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using namespace std::chrono_literals;
+using namespace test;
+
+wire::endpoint free_endpoint(asio::io_context& io)
+{
+    const tcp::acceptor probe(
+        io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    return {"127.0.0.1", probe.local_endpoint().port()};
+}
+
+// Guards against a request that is cut off without an answer by a second
+// signal, or by a drain that ends before its last tick.
+TEST(gateway_node, a_process_that_ends_answers_what_it_has_accepted)
+{
+    asio::io_context io;
+    gateway_settings settings;
+    settings.listen = free_endpoint(io);
+    settings.management = free_endpoint(io);
+    auto protocol = make_protocol_adapter();
+    protocol.read_request =
+        [&io, read = protocol.read_request](const http_fields& fields) {
+            asio::post(io, [] { std::raise(SIGTERM); });
+            asio::post(io, [] { std::raise(SIGTERM); });
+            return read(fields);
+        };
+    gateway_node node(io, settings, protocol);
+    ASSERT_TRUE(base::handle(
+        [&]() -> base::result<bool> {
+            BOOST_LEAF_CHECK(node.start());
+            return true;
+        },
+        [](const base::error&) { return false; }));
+    net::http_client client(io, 1);
+    net::http_outcome outcome;
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void> {
+            net::http_call call{"POST", "/once/x", {}, "body"};
+            outcome = co_await client.call(
+                settings.listen, std::move(call), 5s, net::reuse::never);
+        },
+        asio::detached);
+    net::run_process(io, node.process_options());
+    EXPECT_EQ(outcome.answer.status, 503U);
+    EXPECT_NE(outcome.answer.body.find("\"not_run\""), std::string::npos);
+}
+
+} // namespace
+} // namespace oleanderhinge::gateway
--- a/oleanderhinge/gateway/internal/forwarder_drain.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_drain.cpp
@@ -36,6 +36,12 @@
         cancel_wait(*waiting);
 }
 
+void forwarder::end_drain()
+{
+    this->begin_drain(base::monotonic_now());
+    this->end_unanswered();
+}
+
 // Ends the attempts of requests whose callers have nothing yet, as at their
 // deadline, so that they get an answer before the process ends.
 void forwarder::end_unanswered()
