gateway: keep the signal of a leaving server that is cut off from control

What callers saw: nothing by themselves.

Cause: forgot the signals of servers with their records, after `fleet::tombstone_time` (120 s) without reports; kept running back-offs alone.

Ruled out: a restart of the server, which brings another start time and clears the signal as before (`leaving_outlasts_*` asserts it).

Change: `forget_absent` keeps all signals of unknown processes, at most 10,000 (`max_absent_signals`): back-offs first, then those of the processes that started last. `longest_backoff` skips signals without a back-off.

Tests: `choice_fixture.leaving_outlasts_a_silent_server` failed on the old code (accepted at 130 s). `server_signals.absent_servers_are_remembered_up_to_a_limit` asserts the limit for both kinds of signals, and `.an_absent_backoff_is_kept_*` which go first. `choice_fixture.servers_that_ended_long_ago_are_forgotten` expected the signal of a leaving server to be forgotten, which was the fault: it expects that one signal now, and the memory is bounded by the limit.

--- a/oleanderhinge/gateway/server_choice.hpp
+++ b/oleanderhinge/gateway/server_choice.hpp
@@ -119,8 +119,8 @@
     base::time_point now);
 
 // Forgets servers without a report for `fleet::tombstone_time` before the
-// newest one, their signals except back-offs, and what was observed at
-// addresses that no server has. Without reports of any server, none is
+// newest one, their signals beyond `max_absent_signals`, and what was observed
+// at addresses that no server has. Without reports of any server, none is
 // forgotten.
 void forget_old_servers(server_selector& selector);
 
--- a/oleanderhinge/gateway/server_signals.cpp
+++ b/oleanderhinge/gateway/server_signals.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <compare>
 
 namespace oleanderhinge::gateway
 {
@@ -86,20 +87,23 @@
     server_signals& signals,
     const std::function<bool(const base::backend_server_id&)>& is_known)
 {
-    std::vector<server_incarnation> kept;
-    std::erase_if(signals.servers, [&](const auto& item) {
-        if (is_known(item.first))
-            return false;
-        if (item.second.backoff_until)
-            kept.push_back({item.first, item.second.started_ms});
-        return !item.second.backoff_until;
-    });
-    if (kept.size() <= max_absent_backoffs)
+    struct absent_server {
+        bool in_backoff;
+        std::uint64_t started_ms;
+        base::backend_server_id id;
+
+        auto operator<=>(const absent_server&) const = default;
+    };
+    std::vector<absent_server> absent;
+    for (const auto& [id, signal] : signals.servers)
+        if (!is_known(id))
+            absent.push_back(
+                {signal.backoff_until.has_value(), signal.started_ms, id});
+    if (absent.size() <= max_absent_signals)
         return;
-    std::ranges::sort(
-        kept, std::ranges::greater{}, &server_incarnation::started_ms);
-    for (std::size_t i = max_absent_backoffs; i < kept.size(); ++i)
-        signals.servers.erase(kept[i].id);
+    std::ranges::sort(absent, std::ranges::greater{});
+    for (std::size_t i = max_absent_signals; i < absent.size(); ++i)
+        signals.servers.erase(absent[i].id);
 }
 
 bool accepts_requests(
--- a/oleanderhinge/gateway/server_signals.hpp
+++ b/oleanderhinge/gateway/server_signals.hpp
@@ -34,8 +34,8 @@
 inline constexpr double backoff_jitter = 0.1;
 inline constexpr base::duration max_backoff_jitter = std::chrono::seconds(3);
 
-// Limit on the back-offs that are kept of servers that are not known any more.
-inline constexpr std::size_t max_absent_backoffs = 10'000;
+// Limit on the signals that are kept of servers that are not known any more.
+inline constexpr std::size_t max_absent_signals = 10'000;
 
 // One process of a server. A server may start again under the same id.
 struct server_incarnation {
@@ -74,9 +74,10 @@
 // server starts.
 void forget_others(server_signals& signals, const server_incarnation& server);
 
-// Removes the signals of servers that are not known any more. Back-offs are
-// kept up to `max_absent_backoffs`, since the process may be cut off and come
-// back; the processes that started last keep theirs.
+// Limits the signals of servers that are not known any more to
+// `max_absent_signals`. They are kept since the process may be cut off and come
+// back: back-offs rather than leaving, as most servers that leave are gone, and
+// those of the processes that started last.
 void forget_absent(
     server_signals& signals,
     const std::function<bool(const base::backend_server_id&)>& is_known);
--- a/oleanderhinge/gateway/signal_recorder.cpp
+++ b/oleanderhinge/gateway/signal_recorder.cpp
@@ -27,6 +27,8 @@
 {
     base::duration longest{0};
     for (const auto& [id, signal] : selector.signals.servers) {
+        if (!signal.backoff_until)
+            continue;
         const auto end =
             backoff_end(selector.signals, incarnation_of(selector, id), now);
         if (end)
