net: define the limit on unparsed bytes once

It stood in the client, the server and the gateway's connections to servers. No change of behaviour.

--- a/oleanderhinge/gateway/upstream.cpp
+++ b/oleanderhinge/gateway/upstream.cpp
@@ -1,6 +1,7 @@
 #include "oleanderhinge/gateway/upstream.hpp"
 
 #include "oleanderhinge/net/answer_head.hpp"
+#include "oleanderhinge/net/framing_limits.hpp"
 #include "oleanderhinge/net/idle_connection.hpp"
 #include "oleanderhinge/net/second_answer.hpp"
 
@@ -28,9 +29,6 @@
 
 constexpr auto as_pair = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t read_size = 8192;
-// Limit on bytes that are read and not parsed yet. Longer heads, extensions of
-// chunks and trailers are errors.
-constexpr std::size_t max_unparsed_bytes = std::size_t(64) << 10;
 
 } // namespace
 
@@ -39,7 +37,7 @@
     : stream(io)
     , peer(std::move(server))
     , is_new(fresh_in)
-    , buffer(max_unparsed_bytes)
+    , buffer(net::max_unparsed_bytes)
 {
 }
 
--- a/oleanderhinge/net/http_client.cpp
+++ b/oleanderhinge/net/http_client.cpp
@@ -1,6 +1,7 @@
 #include "oleanderhinge/net/http_client.hpp"
 
 #include "oleanderhinge/net/answer_head.hpp"
+#include "oleanderhinge/net/framing_limits.hpp"
 #include "oleanderhinge/net/idle_connection.hpp"
 #include "oleanderhinge/net/request_length.hpp"
 #include "oleanderhinge/net/second_answer.hpp"
@@ -31,9 +32,6 @@
 {
 
 constexpr std::size_t max_answer = std::size_t(4) << 20;
-// Limit on bytes that are read and not parsed yet, such as an extension of a
-// chunk or a trailer.
-constexpr std::size_t max_unparsed_bytes = std::size_t(64) << 10;
 // A kept connection that the server closed meanwhile leaves it unknown whether
 // the call ran. Servers close idle connections after tens of seconds.
 constexpr auto max_idle_time = std::chrono::seconds(5);
--- a/oleanderhinge/net/http_server.cpp
+++ b/oleanderhinge/net/http_server.cpp
@@ -1,5 +1,6 @@
 #include "oleanderhinge/net/http_server.hpp"
 
+#include "oleanderhinge/net/framing_limits.hpp"
 #include "oleanderhinge/net/internal/listen.hpp"
 #include "oleanderhinge/net/internal/stream_exchange.hpp"
 #include "oleanderhinge/net/request_head.hpp"
@@ -36,9 +37,6 @@
 
 // Completes with the error code instead of throwing.
 constexpr auto as_pair = asio::as_tuple(asio::use_awaitable);
-// Limit on bytes behind the head that are read and not parsed yet, such as an
-// extension of a chunk or a trailer.
-constexpr std::size_t max_unparsed_bytes = std::size_t(64) << 10;
 
 // Removes the empty lines that a client may send before a request (RFC 9112,
 // section 2.2).
