--- a/oleanderhinge/gateway/drain_test.cpp
+++ b/oleanderhinge/gateway/drain_test.cpp
@@ -2,7 +2,6 @@
 // and against one that refuses requests which would end in time.
 #include "oleanderhinge/gateway/forwarder_fixture_test.hpp"
 
-#include <boost/asio/post.hpp>
 #include <gtest/gtest.h>
 
 namespace oleanderhinge::gateway
@@ -73,38 +72,6 @@
         };
     }
 
-    // Has no table yet.
-    forwarder make_forwarder()
-    {
-        return forwarder(
-            this->io,
-            this->protocol,
-            this->selector,
-            this->quarantine,
-            this->stats,
-            {});
-    }
-
-    // Callers ask a forwarder without a table, which calls `meanwhile` while
-    // the first one waits.
-    net::http_outcome
-    ask_fresh(forwarder& fresh, const std::function<void()>& meanwhile)
-    {
-        net::http_server other(
-            this->io,
-            {},
-            [&](net::http_request request, net::http_exchange& exchange) {
-                asio::post(this->io, meanwhile);
-                return fresh.handle(std::move(request), exchange);
-            });
-        this->address = base::handle(
-            [&] {
-                return other.listen({"127.0.0.1", 0});
-            },
-            [](const base::error&) { return wire::endpoint{}; });
-        return this->ask("/once/x");
-    }
-
     std::string retry_after(const net::http_outcome& outcome) const
     {
         for (const auto& field : outcome.answer.headers)
--- a/oleanderhinge/gateway/forwarder_fixture_test.hpp
+++ b/oleanderhinge/gateway/forwarder_fixture_test.hpp
@@ -16,6 +16,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <gtest/gtest.h>
@@ -347,6 +348,38 @@
         return outcome;
     }
 
+    // Has no table yet.
+    forwarder make_forwarder()
+    {
+        return forwarder(
+            this->io,
+            this->protocol,
+            this->selector,
+            this->quarantine,
+            this->stats,
+            {});
+    }
+
+    // Callers ask a forwarder without a table, which calls `meanwhile` while
+    // the first one waits.
+    net::http_outcome
+    ask_fresh(forwarder& fresh, const std::function<void()>& meanwhile)
+    {
+        net::http_server other(
+            this->io,
+            {},
+            [&](net::http_request request, net::http_exchange& exchange) {
+                asio::post(this->io, meanwhile);
+                return fresh.handle(std::move(request), exchange);
+            });
+        this->address = base::handle(
+            [&] {
+                return other.listen({"127.0.0.1", 0});
+            },
+            [](const base::error&) { return wire::endpoint{}; });
+        return this->ask("/once/x");
+    }
+
     // Checks for stalls every 20 ms until the fixture ends.
     void start_stall_checks()
     {
--- a/oleanderhinge/gateway/forwarder_test.cpp
+++ b/oleanderhinge/gateway/forwarder_test.cpp
@@ -1,6 +1,5 @@
 #include "oleanderhinge/gateway/forwarder_fixture_test.hpp"
 
-#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -321,25 +320,8 @@
     this->key = "unknown";
     EXPECT_EQ(this->ask("/once/x").answer.status, 401U);
     EXPECT_EQ(this->runs(), 0U);
-    forwarder fresh(
-        this->io,
-        this->protocol,
-        this->selector,
-        this->quarantine,
-        this->stats,
-        {});
-    net::http_server other(
-        this->io,
-        {},
-        [&](net::http_request request, net::http_exchange& exchange) {
-            return fresh.handle(std::move(request), exchange);
-        });
-    this->address = base::handle(
-        [&] {
-            return other.listen({"127.0.0.1", 0});
-        },
-        [](const base::error&) { return wire::endpoint{}; });
-    const auto refused = this->ask("/once/x").answer;
+    auto fresh = this->make_forwarder();
+    const auto refused = this->ask_fresh(fresh, [] {}).answer;
     EXPECT_EQ(refused.status, 503U);
     EXPECT_TRUE(std::any_of(
         refused.headers.begin(), refused.headers.end(), [](const auto& item) {
@@ -352,26 +334,10 @@
 TEST_F(forwarder_fixture, callers_wait_a_little_for_the_first_table)
 {
     this->first.behave = answer;
-    forwarder fresh(
-        this->io,
-        this->protocol,
-        this->selector,
-        this->quarantine,
-        this->stats,
-        {});
-    net::http_server other(
-        this->io,
-        {},
-        [&](net::http_request request, net::http_exchange& exchange) {
-            asio::post(this->io, [&] { fresh.set_table(this->index); });
-            return fresh.handle(std::move(request), exchange);
-        });
-    this->address = base::handle(
-        [&] {
-            return other.listen({"127.0.0.1", 0});
-        },
-        [](const base::error&) { return wire::endpoint{}; });
-    EXPECT_EQ(this->ask("/once/x").answer.status, 200U);
+    auto fresh = this->make_forwarder();
+    const auto outcome =
+        this->ask_fresh(fresh, [&] { fresh.set_table(this->index); });
+    EXPECT_EQ(outcome.answer.status, 200U);
 }
 
 // Guards against a request that is neither served nor forgotten, since its
