gateway: test that a stop ends no stream that has begun

The tests of the planned stop stayed green in a trial in which late ticks also ended streams whose callers get events, and in one in which calls were no longer judged before their attempt, but only after the connect: callers then got `no_server`.

Change: a_stream_that_has_begun_is_not_ended_early is new, and refusals late in a stop have to name `server_leaving`. Both pass; the code is unchanged.

--- a/oleanderhinge/gateway/drain_test.cpp
+++ b/oleanderhinge/gateway/drain_test.cpp
@@ -124,6 +124,8 @@
         if (row.served)
             continue;
         EXPECT_NE(this->retry_after(outcome), "") << row.what;
+        EXPECT_NE(outcome.answer.body.find("server_leaving"), std::string::npos)
+            << row.what;
         EXPECT_NE(
             outcome.answer.body.find("\"execution\":\"not_run\""),
             std::string::npos)
@@ -250,6 +252,24 @@
     }
 }
 
+// Guards against a stream that is cut off while its caller gets events, since
+// requests without an answer are ended before the process.
+TEST_F(drain, a_stream_that_has_begun_is_not_ended_early)
+{
+    this->prefer_first_path();
+    this->first.behave =
+        pause_after_first_event(this->io, "", this->state_queries, [this] {
+            if (this->stats.events.Value() == 0)
+                return false;
+            this->begin_drain(100ms);
+            this->forward.tick();
+            return true;
+        });
+    this->second.behave = this->first.behave;
+    EXPECT_EQ(this->ask("/talk/x").answer.body, three_events);
+    EXPECT_EQ(this->runs(), 1U);
+}
+
 // A second signal, or a pause of the process, ends the drain without a further
 // tick. Guards against requests that are cut off without an answer by it.
 TEST_F(drain, requests_get_an_answer_if_it_ends_at_once)
