net: limit the empty lines before a request

Callers would not see it; a caller could. Since empty lines are skipped, one that sends them without end kept its connection busy for the time that it may be idle, 75 s, in a planned stop too.

Cause: the time bounds the wait for a request, but nothing bounded the bytes.

Change: as many bytes of empty lines are skipped as a head may have. Behind them the connection closes.

Test: a row of net.http_framing_limits.a_server_reads_no_request_without_end; it failed before the change and passes with it. All 46 tests of net_test pass.

--- a/oleanderhinge/net/http_framing_limits_test.cpp
+++ b/oleanderhinge/net/http_framing_limits_test.cpp
@@ -40,7 +40,8 @@
 // Whether the peer closes the connection before it has read all.
 asio::awaitable<bool> is_cut_short(tcp::socket& socket, std::string begin)
 {
-    begin.append(std::size_t(64) << 20, 'x');
+    const char last = begin.ends_with('\n') ? '\n' : 'x';
+    begin.append(std::size_t(64) << 20, last);
     const auto [failed, size] =
         co_await asio::async_write(socket, asio::buffer(begin), as_pair);
     co_return failed.failed();
@@ -84,7 +85,9 @@
 // Guards against a server whose memory any caller can fill.
 TEST(http_framing_limits, a_server_reads_no_request_without_end)
 {
-    for (const auto& begin : beginnings("POST / HTTP/1.1\r\nHost: x\r\n")) {
+    auto rows = beginnings("POST / HTTP/1.1\r\nHost: x\r\n");
+    rows.emplace_back("\n");
+    for (const auto& begin : rows) {
         asio::io_context io;
         int served = 0;
         http_server server(
--- a/oleanderhinge/net/http_server.cpp
+++ b/oleanderhinge/net/http_server.cpp
@@ -39,8 +39,8 @@
 constexpr auto as_pair = asio::as_tuple(asio::use_awaitable);
 
 // Removes the empty lines that a client may send before a request (RFC 9112,
-// section 2.2).
-void remove_empty_lines(beast::flat_buffer& buffer)
+// section 2.2). Returns their size in bytes.
+std::size_t remove_empty_lines(beast::flat_buffer& buffer)
 {
     const auto bytes = buffer.data();
     const std::string_view unread(
@@ -50,6 +50,7 @@
            unread.substr(size).starts_with('\n'))
         size += unread[size] == '\r' ? 2 : 1;
     buffer.consume(size);
+    return size;
 }
 
 // Whether the buffer holds the beginning of a request. Expects no empty lines
@@ -110,16 +111,18 @@
         stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     }
 
-    // Reads until a request has begun. Returns false if the client leaves or
-    // is idle for too long, or if a stop finds no request.
+    // Reads until a request has begun. Returns false if the client leaves, is
+    // idle for too long or sends too many empty lines, or if a stop finds no
+    // request.
     asio::awaitable<bool> await_request(
         std::uint64_t id, beast::tcp_stream& stream, beast::flat_buffer& buffer)
     {
         // Empty lines do not prolong it.
         stream.expires_after(this->limits.idle_timeout);
-        remove_empty_lines(buffer);
+        auto skipped = remove_empty_lines(buffer);
         while (!holds_request(buffer)) {
-            if (this->draining && !has_bytes(stream))
+            if (skipped > this->limits.header_bytes ||
+                (this->draining && !has_bytes(stream)))
                 co_return false;
             this->set_idle(id, true);
             const auto [failed, size] =
@@ -128,7 +131,7 @@
             if (failed)
                 co_return false;
             buffer.commit(size);
-            remove_empty_lines(buffer);
+            skipped += remove_empty_lines(buffer);
         }
         co_return true;
     }
