gateway: read an answer while the body is still being written

What callers saw: a server that refused a long body before it had read it, and then read no further or closed the connection, cost its caller the request: 502 at the caller's deadline, or at once with 'send: Connection reset by peer', although the server had said that it did not run it. Its Retry-After or signal of leaving was not read, so that other requests reached it. An early whole answer was lost in the same way.

Cause: `send` returned after the last byte of the body, and only then was the answer read. A reset that followed the answer failed the write.

Ruled out: buffers of the connection that hide the fault; the server of the test has a small receive buffer, and the body is as long as callers may send (4 MiB).

Change: `upstream_connection::send` also returns when bytes of an answer arrive. The rest of the body is written while the answer is read, so that a server that reads on gets the body. A refusal closes the connection, and one whose request has not been written whole is never kept. When the server closes the connection without an answer, the attempt fails at once and not at the deadline. Ids and the 'not run' mark are checked as before.

--- a/oleanderhinge/gateway/forwarder.cpp
+++ b/oleanderhinge/gateway/forwarder.cpp
@@ -143,6 +143,9 @@
             left->connection->cancel();
     });
     co_await this->serve(request);
+    // The body may still be written.
+    if (request.connection)
+        request.connection->cancel();
     this->running.erase(held);
     this->stats.in_progress.Set(double(this->running.size()));
     this->log_answer(request);
--- a/oleanderhinge/gateway/forwarder_fixture_test.hpp
+++ b/oleanderhinge/gateway/forwarder_fixture_test.hpp
@@ -83,6 +83,9 @@
     return protocol;
 }
 
+// As much as a caller of the platform may send.
+inline constexpr std::size_t max_body_bytes = std::size_t(4) << 20;
+
 // A backend server that answers as `behave` says.
 struct backend {
     using behaviour = std::function<asio::awaitable<void>(
@@ -91,7 +94,7 @@
     explicit backend(asio::io_context& io)
         : server(
               io,
-              {},
+              {.body_bytes = max_body_bytes},
               [this](net::http_request request, net::http_exchange& exchange)
                   -> asio::awaitable<void> {
                   this->seen.push_back(request);
@@ -235,7 +238,7 @@
                    }})
         , front(
               io,
-              {},
+              {.body_bytes = max_body_bytes},
               [this](net::http_request request, net::http_exchange& exchange) {
                   return this->forward.handle(std::move(request), exchange);
               })
@@ -332,7 +335,7 @@
                     this->method,
                     target,
                     {{"Id", this->request_id}, {"Key", this->key}},
-                    "body"};
+                    this->request_body};
                 if (!this->part.empty())
                     call.headers.push_back({"Part", this->part});
                 if (this->patience.count() != 0)
@@ -471,6 +474,7 @@
     std::string method = "POST";
     std::string request_id = "r1";
     std::string key = "key";
+    std::string request_body = "body";
     // The caller's time; zero: two seconds.
     std::chrono::milliseconds patience{0};
     int state_queries = 0;
--- a/oleanderhinge/gateway/internal/forwarder_attempts.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_attempts.cpp
@@ -62,7 +62,8 @@
 }
 
 // Connects if needed and sends the request over `request.connection`. Success
-// has the result `answered`, although no answer has been read yet.
+// has the result `answered`, although no answer has been read yet and the body
+// may still be written.
 asio::awaitable<forwarder::attempt_result> forwarder::send_request(
     forwarding_request& request,
     const base::backend_server_id& server,
@@ -91,7 +92,7 @@
     }
     ++request.possible_runs;
     const error_code failed =
-        co_await request.connection->send(to_send, request.deadline);
+        co_await request.connection->send(std::move(to_send), request.deadline);
     if (failed)
         co_return failed_with<attempt_result>(
             base::may_have_run(
@@ -143,6 +144,9 @@
             if (!metadata.not_run)
                 co_return attempt_result{};
             --request.possible_runs;
+            // The server does not want the rest of the body.
+            if (!request.connection->sent())
+                request.connection->cancel();
             co_return failed_with<attempt_result>(
                 base::not_run(
                     failure_code::server_failed,
--- a/oleanderhinge/gateway/upstream.cpp
+++ b/oleanderhinge/gateway/upstream.cpp
@@ -6,6 +6,8 @@
 #include "oleanderhinge/net/second_answer.hpp"
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
@@ -37,6 +39,7 @@
     : stream(io)
     , peer(std::move(server))
     , is_new(fresh_in)
+    , progress(io, steady_time::max())
     , buffer(net::max_unparsed_bytes)
 {
 }
@@ -58,15 +61,44 @@
 }
 
 asio::awaitable<error_code>
-upstream_connection::send(const net::http_request& request, steady_time limit)
+upstream_connection::send(net::http_request request, steady_time limit)
 {
     if (this->cancelled)
         co_return asio::error::operation_aborted;
     this->head_alone = request.method() == http::verb::head;
+    this->outgoing = std::move(request);
+    this->written.reset();
     this->stream.expires_at(limit);
-    const auto [failed, size] =
-        co_await http::async_write(this->stream, request, as_pair);
-    co_return failed;
+    http::async_write(
+        this->stream,
+        *this->outgoing,
+        [self = this->shared_from_this()](error_code failed, std::size_t) {
+            self->outgoing.reset();
+            self->written = failed;
+            self->progress.cancel();
+        });
+    // Whether bytes have arrived or the server has closed the connection; unset
+    // while waiting for that.
+    std::optional<bool> readable;
+    asio::cancellation_signal stop;
+    this->stream.socket().async_wait(
+        tcp::socket::wait_read,
+        asio::bind_cancellation_slot(
+            stop.slot(),
+            [self = this->shared_from_this(), &readable](error_code failed) {
+                readable = !failed;
+                self->progress.cancel();
+            }));
+    while (!this->written && !readable.value_or(false))
+        co_await this->progress.async_wait(as_pair);
+    stop.emit(asio::cancellation_type::terminal);
+    while (!readable)
+        co_await this->progress.async_wait(as_pair);
+    // A server that answers and closes the connection may fail the write.
+    error_code closed;
+    if (this->sent() || this->stream.socket().available(closed) > 0)
+        co_return error_code{};
+    co_return this->written.value_or(asio::error::eof);
 }
 
 asio::awaitable<error_code> upstream_connection::read_head(steady_time limit)
@@ -118,6 +150,11 @@
     this->stream.socket().close(ignored);
 }
 
+bool upstream_connection::sent() const
+{
+    return this->written && !this->written->failed();
+}
+
 unsigned upstream_connection::status() const
 {
     return this->answer->get().result_int();
@@ -151,8 +188,8 @@
 bool upstream_connection::reusable()
 {
     // Bytes after a complete answer belong to no request.
-    return !this->cancelled && this->complete() && this->answer->keep_alive() &&
-           this->buffer.size() == 0;
+    return !this->cancelled && this->sent() && this->complete() &&
+           this->answer->keep_alive() && this->buffer.size() == 0;
 }
 
 upstream_pool::upstream_pool(asio::io_context& context)
@@ -178,7 +215,7 @@
 void upstream_pool::keep(upstream_pointer connection)
 {
     if (!connection->reusable())
-        return;
+        return connection->cancel();
     connection->stream.expires_never();
     connection->is_new = false;
     connection->answer.reset();
--- a/oleanderhinge/gateway/upstream.hpp
+++ b/oleanderhinge/gateway/upstream.hpp
@@ -5,7 +5,7 @@
 // Example:
 //   auto connection = pool.take(server, net::reuse::allowed);
 //   if (auto failed = co_await connection->connect(limit)) ...
-//   if (auto failed = co_await connection->send(request, limit)) ...
+//   if (auto failed = co_await connection->send(std::move(request), limit)) ...
 //   if (auto failed = co_await connection->read_head(limit)) ...
 //   while (!connection->complete())
 //       if (auto failed = co_await connection->read_body(text, limit)) ...
@@ -18,6 +18,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/buffer_body.hpp>
@@ -43,7 +44,9 @@
 // Limit on idle connections to one server.
 inline constexpr std::size_t max_idle_connections = 64;
 
+// Must be owned by an `upstream_pointer` when it sends.
 class upstream_connection
+    : public std::enable_shared_from_this<upstream_connection>
 {
 public:
     upstream_connection(
@@ -54,8 +57,11 @@
     // Does nothing on a connection that was kept.
     boost::asio::awaitable<boost::system::error_code>
     connect(steady_time limit);
+    // Ends early if an answer begins before the request has been written, as a
+    // server may refuse a long body before it has read it. The rest is written
+    // while the answer is read, until `limit` or `cancel`.
     boost::asio::awaitable<boost::system::error_code>
-    send(const net::http_request& request, steady_time limit);
+    send(net::http_request request, steady_time limit);
     // Reads status and fields of the next answer; skips informational ones.
     boost::asio::awaitable<boost::system::error_code>
     read_head(steady_time limit);
@@ -66,6 +72,8 @@
     // Ends the present operation and closes the connection.
     void cancel();
 
+    // True once the whole request has been written.
+    bool sent() const;
     // Valid after `read_head`.
     unsigned status() const;
     // Those of the head alone: what follows the chunks of a body is neither
@@ -95,6 +103,12 @@
     const wire::endpoint peer;
     bool is_new;
     bool cancelled = false;
+    // The request that is being written.
+    std::optional<net::http_request> outgoing;
+    // Unset while a request is being written.
+    std::optional<boost::system::error_code> written;
+    // Cancelled when `send` has something to look at.
+    boost::asio::steady_timer progress;
     // The present request has the method HEAD, whose answer is a head alone.
     bool head_alone = false;
     boost::beast::flat_buffer buffer;
@@ -115,7 +129,7 @@
     // An idle connection if reuse is allowed and one is open, else a new one
     // that is not connected yet.
     upstream_pointer take(const wire::endpoint& server, net::reuse allowed);
-    // Keeps the connection for reuse if another request may follow on it.
+    // Keeps the connection if another request may follow on it, or closes it.
     void keep(upstream_pointer connection);
 
 private:
