gateway: count the pause of a refusal without an id

What callers would see: nothing by themselves; a server that refuses with 503 and Retry-After before it has read the id of the request, on a kept connection, gets further requests within the time that it asked for, which BUDGET forbids.

Cause: on a kept connection such an answer is taken for that to another request, whose time is not counted since it may be over.

Ruled out: the same refusal on a new connection, where it is the answer to the request (the_head_of_a_refusal_begins_the_backoff).

Change: only the time in an answer that names another request is not counted. A late copy without an id extends the pause by its lateness at most.

a_refusal_without_an_id_begins_the_backoff failed before: no signal was recorded for 503 with 3600 s. The request itself still waits for its own answer, as before.

--- a/oleanderhinge/gateway/forwarder_signals_test.cpp
+++ b/oleanderhinge/gateway/forwarder_signals_test.cpp
@@ -385,6 +385,29 @@
         }
 }
 
+// A server refuses before it has read the id of a request. Guards against a
+// pause that counts on new connections only.
+TEST_F(forwarder_signals, a_refusal_without_an_id_begins_the_backoff)
+{
+    raw_backend raw(this->io);
+    raw.answers = {
+        {"HTTP/1.1 200 OK\r\nId: r1\r\nSeal: 1\r\n"
+         "Content-Length: 0\r\n\r\n"},
+        {"HTTP/1.1 503 Full\r\nRetry-After: 3600\r\n"
+         "Content-Length: 0\r\n\r\n"}};
+    this->selector.servers = {};
+    this->add_server("first", "near", raw.address());
+    this->add_server("second", "far", this->second);
+    this->second.behave = answer;
+    this->patience = 200ms;
+    this->ask_preferring_first("/read/x");
+    this->ask_preferring_first("/read/x");
+    EXPECT_EQ(raw.seen.size(), 2U);
+    EXPECT_EQ(raw.connections, 1);
+    ASSERT_EQ(this->selector.signals.servers.size(), 1U);
+    EXPECT_TRUE(this->selector.signals.servers.begin()->second.backoff_until);
+}
+
 // Guards against a caller that waits as long as one server asked this gateway
 // to wait, while another server is free.
 TEST_F(forwarder_signals, a_relayed_refusal_has_the_retry_after_of_the_gateway)
--- a/oleanderhinge/gateway/internal/forwarder_attempts.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_attempts.cpp
@@ -128,8 +128,9 @@
                             (metadata.id.empty() && first_on_connection);
         const bool joined = metadata.mark == server_mark::ambiguous;
         // A late answer still shows that the server leaves, but the time that
-        // it asked for may be over.
-        if (!is_own || joined)
+        // it asked for may be over. One without an id may be that to this
+        // request.
+        if ((!is_own && !metadata.id.empty()) || joined)
             metadata.retry_after.clear();
         this->signals.record(
             request.sent_to,
