net: one raw server for the tests of calls and of answers

The server that writes its answers byte by byte moves from gateway/ to net/. The tests of http_client's answers use it in place of one of their own, and three tests move there from http_client_test.cpp, whose server lost what only they used. No check is dropped; that a call on a kept connection opens no other one was implied by a server that accepted one, and is checked now.

--- a/oleanderhinge/gateway/forwarder_signals_test.cpp
+++ b/oleanderhinge/gateway/forwarder_signals_test.cpp
@@ -1,7 +1,7 @@
 // Guards against requests that reach a server after it has said that it leaves
 // or that it wants no requests for a time.
 #include "oleanderhinge/gateway/forwarder_fixture_test.hpp"
-#include "oleanderhinge/gateway/raw_backend_test.hpp"
+#include "oleanderhinge/net/raw_backend_test.hpp"
 
 #include <algorithm>
 #include <iostream>
@@ -12,6 +12,8 @@
 {
 
 using namespace test;
+using net::test::after_answer;
+using net::test::raw_backend;
 
 const wire::header leaving{"Leaving", "1"};
 
--- a/oleanderhinge/gateway/raw_answers_fixture_test.hpp
+++ b/oleanderhinge/gateway/raw_answers_fixture_test.hpp
@@ -8,7 +8,7 @@
 #pragma once
 
 #include "oleanderhinge/gateway/forwarder_fixture_test.hpp"
-#include "oleanderhinge/gateway/raw_backend_test.hpp"
+#include "oleanderhinge/net/raw_backend_test.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -21,6 +21,9 @@
 {
 
 namespace http = boost::beast::http;
+using net::test::after_answer;
+using net::test::raw_answer;
+using net::test::raw_backend;
 
 inline const std::string genuine = "Id: r1\r\nSeal: 1\r\n";
 inline const std::string event_2 = "id: 2\ndata: x\n\n";
--- a/oleanderhinge/net/http_client_answers_test.cpp
+++ b/oleanderhinge/net/http_client_answers_test.cpp
@@ -2,13 +2,8 @@
 // taken for a whole one.
 #include "oleanderhinge/net/http_client.hpp"
 
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
+#include "oleanderhinge/net/raw_backend_test.hpp"
+
 #include <gtest/gtest.h>
 
 namespace oleanderhinge::net
@@ -17,65 +12,39 @@
 {
 
 namespace asio = boost::asio;
-using asio::ip::tcp;
 using namespace std::chrono_literals;
+using test::after_answer;
+using test::raw_backend;
 
-constexpr auto as_pair = asio::as_tuple(asio::use_awaitable);
-
-enum class ending : std::uint8_t { keep, close, reset };
 enum class carrier : std::uint8_t { fresh, kept };
 
-// Answers the last request of `expected` with `bytes`, and those before it with
-// a whole answer.
-asio::awaitable<void>
-serve(tcp::acceptor& acceptor, int expected, std::string bytes, ending then)
-{
-    auto [failed, socket] = co_await acceptor.async_accept(as_pair);
-    std::string received;
-    for (int left = expected; !failed && left > 0; --left) {
-        const auto [cut, size] = co_await asio::async_read_until(
-            socket, asio::dynamic_buffer(received), "\r\n\r\n", as_pair);
-        if (cut)
-            co_return;
-        received.erase(0, size);
-        const auto& text =
-            left > 1 ? "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1" : bytes;
-        co_await asio::async_write(socket, asio::buffer(text), as_pair);
-    }
-    if (then == ending::reset)
-        socket.set_option(tcp::socket::linger(true, 0));
-    if (then == ending::keep)
-        co_await socket.async_wait(tcp::socket::wait_read, as_pair);
-    socket.close();
-}
-
 // The outcome of a call whose answer is `bytes`.
 http_outcome answered_with(
     const std::string& bytes,
-    ending then,
+    after_answer then,
     carrier on = carrier::fresh,
     const std::string& method = "GET")
 {
     asio::io_context io;
-    tcp::acceptor acceptor(
-        io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-    const wire::endpoint server{"127.0.0.1", acceptor.local_endpoint().port()};
+    raw_backend server(io);
+    if (on == carrier::kept)
+        server.answers = {{"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1"}};
+    server.answers.push_back({bytes, then});
     http_client client(io, 1);
-    const int calls = on == carrier::kept ? 2 : 1;
     http_outcome outcome;
-    asio::co_spawn(io, serve(acceptor, calls, bytes, then), asio::detached);
     asio::co_spawn(
         io,
         [&]() -> asio::awaitable<void> {
-            for (int i = 0; i < calls; ++i) {
+            while (!server.answers.empty()) {
                 http_call call{method, "/", {}, ""};
                 outcome = co_await client.call(
-                    server, std::move(call), 5s, reuse::allowed);
+                    server.address(), std::move(call), 5s, reuse::allowed);
             }
             io.stop();
         },
         asio::detached);
     io.run();
+    EXPECT_EQ(server.connections, 1);
     return outcome;
 }
 
@@ -100,14 +69,14 @@
         const std::string head = f.head;
         const auto whole = head + f.body;
         for (const auto on : {carrier::fresh, carrier::kept})
-            for (const auto then : {ending::close, ending::reset})
+            for (const auto then : {after_answer::close, after_answer::reset})
                 for (std::size_t cut = 0; cut <= whole.size(); ++cut) {
                     const auto bytes = whole.substr(0, cut);
                     const auto outcome = answered_with(bytes, then, on);
                     // Without a framing, no byte shows that a plain close is
                     // not the end.
                     const bool open_end = f.ends_with_connection &&
-                                          then == ending::close &&
+                                          then == after_answer::close &&
                                           cut >= head.size();
                     const auto expected =
                         open_end ? bytes.substr(head.size()) : body;
@@ -117,7 +86,7 @@
                     } else {
                         EXPECT_EQ(outcome.failure, http_failure::unknown);
                         EXPECT_FALSE(
-                            cut == whole.size() && then == ending::close)
+                            cut == whole.size() && then == after_answer::close)
                             << bytes;
                     }
                 }
@@ -136,13 +105,70 @@
             for (std::size_t cut = 1; cut < head.size(); ++cut) {
                 const auto bytes = head.substr(0, cut) + other;
                 EXPECT_EQ(
-                    answered_with(bytes, ending::close, on).failure,
+                    answered_with(bytes, after_answer::close, on).failure,
                     http_failure::unknown)
                     << bytes;
             }
     }
 }
 
+// Each row: an answer with another one inside. Guards against bytes of the
+// second one in the outcome of a call or an order.
+TEST(http_client, an_answer_with_another_one_inside_is_a_failure)
+{
+    const std::string second = "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n";
+    for (const auto& bytes : {
+             "HTTP/1.1 200 OK\r\n\r\ndone" + second,
+             "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\ndone" + second,
+             "HTTP/1.1 200 OK\r\nNote: a" + second,
+             "HTTP/1.1 200 O" + second,
+         }) {
+        const auto outcome = answered_with(bytes, after_answer::close);
+        EXPECT_EQ(outcome.failure, http_failure::unknown) << bytes;
+        EXPECT_EQ(outcome.answer.body, "") << bytes;
+    }
+}
+
+// Guards against an informational answer that is taken for the final one, such
+// as for the consent to an order that is refused.
+TEST(http_client, an_informational_answer_is_not_the_answer)
+{
+    const auto outcome = answered_with(
+        "HTTP/1.1 103 Early Hints\r\n\r\n"
+        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1",
+        after_answer::keep);
+    EXPECT_EQ(outcome.answer.status, 200U);
+    EXPECT_EQ(outcome.answer.body, "1");
+}
+
+// Guards against a call that never ends, since its method has no body
+// otherwise.
+TEST(http_client, a_body_may_come_with_any_method)
+{
+    for (const std::string method : {"POST", "GET", "HEAD", "DELETE", "TRACE"}) {
+        asio::io_context io;
+        raw_backend server(io);
+        server.answers = {{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}};
+        http_client client(io, 1);
+        http_outcome outcome;
+        asio::co_spawn(
+            io,
+            [&]() -> asio::awaitable<void> {
+                http_call call{method, "/", {}, "body"};
+                outcome = co_await client.call(
+                    server.address(), std::move(call), 5s, reuse::allowed);
+            },
+            [&](const std::exception_ptr& thrown) {
+                EXPECT_FALSE(thrown) << method;
+                io.stop();
+            });
+        io.run();
+        EXPECT_EQ(outcome.answer.status, 200U) << method;
+        ASSERT_EQ(server.seen.size(), 1U) << method;
+        EXPECT_EQ(server.seen[0].body(), "body") << method;
+    }
+}
+
 // Guards against coded bytes that are taken for the body.
 TEST(http_client, an_answer_with_a_transfer_coding_but_chunked_is_none)
 {
@@ -166,7 +192,8 @@
         {"Transfer-Encoding: chunked\r\nContent-Length: 4\r\n", chunks, false}};
     for (const auto& r : rows) {
         const auto outcome = answered_with(
-            "HTTP/1.1 200 OK\r\n" + r.fields + "\r\n" + r.body, ending::close);
+            "HTTP/1.1 200 OK\r\n" + r.fields + "\r\n" + r.body,
+            after_answer::close);
         EXPECT_EQ(
             outcome.failure,
             r.accepted ? http_failure::none : http_failure::unknown)
@@ -182,7 +209,7 @@
          {"Content-Length: 4", "Transfer-Encoding: chunked", "X: y"}) {
         const auto outcome = answered_with(
             "HTTP/1.1 200 OK\r\n" + std::string(field) + "\r\n\r\n",
-            ending::keep,
+            after_answer::keep,
             carrier::fresh,
             "HEAD");
         EXPECT_EQ(outcome.failure, http_failure::none) << field;
--- a/oleanderhinge/net/http_client_test.cpp
+++ b/oleanderhinge/net/http_client_test.cpp
@@ -24,9 +24,6 @@
 
 enum class second_copy : std::uint8_t { none, with_the_answer, later };
 
-// Sent before each answer.
-constexpr const char* informational = "HTTP/1.1 103 Early Hints\r\n\r\n";
-
 // Answers each request with its number, and may send a copy of the answer.
 class copying_server
 {
@@ -53,11 +50,6 @@
     void stop() { this->acceptor.close(); }
 
     int connections = 0;
-    // The head of the last request.
-    std::string received;
-    std::string before_answers;
-    // Written in place of the numbered answers, before the connection closes.
-    std::string only_answer;
 
 private:
     asio::awaitable<void> accept()
@@ -77,23 +69,17 @@
 
     asio::awaitable<void> serve(std::shared_ptr<tcp::socket> socket)
     {
-        std::string unread;
+        std::string received;
         while (true) {
             const auto [failed, size] = co_await asio::async_read_until(
-                *socket, asio::dynamic_buffer(unread), "\r\n\r\n", as_pair);
+                *socket, asio::dynamic_buffer(received), "\r\n\r\n", as_pair);
             if (failed)
                 co_return;
-            this->received = unread.substr(0, size);
-            unread.erase(0, size);
-            if (!this->only_answer.empty()) {
-                co_await asio::async_write(
-                    *socket, asio::buffer(this->only_answer), as_pair);
-                co_return;
-            }
+            received.erase(0, size);
             this->last_socket = socket;
             this->last_answer = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" +
                                 std::to_string(++this->requests);
-            auto sent = this->before_answers + this->last_answer;
+            auto sent = this->last_answer;
             if (this->when == second_copy::with_the_answer)
                 sent += this->last_answer;
             co_await asio::async_write(*socket, asio::buffer(sent), as_pair);
@@ -108,27 +94,6 @@
     int requests = 0;
 };
 
-// The outcome of one call to the server.
-http_outcome
-ask(asio::io_context& io, copying_server& server, http_call call = {})
-{
-    http_client client(io, 1);
-    http_outcome outcome;
-    asio::co_spawn(
-        io,
-        [&]() -> asio::awaitable<void> {
-            outcome = co_await client.call(
-                server.address(), std::move(call), 5s, reuse::allowed);
-        },
-        [&](const std::exception_ptr& thrown) {
-            EXPECT_FALSE(thrown);
-            server.stop();
-            io.stop();
-        });
-    io.run();
-    return outcome;
-}
-
 TEST(http_client, a_second_copy_of_an_answer_is_not_the_next_answer)
 {
     struct row {
@@ -165,53 +130,6 @@
     }
 }
 
-// Each row: an answer with another one inside. Guards against bytes of the
-// second one in the outcome of a call or an order.
-TEST(http_client, an_answer_with_another_one_inside_is_a_failure)
-{
-    const std::string second = "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n";
-    for (const auto& bytes : {
-             "HTTP/1.1 200 OK\r\n\r\ndone" + second,
-             "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\ndone" + second,
-             "HTTP/1.1 200 OK\r\nNote: a" + second,
-             "HTTP/1.1 200 O" + second,
-         }) {
-        asio::io_context io;
-        copying_server server(io, second_copy::none);
-        server.only_answer = bytes;
-        const auto outcome = ask(io, server);
-        EXPECT_EQ(outcome.failure, http_failure::unknown) << bytes;
-        EXPECT_EQ(outcome.answer.body, "") << bytes;
-    }
-}
-
-// Guards against a call that never ends, since its method has no body
-// otherwise.
-TEST(http_client, a_body_may_come_with_any_method)
-{
-    for (const auto* method : {"POST", "GET", "HEAD", "DELETE", "TRACE"}) {
-        asio::io_context io;
-        copying_server server(io, second_copy::none);
-        const auto outcome = ask(io, server, {method, "/", {}, "body"});
-        EXPECT_EQ(outcome.answer.status, 200U) << method;
-        EXPECT_NE(
-            server.received.find("Content-Length: 4\r\n"), std::string::npos)
-            << method;
-    }
-}
-
-// Guards against an informational answer that is taken for the final one, such
-// as for the consent to an order that is refused.
-TEST(http_client, an_informational_answer_is_not_the_answer)
-{
-    asio::io_context io;
-    copying_server server(io, second_copy::none);
-    server.before_answers = informational;
-    const auto outcome = ask(io, server);
-    EXPECT_EQ(outcome.answer.status, 200U);
-    EXPECT_EQ(outcome.answer.body, "1");
-}
-
 // Guards against an answer to a call that needs a new connection and is taken
 // for the answer to a later one.
 TEST(http_client, a_connection_of_a_call_that_needs_a_new_one_is_not_kept)
--- a/oleanderhinge/gateway/raw_backend_test.hpp
+++ b/oleanderhinge/net/raw_backend_test.hpp
@@ -27,7 +27,7 @@
 #include <string>
 #include <vector>
 
-namespace oleanderhinge::gateway::test
+namespace oleanderhinge::net::test
 {
 
 // What the server does with a connection after an answer.
@@ -129,4 +129,4 @@
     boost::asio::ip::tcp::acceptor acceptor;
 };
 
-} // namespace oleanderhinge::gateway::test
+} // namespace oleanderhinge::net::test
