--- a/oleanderhinge/gateway/drain_test.cpp
+++ b/oleanderhinge/gateway/drain_test.cpp
@@ -270,6 +270,19 @@
     EXPECT_EQ(this->runs(), 1U);
 }
 
+// Guards against a stream that is not resumed late in a stop, although its
+// caller has events already.
+TEST_F(drain, a_stream_that_has_begun_is_resumed_late)
+{
+    this->begin_drain(early);
+    this->prefer_first_path();
+    this->first.behave = this->and_drain(break_off);
+    this->second.behave = stream;
+    EXPECT_EQ(
+        this->ask("/talk/x").answer.body,
+        "id: 1\ndata: a\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n");
+}
+
 // A second signal, or a pause of the process, ends the drain without a further
 // tick. Guards against requests that are cut off without an answer by it.
 TEST_F(drain, requests_get_an_answer_if_it_ends_at_once)
--- a/oleanderhinge/gateway/gateway_node_test.cpp
+++ b/oleanderhinge/gateway/gateway_node_test.cpp
@@ -34,7 +34,7 @@
     asio::io_context io;
     gateway_settings settings;
     settings.listen = free_endpoint(io);
-    settings.management = free_endpoint(io);
+    settings.management = {"127.0.0.1", 0};
     auto protocol = make_protocol_adapter();
     protocol.read_request =
         [&io, read = protocol.read_request](const http_fields& fields) {
