net: test that a stop closes idle connections

The tests of the HTTP server stayed green in a trial in which `drain` left idle connections open, so that a process would wait for them until its limit. idle_connections_are_closed fails in that trial and passes here; the code is unchanged.

--- a/oleanderhinge/net/http_server_test.cpp
+++ b/oleanderhinge/net/http_server_test.cpp
@@ -156,6 +156,14 @@
     EXPECT_EQ(answers_in(this->read(2)), 2);
 }
 
+// Guards against a stop that waits for connections without a request.
+TEST_F(http_server_stop, idle_connections_are_closed)
+{
+    this->server.drain();
+    this->io.poll();
+    EXPECT_EQ(this->server.connections(), 0U);
+}
+
 // Guards against a request that is cut off while it is read.
 TEST_F(http_server_stop, a_request_that_is_half_read_is_answered)
 {
