--- a/oleanderhinge/net/http_client_answers_test.cpp
+++ b/oleanderhinge/net/http_client_answers_test.cpp
@@ -145,7 +145,8 @@
 // otherwise.
 TEST(http_client, a_body_may_come_with_any_method)
 {
-    for (const std::string method : {"POST", "GET", "HEAD", "DELETE", "TRACE"}) {
+    for (const std::string method :
+         {"POST", "GET", "HEAD", "DELETE", "TRACE"}) {
         asio::io_context io;
         raw_backend server(io);
         server.answers = {{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}};
