--- a/oleanderhinge/gateway/gateway_node.cpp
+++ b/oleanderhinge/gateway/gateway_node.cpp
@@ -223,7 +223,8 @@
 
 base::result<void> gateway_node::start()
 {
-    BOOST_LEAF_CHECK(this->callers.listen(this->options.listen));
+    BOOST_LEAF_ASSIGN(
+        this->listening, this->callers.listen(this->options.listen));
     BOOST_LEAF_CHECK(this->management.listen(this->options.management));
     for (const auto& address : this->options.metrics) {
         auto page = std::make_unique<net::http_server>(
@@ -237,8 +238,8 @@
         "event=started role=gateway vm={} data_centre={} callers={}:{}",
         this->options.vm.value(),
         this->options.data_centre.value(),
-        this->options.listen.address,
-        this->options.listen.port);
+        this->listening.address,
+        this->listening.port);
     this->schedule_tick();
     return {};
 }
--- a/oleanderhinge/gateway/gateway_node.hpp
+++ b/oleanderhinge/gateway/gateway_node.hpp
@@ -38,6 +38,9 @@
     // Opens the ports and starts the timer. Fails with `io` if a port cannot be
     // opened.
     base::result<void> start();
+    // Where callers connect, with the port that was given for port 0. Valid
+    // after `start`.
+    const wire::endpoint& callers_endpoint() const { return this->listening; }
     // Adds the seeds of changed settings; other changes need a restart.
     void reload(const gateway_settings& changed);
     // Options for `net::run_process`, which call back into this object.
@@ -70,6 +73,7 @@
     control_client control;
     forwarder forward;
     net::http_server callers;
+    wire::endpoint listening;
     net::http_server management;
     std::vector<std::unique_ptr<net::http_server>> metrics_pages;
     boost::asio::steady_timer timer;
--- a/oleanderhinge/gateway/gateway_node_test.cpp
+++ b/oleanderhinge/gateway/gateway_node_test.cpp
@@ -4,7 +4,6 @@
 
 #include "oleanderhinge/gateway/forwarder_fixture_test.hpp"
 
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <gtest/gtest.h>
 
@@ -16,24 +15,16 @@
 {
 
 namespace asio = boost::asio;
-using asio::ip::tcp;
 using namespace std::chrono_literals;
 using namespace test;
 
-wire::endpoint free_endpoint(asio::io_context& io)
-{
-    const tcp::acceptor probe(
-        io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-    return {"127.0.0.1", probe.local_endpoint().port()};
-}
-
 // Guards against a request that is cut off without an answer by a second
 // signal, or by a drain that ends before its last tick.
 TEST(gateway_node, a_process_that_ends_answers_what_it_has_accepted)
 {
     asio::io_context io;
     gateway_settings settings;
-    settings.listen = free_endpoint(io);
+    settings.listen = {"127.0.0.1", 0};
     settings.management = {"127.0.0.1", 0};
     auto protocol = make_protocol_adapter();
     protocol.read_request =
@@ -56,7 +47,10 @@
         [&]() -> asio::awaitable<void> {
             net::http_call call{"POST", "/once/x", {}, "body"};
             outcome = co_await client.call(
-                settings.listen, std::move(call), 5s, net::reuse::never);
+                node.callers_endpoint(),
+                std::move(call),
+                5s,
+                net::reuse::never);
         },
         asio::detached);
     net::run_process(io, node.process_options());
