net: set the length of any request with a body in the same way

`set_length` handled TRACE apart. `prepare_payload` only decides whether an empty body states a length; a body that is not empty always does, whatever the method. The branch is now on the body. No change of behaviour.

--- a/oleanderhinge/net/request_length.cpp
+++ b/oleanderhinge/net/request_length.cpp
@@ -7,10 +7,10 @@
 
 void set_length(http::request<http::string_body>& request)
 {
-    if (request.method() == http::verb::trace && !request.body().empty())
-        request.content_length(request.body().size());
-    else
+    if (request.body().empty())
         request.prepare_payload();
+    else
+        request.content_length(request.body().size());
 }
 
 } // namespace oleanderhinge::net
