entry: use one pair of names for the servers that a chain leaves out

`chain_exclusions` said `always` and `while_possible` for what the query that it fills calls `avoid` and `last_resort`. No change of behaviour.

--- a/oleanderhinge/entry/model_request.hpp
+++ b/oleanderhinge/entry/model_request.hpp
@@ -125,11 +125,11 @@
     report_stage_action>;
 using model_actions = std::vector<model_action>;
 
-// Servers that the next chain leaves out: some always, the others while there
-// is a chain without them.
+// Servers that the next chain leaves out.
 struct chain_exclusions {
-    std::set<base::backend_server_id> always;
-    std::set<base::backend_server_id> while_possible;
+    std::set<base::backend_server_id> avoid;
+    // Used if there is no chain without them.
+    std::set<base::backend_server_id> last_resort;
 };
 
 model_request make_model_request(model_request_spec spec, base::time_point now);
@@ -186,9 +186,9 @@
 
 // Queries.
 
-// Servers that failed are left out. Those that refused are, too, until a token
-// was delivered: then the answer ends if it cannot go on, and a refusing server
-// may have room by now.
+// Servers that failed are avoided. Servers that refused are avoided until a
+// token has been delivered. After that they are the last resort, since an
+// answer that cannot go on ends in an error.
 chain_exclusions exclusions_of(const model_request& request);
 
 // `ran` if a token was delivered, `may_have_run` if an attempt was started,
--- a/oleanderhinge/entry/model_request_test.cpp
+++ b/oleanderhinge/entry/model_request_test.cpp
@@ -228,9 +228,9 @@
             on_token(r, make_token(r, 0), start);
         on_link_lost(r, {"127.0.0.1", 7002}, start);
         const auto excluded = exclusions_of(r);
-        EXPECT_TRUE(excluded.always.contains(lost)) << delivered;
-        EXPECT_EQ(excluded.always.contains(refusing), !delivered);
-        EXPECT_EQ(excluded.while_possible.contains(refusing), delivered);
+        EXPECT_TRUE(excluded.avoid.contains(lost)) << delivered;
+        EXPECT_EQ(excluded.avoid.contains(refusing), !delivered);
+        EXPECT_EQ(excluded.last_resort.contains(refusing), delivered);
     }
 }
 
--- a/oleanderhinge/entry/router.cpp
+++ b/oleanderhinge/entry/router.cpp
@@ -92,9 +92,9 @@
     query.work_rank = route.work_rank;
     query.data_centre = this->here.data_centre;
     query.region = this->here.region;
-    query.avoid.assign(excluded.always.begin(), excluded.always.end());
+    query.avoid.assign(excluded.avoid.begin(), excluded.avoid.end());
     query.last_resort.assign(
-        excluded.while_possible.begin(), excluded.while_possible.end());
+        excluded.last_resort.begin(), excluded.last_resort.end());
     query.prefixes = routing::prefix_hashes(prompt);
     const std::lock_guard lock(this->view_mutex);
     BOOST_LEAF_AUTO(
