net: test second copies of an answer with the raw server, too

The test had a server of its own beside raw_backend, with the same loop that accepts connections. raw_backend can now write bytes that no request asked for, which is all that the test needed. The assertions and rows are as before.

--- a/oleanderhinge/net/http_client_test.cpp
+++ b/oleanderhinge/net/http_client_test.cpp
@@ -2,13 +2,8 @@
 // a kept connection, since its server has sent it twice.
 #include "oleanderhinge/net/http_client.hpp"
 
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
+#include "oleanderhinge/net/raw_backend_test.hpp"
+
 #include <gtest/gtest.h>
 
 namespace oleanderhinge::net
@@ -17,82 +12,16 @@
 {
 
 namespace asio = boost::asio;
-using asio::ip::tcp;
 using namespace std::chrono_literals;
+using test::raw_backend;
 
-constexpr auto as_pair = asio::as_tuple(asio::use_awaitable);
-
-enum class second_copy : std::uint8_t { none, with_the_answer, later };
-
-// Answers each request with its number, and may send a copy of the answer.
-class copying_server
+std::string numbered_answer(int number)
 {
-public:
-    copying_server(asio::io_context& io_in, second_copy when_in)
-        : io(io_in)
-        , when(when_in)
-        , acceptor(io_in, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
-    {
-        asio::co_spawn(this->io, this->accept(), asio::detached);
-    }
-
-    wire::endpoint address() const
-    {
-        return {"127.0.0.1", this->acceptor.local_endpoint().port()};
-    }
-
-    // Sends the copy of the last answer.
-    void send_copy()
-    {
-        asio::write(*this->last_socket, asio::buffer(this->last_answer));
-    }
-
-    void stop() { this->acceptor.close(); }
-
-    int connections = 0;
-
-private:
-    asio::awaitable<void> accept()
-    {
-        while (true) {
-            auto [failed, socket] =
-                co_await this->acceptor.async_accept(as_pair);
-            if (failed)
-                co_return;
-            ++this->connections;
-            asio::co_spawn(
-                this->io,
-                this->serve(std::make_shared<tcp::socket>(std::move(socket))),
-                asio::detached);
-        }
-    }
-
-    asio::awaitable<void> serve(std::shared_ptr<tcp::socket> socket)
-    {
-        std::string received;
-        while (true) {
-            const auto [failed, size] = co_await asio::async_read_until(
-                *socket, asio::dynamic_buffer(received), "\r\n\r\n", as_pair);
-            if (failed)
-                co_return;
-            received.erase(0, size);
-            this->last_socket = socket;
-            this->last_answer = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" +
-                                std::to_string(++this->requests);
-            auto sent = this->last_answer;
-            if (this->when == second_copy::with_the_answer)
-                sent += this->last_answer;
-            co_await asio::async_write(*socket, asio::buffer(sent), as_pair);
-        }
-    }
+    return "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" +
+           std::to_string(number);
+}
 
-    asio::io_context& io;
-    const second_copy when;
-    tcp::acceptor acceptor;
-    std::shared_ptr<tcp::socket> last_socket;
-    std::string last_answer;
-    int requests = 0;
-};
+enum class second_copy : std::uint8_t { none, with_the_answer, later };
 
 TEST(http_client, a_second_copy_of_an_answer_is_not_the_next_answer)
 {
@@ -106,21 +35,26 @@
         {second_copy::later, 2}};
     for (const auto& r : rows) {
         asio::io_context io;
-        copying_server server(io, r.when);
+        raw_backend server(io);
+        for (const int number : {1, 2}) {
+            const auto answer = numbered_answer(number);
+            server.answers.push_back({answer});
+            if (r.when == second_copy::with_the_answer)
+                server.answers.back().bytes += answer;
+        }
         http_client client(io, 1);
         std::vector<std::string> answers;
         asio::co_spawn(
             io,
             [&]() -> asio::awaitable<void> {
-                for (int i = 0; i < 2; ++i) {
+                for (const int number : {1, 2}) {
                     http_call call{"GET", "/", {}, ""};
                     const auto outcome = co_await client.call(
                         server.address(), std::move(call), 5s, reuse::allowed);
                     answers.push_back(outcome.answer.body);
                     if (r.when == second_copy::later)
-                        server.send_copy();
+                        server.write(numbered_answer(number));
                 }
-                server.stop();
                 io.stop();
             },
             asio::detached);
@@ -135,7 +69,8 @@
 TEST(http_client, a_connection_of_a_call_that_needs_a_new_one_is_not_kept)
 {
     asio::io_context io;
-    copying_server server(io, second_copy::none);
+    raw_backend server(io);
+    server.answers = {{numbered_answer(1)}, {numbered_answer(2)}};
     http_client client(io, 1);
     asio::co_spawn(
         io,
@@ -145,7 +80,6 @@
                 co_await client.call(
                     server.address(), std::move(call), 5s, connection);
             }
-            server.stop();
             io.stop();
         },
         asio::detached);
--- a/oleanderhinge/net/raw_backend_test.hpp
+++ b/oleanderhinge/net/raw_backend_test.hpp
@@ -23,6 +23,7 @@
 #include <algorithm>
 #include <chrono>
 #include <deque>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -59,6 +60,13 @@
         return {"127.0.0.1", this->acceptor.local_endpoint().port()};
     }
 
+    // Writes bytes that no request asked for on the newest connection, which
+    // must be open.
+    void write(const std::string& bytes)
+    {
+        boost::asio::write(*this->newest.lock(), boost::asio::buffer(bytes));
+    }
+
     // One for each request; further requests get no answer.
     std::deque<raw_answer> answers;
     std::vector<boost::beast::http::request<boost::beast::http::string_body>>
@@ -68,6 +76,8 @@
     std::optional<bool> cut_short;
 
 private:
+    using socket_pointer = std::shared_ptr<boost::asio::ip::tcp::socket>;
+
     static constexpr auto as_pair =
         boost::asio::as_tuple(boost::asio::use_awaitable);
 
@@ -79,15 +89,17 @@
             if (failed)
                 co_return;
             ++this->connections;
+            const auto opened = std::make_shared<boost::asio::ip::tcp::socket>(
+                std::move(socket));
+            this->newest = opened;
             boost::asio::co_spawn(
-                this->io,
-                this->serve(std::move(socket)),
-                boost::asio::detached);
+                this->io, this->serve(opened), boost::asio::detached);
         }
     }
 
-    boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket)
+    boost::asio::awaitable<void> serve(socket_pointer held)
     {
+        auto& socket = *held;
         boost::beast::flat_buffer buffer;
         for (bool answered = false;; answered = true) {
             boost::beast::http::request<boost::beast::http::string_body>
@@ -127,6 +139,7 @@
 
     boost::asio::io_context& io;
     boost::asio::ip::tcp::acceptor acceptor;
+    std::weak_ptr<boost::asio::ip::tcp::socket> newest;
 };
 
 } // namespace oleanderhinge::net::test
