gateway: ask in one place whether an attempt may begin

Calls and streams asked the quarantine and then the drain, in the same lines before each attempt. `attempt_verdict` asks both. In read_answer_head, `joined` is called `ambiguous`, as the value that it tests for. No change of behaviour.

--- a/oleanderhinge/gateway/forwarder.hpp
+++ b/oleanderhinge/gateway/forwarder.hpp
@@ -108,6 +108,7 @@
         const attempt_result& result,
         const wire::endpoint& server);
     void note_answer(forwarding_request& request);
+    std::optional<base::verdict> attempt_verdict(forwarding_request& request);
     std::optional<base::verdict>
     quarantine_verdict(forwarding_request& request);
     bool may_repeat_after_crash(
--- a/oleanderhinge/gateway/internal/forwarder_attempts.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_attempts.cpp
@@ -47,6 +47,15 @@
     return to_send;
 }
 
+// Why no further attempt at the request may begin.
+std::optional<base::verdict>
+forwarder::attempt_verdict(forwarding_request& request)
+{
+    if (auto why = this->quarantine_verdict(request))
+        return why;
+    return this->drain_verdict(request, base::monotonic_now());
+}
+
 // Whether all servers of the attempt still accept requests.
 bool forwarder::may_send(
     const forwarding_request& request,
@@ -126,18 +135,18 @@
             stray == 0 && request.connection->fresh();
         const bool is_own = metadata.id == request.metadata.id ||
                             (metadata.id.empty() && first_on_connection);
-        const bool joined = metadata.mark == server_mark::ambiguous;
+        const bool ambiguous = metadata.mark == server_mark::ambiguous;
         // A late answer still shows that the server leaves, but the time that
         // it asked for may be over. One without an id may be that to this
         // request.
-        if ((!is_own && !metadata.id.empty()) || joined)
+        if ((!is_own && !metadata.id.empty()) || ambiguous)
             metadata.retry_after.clear();
         this->signals.record(
             request.sent_to,
             request.connection->status(),
             metadata,
             base::monotonic_now());
-        if (is_own && joined)
+        if (is_own && ambiguous)
             co_return failed_with<attempt_result>(base::may_have_run(
                 failure_code::server_failed, "marks of several answers"));
         if (is_own) {
--- a/oleanderhinge/gateway/internal/forwarder_calls.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_calls.cpp
@@ -21,10 +21,7 @@
 asio::awaitable<void> forwarder::serve_call(forwarding_request& request)
 {
     while (true) {
-        if (const auto why = this->quarantine_verdict(request))
-            co_return co_await this->fail_request(request, *why);
-        if (const auto why =
-                this->drain_verdict(request, base::monotonic_now()))
+        if (const auto why = this->attempt_verdict(request))
             co_return co_await this->fail_request(request, *why);
         const auto now = base::monotonic_now();
         const auto to = choose_server(
--- a/oleanderhinge/gateway/internal/forwarder_streams.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_streams.cpp
@@ -37,10 +37,7 @@
 asio::awaitable<void> forwarder::serve_stream(forwarding_request& request)
 {
     while (true) {
-        if (const auto why = this->quarantine_verdict(request))
-            co_return co_await this->fail_request(request, *why);
-        if (const auto why =
-                this->drain_verdict(request, base::monotonic_now()))
+        if (const auto why = this->attempt_verdict(request))
             co_return co_await this->fail_request(request, *why);
         auto found = choose_path(
             this->selector,
