gateway, net: plainer comments

Comments that took a second reading or used figures of speech ("push out", "heard again", "is told") say the same in the usual terms. No code changed.

--- a/oleanderhinge/gateway/drain_test.cpp
+++ b/oleanderhinge/gateway/drain_test.cpp
@@ -147,8 +147,8 @@
 }
 
 // A server refuses or fails late in the drain. Guards against a second attempt
-// that is cut off, and against a caller who is told that a request has not run
-// although its first attempt may have.
+// that is cut off, and against the verdict `not_run` for a request whose first
+// attempt may have run.
 TEST_F(drain, no_further_attempt_begins_late)
 {
     struct row {
--- a/oleanderhinge/gateway/server_choice_test.cpp
+++ b/oleanderhinge/gateway/server_choice_test.cpp
@@ -158,7 +158,7 @@
     forget_old_servers(this->selector);
     EXPECT_EQ(this->selector.servers.servers.size(), 3U);
     EXPECT_EQ(this->selector.servers.last_started.size(), 3U);
-    // That it leaves counts if this process is heard again.
+    // The leaving signal applies if this process reports again.
     EXPECT_EQ(this->selector.signals.servers.size(), 1U);
     // A request is still in progress at one of them.
     EXPECT_EQ(this->selector.health.size(), 4U);
--- a/oleanderhinge/gateway/server_signals.hpp
+++ b/oleanderhinge/gateway/server_signals.hpp
@@ -75,9 +75,10 @@
 void forget_others(server_signals& signals, const server_incarnation& server);
 
 // Limits the signals of servers that are not known any more to
-// `max_absent_signals`. They are kept since the process may be cut off and come
-// back: back-offs rather than leaving, as most servers that leave are gone, and
-// those of the processes that started last.
+// `max_absent_signals`. Signals are kept since such a process may only be cut
+// off and report again. Signals without a back-off are removed first, since
+// most leaving servers never report again, and then those of the processes that
+// started first.
 void forget_absent(
     server_signals& signals,
     const std::function<bool(const base::backend_server_id&)>& is_known);
--- a/oleanderhinge/gateway/server_signals_test.cpp
+++ b/oleanderhinge/gateway/server_signals_test.cpp
@@ -121,9 +121,9 @@
     EXPECT_EQ(signals.servers.size(), 1U);
 }
 
-// Guards against memory that grows with each process that left, or that asked
-// for years and has gone, and against the oldest ones that push out those that
-// may come back.
+// Guards against memory that grows with each process that left or asked for a
+// back-off of years, and against removing the signals of newer processes before
+// those of older ones.
 TEST(server_signals, absent_servers_are_remembered_up_to_a_limit)
 {
     constexpr std::size_t surplus = 5;
@@ -150,8 +150,8 @@
     }
 }
 
-// Most servers that leave are gone for good. Guards against them pushing out
-// the long back-off of an older server that is cut off.
+// Guards against removing the long back-off of a server that is cut off to keep
+// the signals of leaving servers, most of which never report again.
 TEST(server_signals, an_absent_backoff_is_kept_rather_than_leaving)
 {
     server_signals signals;
--- a/oleanderhinge/gateway/upstream.hpp
+++ b/oleanderhinge/gateway/upstream.hpp
@@ -107,7 +107,8 @@
     std::optional<net::http_request> outgoing;
     // Unset while a request is being written.
     std::optional<boost::system::error_code> written;
-    // Cancelled when `send` has something to look at.
+    // Cancelled to resume `send` when the request has been written or the
+    // connection becomes readable.
     boost::asio::steady_timer progress;
     // The present request has the method HEAD, whose answer is a head alone.
     bool head_alone = false;
--- a/oleanderhinge/net/http_server_test.cpp
+++ b/oleanderhinge/net/http_server_test.cpp
@@ -115,8 +115,8 @@
     http_server_empty_lines,
     testing::Values("\r", "\n", "\r\n", "\r\n\r", "\r\n\r\n"));
 
-// Guards against callers that are told to keep a connection which closes after
-// this answer: their next request crosses the close.
+// Guards against an answer that promises to keep the connection, which then
+// closes: the caller's next request is sent as it closes and gets no answer.
 TEST_F(http_server_stop, an_answer_that_begins_in_a_stop_announces_the_close)
 {
     this->before_answer = [this] { this->server.stop_keeping(); };
--- a/oleanderhinge/net/internal/stream_exchange.hpp
+++ b/oleanderhinge/net/internal/stream_exchange.hpp
@@ -65,7 +65,7 @@
     }
     // A stream to a caller of HTTP/1.0 has none and ends with its connection.
     bool has_chunks() const { return this->version >= 11; }
-    // Tells the caller that a stream without chunks broke off.
+    // A reset shows the caller that a stream without chunks broke off.
     void reset_on_close(bool reset);
     bool ok(boost::system::error_code failed);
 
