review: case 4, a smaller accelerator gets the layers of its predecessor

Tried: a model server ends; its address goes to a server of another service and then to a model server with a smaller accelerator. Seen: control orders it to hold the layers of the first one, 49,000 MB for 14,400 MB, again after each of its crashes (LIMIT).

--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -1,107 +1,78 @@
-// The servers of a service are replaced one after the other; the gateway keeps
-// the idle channels to each of them for good.
+// A model server ends. Its address goes to a server of another service, and then
+// to a model server with a smaller accelerator.
 #include "../lib/stand.hh"
 
-#include <dirent.h>
-
 using namespace stand;
 
 namespace
 {
 
-constexpr rlim_t descriptors = 2870; // of a small edge machine
-constexpr int burst = 60;            // requests at once; 260 channels a server
-constexpr int replacements = 50;
-constexpr int work_ms = 150;
+constexpr double layer_mb = 1750;
+constexpr double reuse_after_s = 2;
+
+const std::map<std::string, double> size_mb{{"a100", 72000}, {"v100", 14400}};
 
-const char* const service = "desk";
+// Stands for the kind of a server of the plain service.
+const std::string plain = "none";
 
 std::string manifest()
 {
-    return "{\"version\":1,\"routes\":[{\"name\":\"one\",\"host\":"
-           "\"desk.example\",\"pathPrefix\":\"/one/\",\"kind\":\"safe\","
-           "\"timeoutMs\":2500,\"targetLatencyMs\":150,\"priority\":0,"
-           "\"service\":\"desk\",\"attempts\":2,\"anonymous\":false}],"
-           "\"services\":[{\"name\":\"desk\",\"healthPath\":\"/health\","
-           "\"connectionLimit\":260,\"protocol\":\"h1\",\"tls\":false}],"
-           "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,"
+    return "{\"version\":1,\"routes\":[{\"name\":\"talk\",\"host\":\"desk.example\","
+           "\"pathPrefix\":\"/talk/\",\"kind\":\"streaming\",\"timeoutMs\":20000,"
+           "\"targetLatencyMs\":500,\"priority\":0,\"service\":\"llm\","
+           "\"attempts\":2,\"anonymous\":false,\"sticky\":true,\"resumable\":true,"
+           "\"gapTargetMs\":250}],\"services\":[{\"name\":\"llm\",\"healthPath\":"
+           "\"/health\",\"connectionLimit\":1996,\"protocol\":\"h1\",\"tls\":false,"
+           "\"engine\":{\"slots\":192,\"kvCapacityTokens\":100000,\"kvBytes\":590000,"
+           "\"linkMbps\":400000.0,\"stride\":4,\"models\":[{\"name\":\"m\",\"pace\":"
+           "1.0,\"loadS\":14.0,\"warmS\":1.0}],\"step_ms\":1.02,\"per_seq_ms\":"
+           "0.00459,\"context_per_k\":0.00615,\"read_per_s\":164000.0,"
+           "\"pairs_per_m\":0.199,\"chunk\":512,\"report_lag_ms\":200.0,"
+           "\"loadsPerS\":0.0,\"loads_at_once\":6,\"usual\":{\"prompt\":774,"
+           "\"answer\":210},\"layers\":80,\"layerMb\":1750.0,\"activationBytes\":"
+           "29500,\"pipeMbps\":19000.0,\"kinds\":[{\"name\":\"a100\",\"sizeMb\":"
+           "72000.0,\"pace\":2.4,\"readFactor\":3.2},{\"name\":\"v100\",\"sizeMb\":"
+           "14400.0,\"pace\":5.3,\"readFactor\":7.9}]}},{\"name\":\"desk\",\"healthPath\":"
+           "\"/health\",\"connectionLimit\":260,\"protocol\":\"h1\",\"tls\":"
+           "false}],\"limits\":{"
+           "\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,"
            "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}";
 }
 
-// The process of a server: works on each request for `work_ms`.
-int serve(const std::string& ip, int port, const std::string& id, recorder& record)
+int number_after(const std::string& text, const std::string& name)
 {
-    http_server http({ip, port}, [&](int s, const message& got) {
-        const auto request_id = got.header("x-attempt-id");
-        if (got.header("x-expect-instance") != id) {
-            send_all(s, plain_answer(421, {{"X-Attempt-Id", request_id}}, ""));
-            return true;
-        }
-        record.line("run request=%s by=%s", request_id.c_str(), id.c_str());
-        sleep_s(work_ms / 1000.0);
-        send_all(
-            s,
-            plain_answer(
-                200,
-                {{"X-Attempt-Id", request_id},
-                 {"X-Server-Seal", "seal." + request_id},
-                 {"Keep-Alive", "timeout=10"}},
-                "stock"));
-        return true;
-    });
-    while (true)
-        ::pause();
-}
-
-int open_descriptors(int pid)
-{
-    int count = 0;
-    DIR* folder = ::opendir(("/proc/" + std::to_string(pid) + "/fd").c_str());
-    if (folder == nullptr)
-        return -1;
-    while (::readdir(folder) != nullptr)
-        ++count;
-    ::closedir(folder);
-    return count - 2;
+    const auto at = text.find("\"" + name + "\":");
+    return at == std::string::npos
+               ? -1
+               : std::atoi(text.c_str() + at + name.size() + 3);
 }
 
 } // namespace
 
 int main(int argc, char** argv)
 {
-    ::signal(SIGPIPE, SIG_IGN);
-    now_s();
-    if (argc == 6 && std::string(argv[1]) == "server") {
-        recorder record(argv[5], false);
-        return serve(argv[2], std::atoi(argv[3]), argv[4], record);
-    }
     if (argc != 5)
         return 2;
     const std::string programs = argv[1];
     const std::string temporary = argv[3];
     const bool trouble = std::string(argv[4]) != "0";
-    const auto record_path = std::string(argv[2]) + "/record.txt";
-    recorder record(record_path);
+    ::signal(SIGPIPE, SIG_IGN);
+    now_s();
+    recorder record(std::string(argv[2]) + "/record.txt");
     record.line("trouble=%d", int(trouble));
 
     const std::vector<std::string> core{"127.0.0.11", "127.0.0.12", "127.0.0.13"};
-    const std::string edge = "127.0.0.31";
     const std::string side = "127.0.0.41";
-    std::vector<std::string> ips = core;
-    ips.push_back(edge);
+    auto ips = core;
     ips.push_back(side);
     const int links = free_port(ips);
     const int admin = free_port(ips);
     const int pages = free_port(ips);
-    const int front = free_port(ips);
-    const int ready = free_port(ips);
-    const int metrics = free_port(ips);
-
     std::string seeds;
-    std::vector<endpoint> control_nodes;
+    std::vector<endpoint> nodes;
     for (const auto& ip : core) {
         seeds += (seeds.empty() ? "" : ",") + endpoint{ip, admin}.text();
-        control_nodes.push_back({ip, admin});
+        nodes.push_back({ip, admin});
     }
     std::list<process> processes;
     for (std::size_t i = 0; i < core.size(); ++i) {
@@ -122,139 +93,150 @@
                 programs + "/oleanderhinge-control", "--config", base + ".ini"},
             base + ".log");
     }
-    write_file(
-        temporary + "/edge.ini",
-        gateway_ini(
-            "edge-1",
-            "a",
-            seeds,
-            links,
-            {edge, front},
-            {edge, ready},
-            {edge, metrics}));
-    processes.emplace_back(
-        std::vector<std::string>{
-            programs + "/oleanderhinge-gateway",
-            "--config",
-            temporary + "/edge.ini"},
-        temporary + "/edge.log",
-        descriptors);
-    auto& gateway = processes.back();
 
-    // Servers: each has an address of its own and reports every 1.2 s.
-    struct server {
+    // One machine with a model server; its process may end, and another may
+    // start at its address.
+    struct machine {
+        std::unique_ptr<http_server> http;
+        std::mutex mutex;
         std::string id;
-        endpoint at;
-        std::uint64_t born = unix_ms();
-        std::unique_ptr<process> program;
-        std::atomic<int> sequence{0};
-        std::atomic<bool> draining{false};
-        std::atomic<bool> gone{false};
+        std::string kind;
+        std::uint64_t born = 0;
+        int sequence = 0;
+        int orders = 0;
+        int source = 0;
+        int target = 0;
+        bool up = true;
     };
-    std::mutex mutex;
-    std::vector<std::shared_ptr<server>> servers;
-    std::atomic<bool> over{false};
-    const auto report = [&](server& item) {
-        const std::string body =
-            "{\"service\":\"desk\",\"address\":\"" + item.at.text() +
-            "\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":192,\"state\":\"" +
-            (item.draining ? "draining" : "ready") +
-            "\",\"coldRemainingMs\":0,\"born\":" + std::to_string(item.born) +
-            ",\"sequence\":" + std::to_string(++item.sequence) + "}";
-        return call_control(
-                   control_nodes,
-                   {"POST",
-                    "/v1/servers/" + item.id + "/report",
-                    {{"Content-Type", "application/json"}},
-                    body},
-                   3.0)
-                   .status == 200;
+    std::atomic<int> too_large{0};
+    std::atomic<int> fitting{0};
+    std::list<machine> machines;
+    const auto layers_of = [](const machine& item) {
+        return item.target > item.source
+                   ? "[{\"source\":" + std::to_string(item.source) +
+                         ",\"target\":" + std::to_string(item.target) +
+                         ",\"version\":1}]"
+                   : std::string("[]");
     };
-    const auto start_server = [&] {
-        auto made = std::make_shared<server>();
-        made->id = "i-" + std::to_string(servers.size() + 1);
-        made->at = {side, free_port({side})};
-        made->program = std::make_unique<process>(
-            std::vector<std::string>{
-                argv[0], "server", side, std::to_string(made->at.port), made->id,
-                record_path},
-            temporary + "/servers.log");
-        for (int i = 0; i < 100; ++i) {
-            const int s = connect_to(made->at, 0.2);
-            if (s >= 0) {
-                ::close(s);
-                break;
-            }
-            sleep_s(0.02);
-        }
-        {
-            const std::lock_guard lock(mutex);
-            servers.push_back(made);
-        }
-        report(*made);
-        return made;
-    };
-    std::thread reporter([&] {
-        while (!over) {
-            std::vector<std::shared_ptr<server>> now;
-            {
-                const std::lock_guard lock(mutex);
-                now = servers;
+    for (int i = 0; i < 6; ++i) {
+        auto& made = machines.emplace_back();
+        made.id = "i-" + std::to_string(i + 1);
+        made.kind = "a100";
+        made.born = unix_ms();
+        auto* self = &made;
+        made.http = std::make_unique<http_server>(
+            endpoint{side, 0}, [&, self](int s, const message& got) {
+                const std::lock_guard lock(self->mutex);
+                if (!self->up)
+                    return false;
+                const auto expected = got.header("x-expect-instance");
+                if (!expected.empty() && expected != self->id) {
+                    send_all(s, plain_answer(421, {}, ""));
+                    return true;
+                }
+                if (self->kind == plain) {
+                    // The consumers of this service are not played.
+                    send_all(s, plain_answer(404, {}, ""));
+                    return true;
+                }
+                if (got.target() == "/api/order") {
+                    const int source = number_after(got.body, "source");
+                    const int target = number_after(got.body, "target");
+                    const double needs = (target - source) * layer_mb;
+                    const bool fits = needs <= size_mb.at(self->kind);
+                    record.line(
+                        "order server=%s kind=%s layers=%d-%d needs_mb=%.0f "
+                        "size_mb=%.0f fits=%d",
+                        self->id.c_str(),
+                        self->kind.c_str(),
+                        source,
+                        target,
+                        needs,
+                        size_mb.at(self->kind),
+                        int(fits));
+                    ++(fits ? fitting : too_large);
+                    ++self->orders;
+                    if (!fits) {
+                        // It crashes, and starts again empty a second later.
+                        self->up = false;
+                        return false;
+                    }
+                    self->source = source;
+                    self->target = target;
+                    send_all(s, plain_answer(202, {}, "{}"));
+                    return true;
+                }
+                send_all(
+                    s,
+                    plain_answer(
+                        200,
+                        {{"Content-Type", "application/json"}},
+                        "{\"stage\":\"both\",\"models\":[{\"name\":\"m\",\"version\":"
+                        "1,\"adapters\":[]}],\"kind\":\"" +
+                            self->kind + "\",\"layers\":" + layers_of(*self) +
+                            ",\"busy\":false,\"sequence\":" +
+                            std::to_string(self->orders) +
+                            ",\"waiting\":0,\"running\":0,\"kvUsed\":0,\"kvTotal\":"
+                            "8000000,\"handles\":0,\"pace\":1.0}"));
+                return true;
+            });
+    }
+    std::atomic<bool> over{false};
+    std::vector<std::thread> threads;
+    for (auto& item : machines)
+        threads.emplace_back([&] {
+            while (!over) {
+                std::string path;
+                std::string body;
+                {
+                    const std::lock_guard lock(item.mutex);
+                    path = item.up ? "/v1/servers/" + item.id + "/report" : "";
+                    const std::string model =
+                        item.kind == plain
+                            ? ""
+                            : ",\"stage\":\"both\",\"models\":[{\"name\":\"m\","
+                              "\"version\":1,\"adapters\":[]}],\"kind\":\"" +
+                                  item.kind + "\",\"layers\":" + layers_of(item);
+                    body = std::string("{\"service\":\"") +
+                           (item.kind == plain ? "desk" : "llm") +
+                           "\",\"address\":\"" + item.http->at.text() +
+                           "\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":" +
+                           (item.kind == plain ? "6" : "192") +
+                           ",\"state\":\"ready\",\"coldRemainingMs\":0" + model +
+                           ",\"born\":" + std::to_string(item.born) +
+                           ",\"sequence\":" + std::to_string(++item.sequence) + "}";
+                }
+                if (!path.empty())
+                    call_control(
+                        nodes,
+                        {"POST", path, {{"Content-Type", "application/json"}}, body},
+                        1.0);
+                for (int i = 0; i < 12 && !over; ++i)
+                    sleep_s(0.1);
             }
-            for (auto& item : now)
-                if (!item->gone && !over)
-                    report(*item);
-            for (int i = 0; i < 12 && !over; ++i)
-                sleep_s(0.1);
-        }
-    });
+        });
     const auto finish = [&](int code) {
         over = true;
-        reporter.join();
-        for (auto& item : servers)
-            item->program->kill();
+        for (auto& item : threads)
+            item.join();
         for (auto& item : processes)
             item.kill();
         record.line("exit=%d", code);
         std::_Exit(code);
     };
-
-    std::atomic<int> last_request{0};
-    const auto consume = [&](double patience) {
-        const auto id = "q" + std::to_string(++last_request);
-        record.line("sent request=%s", id.c_str());
-        const auto answer = ask(
-            {edge, front},
-            {"GET",
-             "/one/x",
-             {{"Host", "desk.example"},
-              {"X-Attempt-Id", id},
-              {"X-Deadline-Ms", std::to_string(int(patience * 1000))}},
-             ""},
-            patience);
-        record.line(
-            "answered request=%s status=%d error=%s",
-            id.c_str(),
-            answer.status,
-            answer.error.c_str());
-        return answer.status;
+    const auto restart = [&](machine& item, const std::string& kind) {
+        const std::lock_guard lock(item.mutex);
+        item.id += "r";
+        item.kind = kind;
+        item.born = unix_ms();
+        item.sequence = 0;
+        item.orders = 0;
+        item.source = item.target = 0;
+        item.up = true;
+        record.line("start server=%s kind=%s", item.id.c_str(), kind.c_str());
     };
-    const auto at_once = [&](int count, double patience) {
-        std::atomic<int> got{0};
-        std::vector<std::thread> consumers;
-        for (int i = 0; i < count; ++i)
-            consumers.emplace_back([&] {
-                if (consume(patience) != 0)
-                    ++got;
-            });
-        for (auto& item : consumers)
-            item.join();
-        return got.load();
-    };
-
-    auto present = start_server();
     if (call_control(
-            control_nodes,
+            nodes,
             {"POST",
              "/v1/forwarding-table",
              {{"Content-Type", "application/json"}},
@@ -262,136 +244,50 @@
             15)
             .status != 200)
         finish(2);
-    const double limit = now_s() + 20;
-    while (consume(2.5) != 200) {
-        if (now_s() > limit)
-            finish(2);
-        sleep_s(0.5);
-    }
-    // The platform asks once a second whether the gateway is ready, on a channel
-    // that it keeps.
-    std::atomic<int> ready_answers{0};
-    std::thread platform([&] {
-        const int s = connect_to({edge, ready}, 1.0);
-        reader in(s);
-        while (!over) {
-            message answer;
-            if (!send_all(s, "GET /readyz HTTP/1.1\r\nHost: e\r\n\r\n") ||
-                !in.head(answer, now_s() + 1) ||
-                !in.body(answer, true, now_s() + 1))
-                break;
-            if (answer.first_line.find(" 200") != std::string::npos)
-                ++ready_answers;
-            sleep_s(1);
-        }
-    });
-    platform.detach();
-
-    std::vector<std::thread> leaving;
-    for (int i = 0; i <= replacements; ++i) {
-        const double begin = now_s();
-        const int answers = at_once(burst, 2.5);
+    sleep_s(15);
+    for (auto& item : machines)
         record.line(
-            "wave=%d server=%s answers=%d descriptors=%d",
-            i,
-            present->id.c_str(),
-            answers,
-            open_descriptors(gateway.pid()));
-        if (i == replacements)
-            break;
-        // The new server starts first, then the old one drains for 2 s.
-        auto old = present;
-        if (trouble) {
-            present = start_server();
-            old->draining = true;
-            report(*old);
-            leaving.emplace_back([&, old] {
-                sleep_s(2.5);
-                old->gone = true;
-                call_control(
-                    control_nodes,
-                    {"POST",
-                     "/v1/servers/" + old->id + "/leave",
-                     {{"Content-Type", "application/json"}},
-                     "{\"born\":" + std::to_string(old->born) + "}"},
-                    3.0);
-                old->program->kill();
-            });
-        }
-        sleep_s(std::max(0.3, begin + 1.0 - now_s()));
-    }
-    for (auto& item : leaving)
-        item.join();
-    record.line("replacements end, descriptors=%d", open_descriptors(gateway.pid()));
-
-    // Nothing is disturbed any more; connectivityWindowMs (3 s) later the gateway
-    // is in touch. 16 consumers keep a channel each and send a request on it every
-    // two seconds; one that gets no answer tries a new channel.
-    sleep_s(4);
-    std::atomic<int> kept_answers{0};
-    std::atomic<bool> release_kept{false};
-    std::vector<std::thread> keepers;
-    for (int i = 0; i < 16; ++i)
-        keepers.emplace_back([&] {
-            while (!release_kept) {
-                const int s = connect_to({edge, front}, 1.0);
-                if (s < 0)
-                    continue;
-                reader in(s);
-                bool open = true;
-                while (open && !release_kept) {
-                    const auto id = "q" + std::to_string(++last_request);
-                    record.line("sent request=%s kept_channel=1", id.c_str());
-                    message answer;
-                    open = send_all(
-                               s,
-                               "GET /one/x HTTP/1.1\r\nHost: desk.example\r\n"
-                               "X-Attempt-Id: " +
-                                   id + "\r\nX-Deadline-Ms: 2500\r\n\r\n") &&
-                           in.head(answer, now_s() + 2.5) &&
-                           in.body(answer, true, now_s() + 2.5);
-                    record.line(
-                        "answered request=%s line=%s error=%s",
-                        id.c_str(),
-                        answer.first_line.c_str(),
-                        in.why.c_str());
-                    if (open)
-                        ++kept_answers;
-                    for (int t = 0; open && t < 20 && !release_kept; ++t)
-                        sleep_s(0.1);
-                }
-                ::close(s);
-            }
+            "holds server=%s kind=%s layers=%d-%d",
+            item.id.c_str(),
+            item.kind.c_str(),
+            item.source,
+            item.target);
+    // The machine with the most layers.
+    auto& changed = *std::max_element(
+        machines.begin(), machines.end(), [](const auto& left, const auto& right) {
+            return left.target - left.source < right.target - right.source;
         });
-    sleep_s(6);
-    // Eight consumers try a new channel each for twice connectivityWindowMs.
-    const int ready_before = ready_answers;
-    const double try_begin = now_s();
-    int answered = 0;
-    int tried = 0;
-    while (now_s() < try_begin + 6) {
-        answered += at_once(8, 2.5);
-        tried += 8;
+    if (changed.target - changed.source <= 8)
+        finish(2);
+    const auto end = [&](machine& item) {
+        const std::lock_guard lock(item.mutex);
+        item.up = false;
+        record.line("end server=%s kind=%s", item.id.c_str(), item.kind.c_str());
+    };
+    if (trouble) {
+        end(changed);
+        sleep_s(reuse_after_s + 1);
+        restart(changed, plain);
+        sleep_s(5);
+        end(changed);
+        sleep_s(reuse_after_s + 1);
+        restart(changed, "v100");
+    }
+    const double begin = now_s();
+    while (now_s() < begin + 20) {
+        sleep_s(1);
+        bool crashed = false;
+        {
+            const std::lock_guard lock(changed.mutex);
+            crashed = !changed.up;
+        }
+        if (crashed)
+            restart(changed, "v100");
     }
-    const double try_for = now_s() - try_begin;
-    const int new_ready = ask({edge, ready}, {"GET", "/readyz", {}, ""}, 1.0).status;
     for (auto& item : processes)
-        if (item.ended()) {
-            record.line("a process ended by itself");
+        if (item.ended())
             finish(2);
-        }
     record.line(
-        "new channels: tried=%d answered=%d in_s=%.1f; kept channels answered=%d; "
-        "ready_on_kept_channel=%d ready_on_new_channel=%d descriptors=%d",
-        tried,
-        answered,
-        try_for,
-        kept_answers.load(),
-        ready_answers - ready_before,
-        new_ready,
-        open_descriptors(gateway.pid()));
-    release_kept = true;
-    for (auto& item : keepers)
-        item.join();
-    finish(answered == 0 && ready_answers > ready_before ? 1 : 0);
+        "orders that fit=%d, that do not fit=%d", fitting.load(), too_large.load());
+    finish(too_large > 0 ? 1 : 0);
 }
