--- a/review/lib/stand.hh
+++ b/review/lib/stand.hh
@@ -8,6 +8,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -107,6 +108,8 @@
         argv.push_back(nullptr);
         this->id = ::fork();
         if (this->id == 0) {
+            // Ends with the thread that started it, whatever happens to that.
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL);
             const int out =
                 ::open(this->log.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0600);
             ::dup2(out, 1);
