--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -1,5 +1,5 @@
 // A gateway is cut off from all control nodes for 40 s and then reached again.
-#include "../lib/stand.hh"
+#include "../stand.hh"
 
 using namespace stand;
 
--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -1,6 +1,6 @@
 // A model server ends. Its address goes to a server of another service, and then
 // to a model server with a smaller accelerator.
-#include "../lib/stand.hh"
+#include "../stand.hh"
 
 using namespace stand;
 
