gateway: forget a control node only when lists of the group lack it

Cause: an address of control was dropped when no list of the members had contained it for 30 s. Lists come over the links to the members alone, so without any link all addresses met the condition at once, the seeds of the settings included, and nothing added them again.

Ruled out: a connection that is made and does not bring the table, and back-off or hanging connections. With the clock of the test, no connection is tried at all after 30 s.

Change: gateway/control_members decides which addresses are known. An address goes only when a list arrives that lacks it, as did those of the last 30 s. Without a list for 3 s the seeds are tried as well, since all known members may have been replaced. Changed settings replace the seeds instead of adding to them. A node without a quorum lists no members: it may have been removed, and its list would keep or drop the wrong ones. Log line control_forgotten, gauges for known addresses and open links.

The table control_members.addresses_follow_the_group covers the ways in which the copy changes, an hour's cut and forgetting in time included; its module is new. The process test with a relay, gateway_cut.*, passes in 41 s.

--- a/oleanderhinge/control/internal/service_group.cpp
+++ b/oleanderhinge/control/internal/service_group.cpp
@@ -76,9 +76,12 @@
 wire::control_group service::impl::group() const
 {
     wire::control_group group;
-    for (const auto& item : this->consensus.log->status().members)
-        if (item.link.port != 0)
-            group.members.push_back(item.link);
+    // Without a quorum, this node may have been removed and its list be out of
+    // date.
+    if (const auto status = this->consensus.log->status(); status.has_quorum)
+        for (const auto& item : status.members)
+            if (item.link.port != 0)
+                group.members.push_back(item.link);
     for (const auto& [other, peer] : this->open_links)
         if (peer.sender == wire::role::entry)
             ++group.gateways;
--- a/oleanderhinge/gateway/control_client.cpp
+++ b/oleanderhinge/gateway/control_client.cpp
@@ -35,40 +35,33 @@
     , random(options.seed)
 {
     this->view.options = this->options.view;
-    this->add_seeds(this->options.seeds);
+    this->set_seeds(this->options.seeds);
 }
 
-void control_client::add_seeds(const std::vector<wire::endpoint>& seeds)
+void control_client::set_seeds(const std::vector<wire::endpoint>& seeds)
 {
-    for (const auto& seed : seeds)
-        this->members.try_emplace(seed);
+    this->close(gateway::set_seeds(this->members, seeds));
 }
 
 void control_client::tick(base::time_point now)
 {
-    for (auto& [address, peer] : this->members) {
-        if (!peer.link && now >= peer.next_connect) {
-            peer.link = this->links.connect(address);
-            peer.open = false;
-        } else if (peer.open && now >= peer.last_confirm + resubscribe_after) {
-            peer.last_confirm = now;
-            this->send_subscribe(*peer.link, this->revision());
-        }
+    for (const auto& address : due(this->members, now))
+        connecting(this->members, address, this->links.connect(address));
+    for (auto& [link, peer] : this->open_members) {
+        if (now < peer.last_confirm + resubscribe_after)
+            continue;
+        peer.last_confirm = now;
+        this->send_subscribe(link, this->revision());
     }
-    std::erase_if(this->members, [&](const auto& item) {
-        const auto& peer = item.second;
-        return !peer.link && peer.last_listed != base::time_point{} &&
-               now >= peer.last_listed + forget_after;
-    });
 }
 
 void control_client::on_opened(net::link_id link, base::time_point now)
 {
-    const auto found = this->find(link);
-    if (found == this->members.end())
+    const auto* found = find(this->members, link);
+    if (found == nullptr)
         return;
-    found->second.open = true;
-    found->second.last_confirm = now;
+    opened(this->members, link);
+    this->open_members.insert_or_assign(link, open_member{now, {}});
     // Use the short heartbeat: a silent member must be detected before the
     // servers whose records it sends are taken for silent.
     this->links.set_busy(link, true);
@@ -87,14 +80,16 @@
         this->on_update(link, std::move(*update), now);
     } else if (
         const auto* confirm = std::get_if<wire::config_confirm>(&content)) {
-        if (const auto found = this->find(link); found != this->members.end())
+        if (const auto found = this->open_members.find(link);
+            found != this->open_members.end())
             found->second.last_confirm = now;
         membership::apply_confirm(this->view, *confirm, now);
     } else if (const auto* batch = std::get_if<wire::server_batch>(&content)) {
         this->events.servers(*batch);
     } else if (
         const auto* numbers = std::get_if<wire::server_numbers>(&content)) {
-        if (const auto found = this->find(link); found != this->members.end())
+        if (const auto found = this->open_members.find(link);
+            found != this->open_members.end())
             fleet::learn(found->second.numbers, *numbers);
     } else if (
         const auto* refresh = std::get_if<wire::server_refresh>(&content)) {
@@ -129,9 +124,9 @@
             this->events.configuration(this->view.config);
             // The other members need not send the table again.
             if (whole_table)
-                for (const auto& [address, peer] : this->members)
-                    if (peer.open && peer.link != link)
-                        this->send_subscribe(*peer.link, next->to);
+                for (const auto& [other, peer] : this->open_members)
+                    if (other != link)
+                        this->send_subscribe(other, next->to);
         } else if (
             const auto* missing =
                 std::get_if<membership::full_update_needed>(&action)) {
@@ -143,16 +138,15 @@
 void control_client::on_group(
     const wire::control_group& group, base::time_point now)
 {
-    for (const auto& address : group.members)
-        this->members[address].last_listed = now;
+    this->close(note_group(this->members, group.members, now));
     this->events.gateways(group.gateways, now);
 }
 
 void control_client::on_loads(
     net::link_id link, const wire::server_loads& loads)
 {
-    const auto found = this->find(link);
-    if (found != this->members.end())
+    const auto found = this->open_members.find(link);
+    if (found != this->open_members.end())
         fleet::visit_loads(found->second.numbers, loads, this->events.load);
 }
 
@@ -161,8 +155,8 @@
     const wire::server_refresh& refresh,
     base::time_point now)
 {
-    const auto found = this->find(link);
-    if (found == this->members.end())
+    const auto found = this->open_members.find(link);
+    if (found == this->open_members.end())
         return;
     const auto heard = now - std::chrono::milliseconds(refresh.age_ms);
     fleet::visit_refreshed(
@@ -173,9 +167,8 @@
 
 void control_client::report_suspicion(const wire::endpoint& server)
 {
-    for (const auto& [address, peer] : this->members)
-        if (peer.open)
-            this->links.send(*peer.link, wire::server_suspicion{server, 0});
+    for (const auto& [link, peer] : this->open_members)
+        this->links.send(link, wire::server_suspicion{server, 0});
 }
 
 void control_client::send_unless_empty(
@@ -187,30 +180,42 @@
 
 void control_client::send_evidence(const wire::crash_evidence& news)
 {
-    for (const auto& [address, peer] : this->members)
-        if (peer.open)
-            this->links.send(*peer.link, news);
+    for (const auto& [link, peer] : this->open_members)
+        this->links.send(link, news);
 }
 
 void control_client::on_closed(
     net::link_id link, net::close_reason reason, base::time_point now)
 {
-    const auto found = this->find(link);
-    if (found == this->members.end())
+    const auto was_open = this->open_members.erase(link) != 0;
+    const auto* found = find(this->members, link);
+    if (found == nullptr)
         return;
-    auto& peer = found->second;
-    if (peer.open)
+    if (was_open)
         spdlog::warn(
             "event=control_lost member={} reason={}",
             found->first.address,
             net::to_string(reason));
-    peer.link.reset();
-    peer.open = false;
-    peer.numbers = {};
-    peer.next_connect =
+    closed(
+        this->members,
+        link,
         now + reconnect_wait +
-        base::duration(
-            std::int64_t(double(reconnect_wait.count()) * this->random.unit()));
+            base::duration(std::int64_t(
+                double(reconnect_wait.count()) * this->random.unit())));
+}
+
+void control_client::close(const std::vector<forgotten_node>& forgotten)
+{
+    for (const auto& node : forgotten) {
+        spdlog::info(
+            "event=control_forgotten member={} known={}",
+            node.address.address,
+            this->members.known.size());
+        if (!node.link)
+            continue;
+        this->open_members.erase(*node.link);
+        this->links.close(*node.link);
+    }
 }
 
 void control_client::send_subscribe(
@@ -222,15 +227,6 @@
             held_revision, this->options.vm, this->options.listen, {}});
 }
 
-std::map<wire::endpoint, control_client::member>::iterator
-control_client::find(net::link_id link)
-{
-    return std::find_if(
-        this->members.begin(), this->members.end(), [link](const auto& item) {
-            return item.second.link == link;
-        });
-}
-
 base::revision control_client::revision() const
 {
     return membership::revision_of(this->view);
--- a/oleanderhinge/gateway/control_client.hpp
+++ b/oleanderhinge/gateway/control_client.hpp
@@ -2,7 +2,8 @@
 // each member can send server records and the configuration on its own.
 //
 // The highest revision that any member has sent is in force. It stays in force
-// when all links to control are lost.
+// when all links to control are lost. Which addresses are known is decided in
+// control_members.hpp.
 //
 // Used on the gateway's thread only.
 //
@@ -16,6 +17,7 @@
 #include "oleanderhinge/base/random.hpp"
 #include "oleanderhinge/fleet/crash_quarantine.hpp"
 #include "oleanderhinge/fleet/numbering.hpp"
+#include "oleanderhinge/gateway/control_members.hpp"
 #include "oleanderhinge/membership/config_view.hpp"
 #include "oleanderhinge/net/link_table.hpp"
 
@@ -35,9 +37,6 @@
 // The subscription is sent again after this time without a confirm. Confirms
 // come once a second.
 inline constexpr base::duration resubscribe_after = std::chrono::seconds(4);
-// An unconnected member is forgotten if no group has listed it for this time.
-// Seeds that no group has listed are kept.
-inline constexpr base::duration forget_after = std::chrono::seconds(30);
 
 struct control_client_options {
     base::vm_id vm;
@@ -80,8 +79,8 @@
 
     // --- Commands.
 
-    // Connects, subscribes again and forgets members when it is time. Call it a
-    // few times a second.
+    // Connects and subscribes again when it is time. Call it a few times a
+    // second.
     void tick(base::time_point now);
     void on_opened(net::link_id link, base::time_point now);
     void on_message(
@@ -93,23 +92,21 @@
     void report_suspicion(const wire::endpoint& server);
     // Sends evidence about crashes to each connected member.
     void send_evidence(const wire::crash_evidence& news);
-    // Adds seeds; those that are known already are kept.
-    void add_seeds(const std::vector<wire::endpoint>& seeds);
+    // Replaces the seeds; see control_members.hpp.
+    void set_seeds(const std::vector<wire::endpoint>& seeds);
 
     // --- Queries.
 
     // True once control has confirmed a configuration as the newest one.
     bool has_confirmed_configuration() const { return this->view.confirmed; }
     base::revision revision() const;
+    std::size_t known_nodes() const { return this->members.known.size(); }
+    std::size_t open_links() const { return this->open_members.size(); }
 
 private:
-    struct member {
-        std::optional<net::link_id> link;
-        bool open = false;
-        base::time_point next_connect;
+    // A member with an open link.
+    struct open_member {
         base::time_point last_confirm;
-        // When a group listed it last; unset for seeds that none has listed.
-        base::time_point last_listed;
         // The numbers of servers on this link.
         fleet::peer_numbering numbers;
     };
@@ -124,14 +121,15 @@
         base::time_point now);
     void send_unless_empty(net::link_id link, wire::crash_evidence&& evidence);
     void send_subscribe(net::link_id link, base::revision held_revision);
-    std::map<wire::endpoint, member>::iterator find(net::link_id link);
+    void close(const std::vector<forgotten_node>& forgotten);
 
     net::link_table& links;
     const control_client_options options;
     const control_events events;
     membership::config_view view;
     base::random_source random;
-    std::map<wire::endpoint, member> members;
+    control_members members;
+    std::map<net::link_id, open_member> open_members;
 };
 
 } // namespace oleanderhinge::gateway
--- a/oleanderhinge/gateway/gateway_node.cpp
+++ b/oleanderhinge/gateway/gateway_node.cpp
@@ -178,6 +178,10 @@
                 this->stats.quarantined_parts.Set(
                     double(fleet::quarantined_parts(
                         this->quarantine, base::monotonic_now())));
+                this->stats.control_nodes.Set(
+                    double(this->control.known_nodes()));
+                this->stats.control_links.Set(
+                    double(this->control.open_links()));
             }};
 }
 
@@ -247,7 +251,7 @@
 void gateway_node::reload(const gateway_settings& changed)
 {
     spdlog::info("event=reload seeds={}", changed.seeds.size());
-    this->control.add_seeds(changed.seeds);
+    this->control.set_seeds(changed.seeds);
 }
 
 void gateway_node::schedule_tick()
--- a/oleanderhinge/gateway/gateway_node.hpp
+++ b/oleanderhinge/gateway/gateway_node.hpp
@@ -41,7 +41,8 @@
     // Where callers connect, with the port that was given for port 0. Valid
     // after `start`.
     const wire::endpoint& callers_endpoint() const { return this->listening; }
-    // Adds the seeds of changed settings; other changes need a restart.
+    // Replaces the seeds by those of changed settings; other changes need a
+    // restart.
     void reload(const gateway_settings& changed);
     // Options for `net::run_process`, which call back into this object.
     net::process_options process_options();
--- a/oleanderhinge/gateway/metrics.cpp
+++ b/oleanderhinge/gateway/metrics.cpp
@@ -102,6 +102,14 @@
           registry,
           "oleanderhinge_gateway_longest_backoff_seconds",
           "Time until the last of the pauses that servers asked for ends"))
+    , control_nodes(net::add_gauge(
+          registry,
+          "oleanderhinge_gateway_control_nodes",
+          "Known addresses of control nodes"))
+    , control_links(net::add_gauge(
+          registry,
+          "oleanderhinge_gateway_control_links",
+          "Open links to control nodes"))
 {
 }
 
--- a/oleanderhinge/gateway/metrics.hpp
+++ b/oleanderhinge/gateway/metrics.hpp
@@ -43,6 +43,8 @@
     prometheus::Gauge& quarantined_parts;
     prometheus::Gauge& excluded_servers;
     prometheus::Gauge& longest_backoff_seconds;
+    prometheus::Gauge& control_nodes;
+    prometheus::Gauge& control_links;
 };
 
 } // namespace oleanderhinge::gateway
--- a/oleanderhinge/wire/messages.hpp
+++ b/oleanderhinge/wire/messages.hpp
@@ -886,7 +886,8 @@
     }
 };
 
-// Control to gateway: link endpoints of all members, to subscribe to each.
+// Control to gateway: link endpoints of all members, to subscribe to each. A
+// node without a quorum lists none.
 struct control_group {
     std::vector<endpoint> members;
     // Gateways that have a link to the sender, to share budgets.
