gateway, net: bound the bytes that servers send without end

Other operators report: a faulty server sends bytes without end in a head or a body, the machine that called it keeps them all and runs out of memory, and the requests of others there end with it. Here, in a test with 64 requests at the same time: up to 409 MB more on (the small entry machines have 112 MB), and with informational heads without end no caller had an answer within 60 s, past the timeout of the route.

Cause: each answer had a limit (4 MiB, 1 MiB for an event) and their sum had none. The number of informational heads had no limit; a head that is in the buffer already is read without waiting.

Ruled out: heads, extensions of chunks, trailers and bytes behind an answer, which are bounded by the limits on what is read and not parsed (rows of the same test that held).

Change: all answers that are not passed on yet share a quarter of the new setting gateway.memory; one may hold as much as is left unused. A success without the server's mark fails before its body is read, the body of an answer to another request is not kept, and a stream searches only new bytes for the end of an event.

--- a/oleanderhinge/gateway/event_stream.cpp
+++ b/oleanderhinge/gateway/event_stream.cpp
@@ -48,10 +48,11 @@
     return value;
 }
 
-// Length of the first event with its empty line; 0 if it is incomplete.
-std::size_t first_event_length(std::string_view text)
+// Where the first event ends, with its empty line, which does not begin before
+// `from`; 0 if the event is incomplete.
+std::size_t find_event_end(std::string_view text, std::size_t from)
 {
-    for (std::size_t at = text.find('\n'); at != text.npos;
+    for (std::size_t at = text.find('\n', from); at != text.npos;
          at = text.find('\n', at + 1)) {
         auto rest = text.substr(at + 1);
         if (rest.starts_with('\n'))
@@ -117,16 +118,20 @@
     std::vector<std::string> events;
     if (buffer.malformed)
         return events;
+    // The bytes before these hold no empty line, except for a part of one at
+    // their end. Searching them again would take quadratic time.
+    constexpr std::size_t split_line = 2;
+    std::size_t from = std::max(buffer.partial.size(), split_line) - split_line;
     buffer.partial.append(bytes);
     std::size_t begin = 0;
-    while (const auto length = first_event_length(
-               std::string_view(buffer.partial).substr(begin))) {
-        auto event = buffer.partial.substr(begin, length);
+    while (const auto end = find_event_end(buffer.partial, from)) {
+        auto event = buffer.partial.substr(begin, end - begin);
         if (!is_event(event)) {
             buffer.malformed = true;
             break;
         }
-        begin += length;
+        begin = end;
+        from = end;
         const std::string id(event_id(event));
         if (!id.empty() && is_duplicate(position, id))
             continue;
--- a/oleanderhinge/gateway/forwarder.cpp
+++ b/oleanderhinge/gateway/forwarder.cpp
@@ -61,6 +61,7 @@
     , stats(stats_in)
     , pool(context)
     , options(std::move(options_in))
+    , memory{.limit = options.answer_memory}
     , signals(
           selector_in,
           stats_in,
--- a/oleanderhinge/gateway/forwarder.hpp
+++ b/oleanderhinge/gateway/forwarder.hpp
@@ -13,6 +13,7 @@
 #pragma once
 
 #include "oleanderhinge/base/verdict.hpp"
+#include "oleanderhinge/gateway/answer_memory.hpp"
 #include "oleanderhinge/gateway/forwarding_request.hpp"
 #include "oleanderhinge/gateway/metrics.hpp"
 #include "oleanderhinge/gateway/request_log.hpp"
@@ -35,12 +36,19 @@
 namespace oleanderhinge::gateway
 {
 
+// Memory that the process may use.
+inline constexpr std::size_t default_memory_bytes = std::size_t(256) << 20;
+// One part in so many of it is for answers.
+inline constexpr std::size_t answer_memory_part = 4;
+
 struct forwarder_options {
     // For each service.
     retry::shared_budget_options retries;
     std::uint64_t seed = 1;
     // Limit on the time for which a server gets no requests at its own wish.
     base::duration max_backoff = no_backoff_limit;
+    // For answers that are not passed on yet, over all requests; in bytes.
+    std::size_t answer_memory = default_memory_bytes / answer_memory_part;
     // Called when requests that depend on this server make no progress.
     std::function<void(const wire::endpoint&)> report_suspect;
     // Called with news about crashes, for the other gateways.
@@ -82,6 +90,8 @@
     // answer yet.
     void end_drain();
 
+    // Bytes of answers that are not passed on yet.
+    std::size_t answer_bytes() const { return this->memory.used; }
     // Requests that `handle` serves at present.
     std::size_t in_progress() const { return this->running.size(); }
 
@@ -169,6 +179,7 @@
     metrics& stats;
     upstream_pool pool;
     const forwarder_options options;
+    gateway::answer_memory memory;
     signal_recorder signals;
     stall_watch stalls;
     std::shared_ptr<const route_index> index;
--- a/oleanderhinge/gateway/forwarder_fixture_test.hpp
+++ b/oleanderhinge/gateway/forwarder_fixture_test.hpp
@@ -85,6 +85,7 @@
 
 // As much as a caller of the platform may send.
 inline constexpr std::size_t max_body_bytes = std::size_t(4) << 20;
+inline constexpr std::size_t answer_memory_bytes = std::size_t(16) << 20;
 
 // A backend server that answers as `behave` says.
 struct backend {
@@ -231,6 +232,7 @@
               stats,
               {.retries = {.request_share = 10},
                .seed = 1,
+               .answer_memory = answer_memory_bytes,
                .report_suspect = [](const wire::endpoint&) {},
                .share_evidence =
                    [this](const wire::crash_evidence& news) {
--- a/oleanderhinge/gateway/gateway_node.cpp
+++ b/oleanderhinge/gateway/gateway_node.cpp
@@ -41,6 +41,7 @@
           {.retries = this->options.retries,
            .seed = base::entropy_seed(),
            .max_backoff = this->options.max_backoff,
+           .answer_memory = this->options.memory / answer_memory_part,
            .report_suspect =
                [this](const wire::endpoint& server) {
                    this->control.report_suspicion(server);
@@ -178,6 +179,8 @@
                 this->stats.quarantined_parts.Set(
                     double(fleet::quarantined_parts(
                         this->quarantine, base::monotonic_now())));
+                this->stats.answer_bytes.Set(
+                    double(this->forward.answer_bytes()));
                 this->stats.control_nodes.Set(
                     double(this->control.known_nodes()));
                 this->stats.control_links.Set(
--- a/oleanderhinge/gateway/internal/forwarder_attempts.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_attempts.cpp
@@ -176,13 +176,15 @@
                 request.connection->server().address,
                 request.connection->server().port,
                 !request.connection->fresh());
-        std::string skipped;
+        std::size_t skipped = 0;
         while (stray < max_stray_answers && !request.connection->complete() &&
-               skipped.size() < max_answer_bytes) {
+               skipped < max_answer_bytes) {
+            std::string bytes;
             const error_code broken =
-                co_await request.connection->read_body(skipped, limit);
+                co_await request.connection->read_body(bytes, limit);
             if (broken)
                 break;
+            skipped += bytes.size();
         }
         if (!request.connection->complete())
             co_return failed_with<attempt_result>(base::may_have_run(
@@ -202,11 +204,23 @@
 asio::awaitable<forwarder::attempt_result>
 forwarder::relay_whole_answer(forwarding_request& request)
 {
+    const auto status = request.connection->status();
+    const bool success = status >= 200 && status < 300;
+    if (success && !this->has_servers_body(*request.connection))
+        co_return failed_with<attempt_result>(base::may_have_run(
+            failure_code::server_failed, "answer without the server's mark"));
     std::string body;
+    // Held until the caller has the answer.
+    answer_share share(this->memory);
     while (!request.connection->complete()) {
         const error_code failed =
             co_await request.connection->read_body(body, request.deadline);
-        if (failed || body.size() > max_answer_bytes)
+        if (body.size() > max_answer_bytes || !share.resize(body.capacity()))
+            co_return failed_with<attempt_result>(base::may_have_run(
+                failure_code::server_failed,
+                "answer of more than " + std::to_string(body.size()) +
+                    " bytes"));
+        if (failed)
             co_return failed_with<attempt_result>(base::may_have_run(
                 steady_now() >= request.deadline
                     ? failure_code::deadline_exceeded
@@ -218,11 +232,6 @@
             failure_code::server_failed,
             "another answer begins inside the body"));
     request.body_bytes = body.size();
-    const auto status = request.connection->status();
-    const bool success = status >= 200 && status < 300;
-    if (success && !this->has_servers_body(*request.connection))
-        co_return failed_with<attempt_result>(base::may_have_run(
-            failure_code::server_failed, "answer without the server's mark"));
     auto headers = end_to_end_fields(request.connection->fields());
     if (status == 503)
         // The server's own value is meant for this gateway.
--- a/oleanderhinge/gateway/internal/forwarder_streams.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_streams.cpp
@@ -239,6 +239,7 @@
 {
     const auto headers = end_to_end_fields(request.connection->fields());
     event_buffer buffer;
+    answer_share share(this->memory);
     const auto events_before = request.events.event_count;
     const auto broken_off = [&](base::verdict why) {
         auto result = failed_with<attempt_result>(std::move(why));
@@ -266,6 +267,7 @@
         const bool written = co_await this->write_events(request, events);
         if (!written || request.caller_left)
             co_return attempt_result{attempt_end::caller_left, {}, {}};
+        buffer.malformed |= !share.resize(buffer.partial.capacity());
         if (failed || buffer.malformed)
             co_return broken_off(base::may_have_run(
                 steady_now() >= first_event_limit(request)
--- a/oleanderhinge/gateway/metrics.cpp
+++ b/oleanderhinge/gateway/metrics.cpp
@@ -102,6 +102,10 @@
           registry,
           "oleanderhinge_gateway_longest_backoff_seconds",
           "Time until the last of the pauses that servers asked for ends"))
+    , answer_bytes(net::add_gauge(
+          registry,
+          "oleanderhinge_gateway_answer_bytes",
+          "Memory of answers that are not passed on yet"))
     , control_nodes(net::add_gauge(
           registry,
           "oleanderhinge_gateway_control_nodes",
--- a/oleanderhinge/gateway/protocol_adapter.hpp
+++ b/oleanderhinge/gateway/protocol_adapter.hpp
@@ -26,6 +26,9 @@
 namespace oleanderhinge::gateway
 {
 
+// Limit on the answer of an engine that is asked for its state.
+inline constexpr std::size_t max_engine_state_bytes = std::size_t(256) << 10;
+
 using http_fields = boost::beast::http::fields;
 
 // Header fields of a caller's request.
--- a/oleanderhinge/gateway/settings.cpp
+++ b/oleanderhinge/gateway/settings.cpp
@@ -45,6 +45,15 @@
          "time from the signal to end until the process is killed; "
          "request.drain_limit ends half a second before",
          true},
+        {"gateway",
+         "memory",
+         value_type::number,
+         "256",
+         "1",
+         "1000000",
+         "memory that the process may use, in MB; a quarter of it is for "
+         "answers "
+         "that are not passed on yet"},
         {"control",
          "seeds",
          value_type::endpoint_list,
@@ -141,6 +150,8 @@
     chosen.cluster_secret = checked.text("node.cluster_secret");
     chosen.listen = checked.endpoint("gateway.listen");
     chosen.leave_time = checked.duration("gateway.leave_time");
+    constexpr double megabyte = 1e6;
+    chosen.memory = std::size_t(checked.number("gateway.memory") * megabyte);
     chosen.management = checked.endpoint("management.listen");
     if (checked.has("management.metrics"))
         chosen.metrics = checked.endpoint_list("management.metrics");
--- a/oleanderhinge/gateway/settings.hpp
+++ b/oleanderhinge/gateway/settings.hpp
@@ -37,6 +37,8 @@
     base::duration leave_time = std::chrono::seconds(2);
     retry::shared_budget_options retries;
     base::duration max_backoff = no_backoff_limit;
+    // Memory that the process may use, in bytes.
+    std::size_t memory = default_memory_bytes;
 };
 
 // Fails with `out_of_range` if a relation between settings is broken.
--- a/oleanderhinge/gateway/stall_watch.cpp
+++ b/oleanderhinge/gateway/stall_watch.cpp
@@ -68,7 +68,7 @@
     , signals(signals_in)
     , report_suspect(std::move(report_suspect_in))
     , reserve_attempt(std::move(reserve_attempt_in))
-    , client(context, kept_connections)
+    , client(context, kept_connections, max_engine_state_bytes)
 {
 }
 
--- a/oleanderhinge/gateway/upstream.cpp
+++ b/oleanderhinge/gateway/upstream.cpp
@@ -106,7 +106,7 @@
     if (this->cancelled)
         co_return asio::error::operation_aborted;
     this->stream.expires_at(limit);
-    do {
+    for (int heads = 0; heads <= net::max_informational_heads; ++heads) {
         this->answer.emplace();
         this->answer->body_limit(boost::none);
         this->answer->skip(this->head_alone);
@@ -114,13 +114,20 @@
             this->stream, this->buffer, *this->answer, as_pair);
         if (failed)
             co_return failed;
-    } while (this->answer->get().result_int() < 200);
+        if (this->status() >= 200)
+            co_return this->check_head();
+    }
+    co_return http::error::header_limit;
+}
+
+error_code upstream_connection::check_head()
+{
     this->head = this->answer->get().base();
     if (net::holds_second_answer(this->answer->get().base()))
-        co_return http::error::bad_value;
+        return http::error::bad_value;
     if (!net::has_plain_framing(this->answer->get().base()))
-        co_return http::error::bad_transfer_encoding;
-    co_return error_code{};
+        return http::error::bad_transfer_encoding;
+    return error_code{};
 }
 
 asio::awaitable<error_code>
--- a/oleanderhinge/gateway/upstream.hpp
+++ b/oleanderhinge/gateway/upstream.hpp
@@ -62,7 +62,8 @@
     // while the answer is read, until `limit` or `cancel`.
     boost::asio::awaitable<boost::system::error_code>
     send(net::http_request request, steady_time limit);
-    // Reads status and fields of the next answer; skips informational ones.
+    // Reads status and fields of the next answer; skips informational ones, at
+    // most `net::max_informational_heads`.
     boost::asio::awaitable<boost::system::error_code>
     read_head(steady_time limit);
     // Waits for the next bytes of the body and appends them.
@@ -96,6 +97,8 @@
     const wire::endpoint& server() const { return this->peer; }
 
 private:
+    boost::system::error_code check_head();
+
     using parser =
         boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
--- a/oleanderhinge/net/http_client.cpp
+++ b/oleanderhinge/net/http_client.cpp
@@ -31,7 +31,6 @@
 namespace
 {
 
-constexpr std::size_t max_answer = std::size_t(4) << 20;
 // A kept connection that the server closed meanwhile leaves it unknown whether
 // the call ran. Servers close idle connections after tens of seconds.
 constexpr auto max_idle_time = std::chrono::seconds(5);
@@ -61,9 +60,13 @@
 } // namespace
 
 struct http_client::impl {
-    impl(asio::io_context& context, std::size_t kept_limit)
+    impl(
+        asio::io_context& context,
+        std::size_t kept_limit,
+        std::size_t answer_limit)
         : io(context)
         , max_idle(kept_limit)
+        , max_answer(answer_limit)
     {
     }
 
@@ -98,6 +101,7 @@
 
     asio::io_context& io;
     const std::size_t max_idle;
+    const std::size_t max_answer;
     std::mutex mutex;
     struct kept_connection {
         std::unique_ptr<beast::tcp_stream> stream;
@@ -106,8 +110,9 @@
     std::map<wire::endpoint, std::vector<kept_connection>> idle;
 };
 
-http_client::http_client(asio::io_context& io, std::size_t max_idle)
-    : state(std::make_shared<impl>(io, max_idle))
+http_client::http_client(
+    asio::io_context& io, std::size_t max_idle, std::size_t max_answer)
+    : state(std::make_shared<impl>(io, max_idle, max_answer))
 {
 }
 
@@ -147,14 +152,29 @@
 
 using answer_parser = http::response_parser<http::string_body>;
 
+boost::system::error_code
+check_answer(const answer_parser& parser, const beast::flat_buffer& buffer)
+{
+    if (holds_second_answer(parser.get()) ||
+        holds_second_answer(
+            parser.get().body(),
+            parser.need_eof(),
+            beast::buffers_to_string(buffer.data())))
+        return http::error::unexpected_body;
+    if (!has_plain_framing(parser.get().base()))
+        return http::error::bad_transfer_encoding;
+    return {};
+}
+
 // Reads past informational answers.
 asio::awaitable<boost::system::error_code> read_answer(
     beast::tcp_stream& stream,
     http::verb method,
+    std::size_t max_answer,
     beast::flat_buffer& buffer,
     std::optional<answer_parser>& parser)
 {
-    do {
+    for (int heads = 0; heads <= max_informational_heads; ++heads) {
         parser.emplace();
         parser->body_limit(max_answer);
         // The length in an answer to HEAD is that of the answer to GET.
@@ -163,19 +183,12 @@
             co_await http::async_read(stream, buffer, *parser, as_pair);
         if (failed)
             co_return failed;
-    } while (http::to_status_class(parser->get().result_int()) ==
-             http::status_class::informational);
-    if (holds_second_answer(parser->get()) ||
-        holds_second_answer(
-            parser->get().body(),
-            parser->need_eof(),
-            beast::buffers_to_string(buffer.data())))
-        co_return http::error::unexpected_body;
-    if (!has_plain_framing(parser->get().base()))
-        co_return http::error::bad_transfer_encoding;
-    co_return boost::system::error_code{};
+        if (http::to_status_class(parser->get().result_int()) !=
+            http::status_class::informational)
+            co_return check_answer(*parser, buffer);
+    }
+    co_return http::error::header_limit;
 }
-
 // Runs on the strand of the stream. `fresh` is set for a new connection.
 // Resets `stream` if the connection cannot be kept.
 asio::awaitable<http_outcome> exchange(
@@ -183,6 +196,7 @@
     bool fresh,
     wire::endpoint server,
     http_call request,
+    std::size_t max_answer,
     deadline_point deadline)
 {
     stream->expires_at(deadline);
@@ -202,8 +216,8 @@
     }
     beast::flat_buffer buffer(max_unparsed_bytes);
     std::optional<answer_parser> parser;
-    const auto read_failed =
-        co_await read_answer(*stream, message.method(), buffer, parser);
+    const auto read_failed = co_await read_answer(
+        *stream, message.method(), max_answer, buffer, parser);
     if (read_failed) {
         stream.reset();
         co_return failed_with(http_failure::unknown, read_failed);
@@ -236,7 +250,13 @@
     const auto executor = stream->get_executor();
     auto outcome = co_await asio::co_spawn(
         executor,
-        exchange(stream, fresh, server, std::move(request), deadline),
+        exchange(
+            stream,
+            fresh,
+            server,
+            std::move(request),
+            held->max_answer,
+            deadline),
         asio::use_awaitable);
     if (stream && connection == reuse::allowed)
         held->keep(server, std::move(stream));
--- a/oleanderhinge/net/http_client.hpp
+++ b/oleanderhinge/net/http_client.hpp
@@ -47,15 +47,21 @@
 // call ran; calls that must not be repeated use a fresh one.
 enum class reuse : std::uint8_t { allowed, never };
 
+inline constexpr std::size_t default_max_answer = std::size_t(4) << 20;
+
 // Thread-safe.
 class http_client
 {
 public:
-    // Keeps at most `max_idle` connections for each server.
-    http_client(boost::asio::io_context& io, std::size_t max_idle);
+    // Keeps at most `max_idle` connections for each server. Answers with a body
+    // above `max_answer` bytes fail.
+    http_client(
+        boost::asio::io_context& io,
+        std::size_t max_idle,
+        std::size_t max_answer = default_max_answer);
     ~http_client();
 
-    // The whole call ends within `timeout`. Answers above 4 MiB fail.
+    // The whole call ends within `timeout`.
     boost::asio::awaitable<http_outcome> call(
         wire::endpoint server,
         http_call request,
--- a/oleanderhinge/net/http_framing_limits_test.cpp
+++ b/oleanderhinge/net/http_framing_limits_test.cpp
@@ -38,19 +38,41 @@
 }
 
 // Whether the peer closes the connection before it has read all.
-asio::awaitable<bool> is_cut_short(tcp::socket& socket, std::string begin)
+asio::awaitable<bool>
+is_cut_short(tcp::socket& socket, std::string begin, std::string_view rest)
 {
-    const char last = begin.ends_with('\n') ? '\n' : 'x';
-    begin.append(std::size_t(64) << 20, last);
+    constexpr std::size_t size_of_all = std::size_t(64) << 20;
+    begin.reserve(size_of_all + rest.size());
+    while (begin.size() < size_of_all)
+        begin.append(rest);
     const auto [failed, size] =
         co_await asio::async_write(socket, asio::buffer(begin), as_pair);
     co_return failed.failed();
 }
 
+struct endless_answer {
+    std::string begin;
+    std::string_view rest;
+};
+
+std::vector<endless_answer> endless_answers()
+{
+    std::vector<endless_answer> rows;
+    for (const auto& begin : beginnings("HTTP/1.1 200 OK\r\n"))
+        rows.push_back({begin, "x"});
+    rows.push_back({"", "HTTP/1.1 103 Hints\r\n\r\n"});
+    rows.push_back({"HTTP/1.1 200 OK\r\n\r\n", "x"});
+    rows.push_back(
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+         "4\r\ndone\r\n"});
+    return rows;
+}
+
 // Guards against a client whose memory grows until the time of the call ends.
 TEST(http_framing_limits, a_client_reads_no_answer_without_end)
 {
-    for (const auto& begin : beginnings("HTTP/1.1 200 OK\r\n")) {
+    constexpr std::size_t max_answer = 65536;
+    for (const auto& [begin, rest] : endless_answers()) {
         asio::io_context io;
         tcp::acceptor acceptor(io, {asio::ip::address_v4::loopback(), 0});
         bool cut_short = false;
@@ -58,10 +80,10 @@
             io,
             [&]() -> asio::awaitable<void> {
                 auto [failed, socket] = co_await acceptor.async_accept(as_pair);
-                cut_short = co_await is_cut_short(socket, begin);
+                cut_short = co_await is_cut_short(socket, begin, rest);
             },
             asio::detached);
-        http_client client(io, 1);
+        http_client client(io, 1, max_answer);
         http_outcome outcome;
         asio::co_spawn(
             io,
@@ -77,8 +99,8 @@
             },
             asio::detached);
         io.run();
-        EXPECT_TRUE(cut_short) << begin;
-        EXPECT_EQ(outcome.failure, http_failure::unknown) << begin;
+        EXPECT_TRUE(cut_short) << begin << rest;
+        EXPECT_EQ(outcome.failure, http_failure::unknown) << begin << rest;
     }
 }
 
@@ -105,7 +127,8 @@
                 tcp::socket socket(io);
                 const tcp::endpoint to(asio::ip::address_v4::loopback(), port);
                 co_await socket.async_connect(to, as_pair);
-                cut_short = co_await is_cut_short(socket, begin);
+                cut_short = co_await is_cut_short(
+                    socket, begin, begin.ends_with('\n') ? "\n" : "x");
                 io.stop();
             },
             asio::detached);
--- a/tests/deploy_test.cpp
+++ b/tests/deploy_test.cpp
@@ -38,6 +38,7 @@
         {"bounds.budgetSlack", "416"},
         {"bounds.budgetWindowS", "10"},
         {"bounds.graceS", "8"},
+        {"limits.memoryMb", "112"},
         {"limits.linkMbps", "100.0"}};
     for (const auto& [key, value] : others)
         values[key] = value;
@@ -97,6 +98,7 @@
         "gateway.ini", gateway::gateway_keys(), gateway::load_settings);
     ASSERT_EQ(chosen.seeds.size(), 3U);
     EXPECT_EQ(chosen.seeds[1], (wire::endpoint{"10.2.0.29", 7340}));
+    EXPECT_EQ(chosen.memory, 112000000U);
     // SIGKILL follows 8 s after SIGTERM.
     EXPECT_LT(chosen.times.drain_limit, std::chrono::seconds(8));
 }
@@ -127,7 +129,9 @@
         {{"bounds.budgetSlack", "59.69696969696969"},
          {"bounds.budgetWindowS", "2.5"},
          {"bounds.retryBudgetRatio", "1.5"},
-         {"bounds.graceS", "4.5"}});
+         {"bounds.graceS", "4.5"},
+         {"limits.memoryMb", "37.333333"}});
+    EXPECT_EQ(chosen.memory, 37333333U);
     EXPECT_DOUBLE_EQ(chosen.retries.slack, 59.69696969696969);
     EXPECT_EQ(chosen.retries.window, std::chrono::milliseconds(2500));
     EXPECT_LT(chosen.times.drain_limit, std::chrono::milliseconds(4500));
@@ -143,7 +147,8 @@
         {"bounds.budgetSlack",
          "bounds.budgetWindowS",
          "bounds.retryBudgetRatio",
-         "bounds.graceS"});
+         "bounds.graceS",
+         "limits.memoryMb"});
     EXPECT_EQ(gateway.seeds.size(), 3U);
     const auto control = checked<control::control_settings>(
         "control.ini",
