control: remove a lost learner before lost voters

Cause: only the member that had been unreachable for longest was considered for removal, and it was removed only if all others voted. A lost learner never votes, so the lost voter before it stayed a member, and the learner itself was never considered. The next loss took the majority.

Ruled out: admission. The successor of the lost learner was added and voted.

Change: a lost learner is removed first, whatever the size of the group, since it has no vote that could be missed; one that only restarts asks to be admitted again. Voters are removed as before, and never while there is a learner.

Before and after: rows of group.lost_members_are_removed_in_turn failed with the code of (a learner of a small group; a voter, then its successor before it votes; a voter and one or both of two successors); all pass.

--- a/oleanderhinge/control/group.cpp
+++ b/oleanderhinge/control/group.cpp
@@ -18,6 +18,26 @@
     return found == status.members.end() ? nullptr : &*found;
 }
 
+// The voter, or else the learner, that has been unreachable for longest.
+std::optional<base::vm_id> longest_lost(
+    const member_reach& reach,
+    const replica::log_status& status,
+    bool voter,
+    base::time_point now)
+{
+    const base::vm_id* found = nullptr;
+    auto since = now - unreachable_timeout;
+    for (const auto& item : status.members) {
+        const auto lost = reach.unreachable_since.find(item.vm);
+        if (item.voter != voter || lost == reach.unreachable_since.end() ||
+            lost->second > since)
+            continue;
+        found = &item.vm;
+        since = lost->second;
+    }
+    return found == nullptr ? std::nullopt : std::optional(*found);
+}
+
 } // namespace
 
 std::size_t wanted_members(std::uint32_t tolerated_losses)
@@ -68,25 +88,21 @@
     std::size_t wanted,
     base::time_point now)
 {
-    if (status.role != replica::member_role::leader || !status.has_quorum ||
-        status.members.size() <= wanted)
+    if (status.role != replica::member_role::leader || !status.has_quorum)
         return std::nullopt;
-    const auto lost = std::min_element(
-        reach.unreachable_since.begin(),
-        reach.unreachable_since.end(),
-        [](const auto& left, const auto& right) {
-            return left.second < right.second;
+    // A learner has no vote that the group could miss. If it is only
+    // restarting, it asks to be admitted again.
+    if (auto learner = longest_lost(reach, status, false, now))
+        return learner;
+    // While there is a learner, the group would lose a voter before it gains
+    // one.
+    const bool all_vote = std::all_of(
+        status.members.begin(), status.members.end(), [](const auto& item) {
+            return item.voter;
         });
-    if (lost == reach.unreachable_since.end() ||
-        now < lost->second + unreachable_timeout)
+    if (!all_vote || status.members.size() <= wanted)
         return std::nullopt;
-    // A learner has no vote yet, so the group would lose a voter before it
-    // gains one.
-    const bool others_vote = std::all_of(
-        status.members.begin(), status.members.end(), [&](const auto& item) {
-            return item.vm == lost->first || item.voter;
-        });
-    return others_vote ? std::optional(lost->first) : std::nullopt;
+    return longest_lost(reach, status, true, now);
 }
 
 } // namespace oleanderhinge::control
--- a/oleanderhinge/control/group.hpp
+++ b/oleanderhinge/control/group.hpp
@@ -2,9 +2,10 @@
 //
 // A node that is not a member, or that has had no leader for
 // `admission_wait`, asks to be admitted. The leader adds it as a learner, which
-// becomes a voter once it has caught up. The leader then removes the member
+// becomes a voter once it has caught up. The leader then removes the voter
 // that has been unreachable for longest, as long as the group has more members
-// than it should have. One membership change is in progress at a time.
+// than it should have. A learner that is lost before it votes is removed in any
+// case. One membership change is in progress at a time.
 //
 // Example:
 //   if (asks_for_admission(watch, status, now)) send(join_request);
@@ -63,9 +64,10 @@
 // Returns true if this node leads with a quorum and `asking` is not a member.
 bool should_add(const replica::log_status& status, const base::vm_id& asking);
 
-// Returns the member that has been unreachable for longest, if that is at least
-// `unreachable_timeout`, all others are voters, the group has more than
-// `wanted` members, and this node leads with a quorum.
+// Returns the member to remove, if this node leads with a quorum: the learner
+// that has been unreachable for longest or, if there is none, the voter, but
+// only if all others are voters and the group has more than `wanted` members.
+// Members count as unreachable after `unreachable_timeout`.
 std::optional<base::vm_id> member_to_remove(
     const member_reach& reach,
     const replica::log_status& status,
--- a/oleanderhinge/control/group_test.cpp
+++ b/oleanderhinge/control/group_test.cpp
@@ -78,6 +78,63 @@
     EXPECT_FALSE(member_to_remove(reach, follower, 3, start + seconds(3)));
 }
 
+struct loss_case {
+    const char* name;
+    // Members, of which the learners are in upper case.
+    std::string members;
+    // Those without a link, and since when, in the order of their loss.
+    std::string lost;
+    std::string removed;
+};
+
+const loss_case loss_cases[] = {
+    {"nobody is lost", "abcd", "", ""},
+    {"a restarting voter", "abc", "c", ""},
+    {"a voter, while its successor learns", "abcD", "c", ""},
+    {"a voter, and its successor votes", "abcd", "c", "c"},
+    {"two voters, and one successor votes", "abcd", "bc", "b"},
+    {"a learner", "abcD", "D", "D"},
+    {"a learner of a small group", "abD", "D", "D"},
+    {"a voter, then its successor before it votes", "abcD", "cD", "D"},
+    {"a learner, then a voter", "abcD", "Dc", "D"},
+    {"a voter and one of two successors", "abcDE", "cD", "D"},
+    {"a voter and both successors", "abcDE", "cED", "E"},
+};
+
+// Guards against a lost learner that blocks the removal of lost voters, and so
+// takes away the majority after the next loss.
+TEST(group, lost_members_are_removed_in_turn)
+{
+    for (const auto& item : loss_cases) {
+        replica::log_status status;
+        status.role = replica::member_role::leader;
+        status.has_quorum = true;
+        for (const char name : item.members)
+            status.members.push_back(
+                {base::vm_id{std::string(1, name)}, {}, {}, name >= 'a'});
+        member_reach reach;
+        auto now = start;
+        for (std::size_t count = 0; count <= item.lost.size(); ++count) {
+            const auto lost = item.lost.substr(0, count);
+            now += seconds(1);
+            observe_links(
+                reach,
+                status,
+                self,
+                [&](const base::vm_id& vm) {
+                    return lost.find(vm.value()) == lost.npos;
+                },
+                now);
+        }
+        const auto removed =
+            member_to_remove(reach, status, 3, now + unreachable_timeout);
+        EXPECT_EQ(removed ? removed->value() : "", item.removed) << item.name;
+        EXPECT_FALSE(
+            member_to_remove(reach, status, 3, start + unreachable_timeout))
+            << item.name;
+    }
+}
+
 // Guards against a node that was removed while it was unreachable and never
 // rejoins, and against members that ask for admission although they have a
 // leader.
