control: let a standby follow changed seeds

Callers would see: after the nodes of its settings were replaced, a control node on a machine without a disk redirects every call to nodes that are gone, until it restarts. Found by reading, as a copy of the list of control nodes that never changes.

Before and after: standby.calls_follow_changed_seeds needs the new function, so it has no run on the old code.

--- a/oleanderhinge/control/standby.cpp
+++ b/oleanderhinge/control/standby.cpp
@@ -2,6 +2,8 @@
 
 #include "oleanderhinge/control/json.hpp"
 
+#include <spdlog/spdlog.h>
+
 namespace oleanderhinge::control
 {
 
@@ -11,11 +13,12 @@
 // The time line only holds events of this process.
 constexpr std::size_t kept_events = 16;
 
-std::vector<wire::endpoint> other_nodes(const service_options& options)
+std::vector<wire::endpoint> other_nodes(
+    const std::vector<replica::member>& seeds, const wire::endpoint& self)
 {
     std::vector<wire::endpoint> found;
-    for (const auto& node : options.initial_members)
-        if (node.admin.port != 0 && node.admin != options.admin_listen)
+    for (const auto& node : seeds)
+        if (node.admin.port != 0 && node.admin != self)
             found.push_back(node.admin);
     return found;
 }
@@ -24,7 +27,8 @@
 
 standby::standby(boost::asio::io_context& io, service_options chosen)
     : options(std::move(chosen))
-    , others(other_nodes(this->options))
+    , others(other_nodes(
+          this->options.initial_members, this->options.admin_listen))
     , events(this->options.link.self.vm, this->clock, kept_events)
     , admin(
           io,
@@ -55,6 +59,12 @@
     return service_endpoints{{}, calls, pages};
 }
 
+void standby::set_seeds(const std::vector<replica::member>& seeds)
+{
+    this->others = other_nodes(seeds, this->options.admin_listen);
+    spdlog::info("event=reload nodes={}", this->others.size());
+}
+
 boost::asio::awaitable<void>
 standby::answer(const net::http_request& request, net::http_exchange& exchange)
 {
--- a/oleanderhinge/control/standby.hpp
+++ b/oleanderhinge/control/standby.hpp
@@ -33,6 +33,9 @@
     // Opens the admin and the management port; there is no link port. Fails
     // with `io`.
     base::result<service_endpoints> start();
+    // Replaces the nodes by those of changed settings. Call it on the thread of
+    // the io_context.
+    void set_seeds(const std::vector<replica::member>& seeds);
     void stop();
 
 private:
@@ -41,7 +44,7 @@
 
     const service_options options;
     // Admin endpoints of the other nodes that the settings name.
-    const std::vector<wire::endpoint> others;
+    std::vector<wire::endpoint> others;
     std::size_t redirects = 0;
     timeline::hybrid_clock clock;
     timeline::recorder events;
--- a/oleanderhinge/control/standby_test.cpp
+++ b/oleanderhinge/control/standby_test.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
 namespace oleanderhinge::control
@@ -13,9 +14,12 @@
 
 using namespace std::chrono_literals;
 
-// Starts a standby and returns its answer to each of `count` calls.
-std::vector<net::http_outcome>
-call_standby(std::vector<replica::member> seeds, int count)
+// Starts a standby and returns its answer to each of `count` calls. Its
+// settings change before them if there are other seeds.
+std::vector<net::http_outcome> call_standby(
+    std::vector<replica::member> seeds,
+    int count,
+    const std::vector<replica::member>& changed = {})
 {
     boost::asio::io_context io;
     service_options options;
@@ -30,6 +34,8 @@
             ADD_FAILURE() << e.detail;
             return {};
         });
+    if (!changed.empty())
+        node.set_seeds(changed);
     net::http_client client(io, 1);
     std::vector<net::http_outcome> outcomes;
     boost::asio::co_spawn(
@@ -69,6 +75,24 @@
             "http://10.1.0.1:8229/v1/forwarding-table"}));
 }
 
+// Guards against calls that are redirected to nodes which were replaced.
+TEST(standby, calls_follow_changed_seeds)
+{
+    std::vector<replica::member> seeds(1);
+    seeds[0].admin = {"10.1.0.1", 8229};
+    auto changed = seeds;
+    changed[0].admin = {"10.4.0.1", 8229};
+    const auto outcomes = call_standby(seeds, 1, changed);
+    ASSERT_EQ(outcomes.size(), 1U);
+    EXPECT_THAT(
+        outcomes[0].answer.headers,
+        testing::Contains(testing::AllOf(
+            testing::Field(&wire::header::name, "Location"),
+            testing::Field(
+                &wire::header::value,
+                "http://10.4.0.1:8229/v1/forwarding-table"))));
+}
+
 // Guards against a restart loop when the platform starts a control node on a VM
 // without a disk, and against acknowledgments by a node that cannot store them.
 TEST(standby, calls_are_refused_as_not_run)
