control: try the seeds without a quorum, and take no reports alone

Cause: the node's list of peers came from its log alone, which named members that were all gone. The seeds of its settings counted only while the log was empty. So it had no link and nobody to ask for admission, for good, and acknowledged reports in any case.

Ruled out: admission of a node with an old log; once it has a link it is added and votes.

Change: without a quorum for 5 s, a node also has links to the seeds, and asks them for admission. SIGHUP replaces the seeds of members and standbys. A node that has had neither a link nor a quorum for 2.5 s answers reports with 503, which sends the server to the next node. Elections and partitions with a gateway on this side are not concerned.

--- a/oleanderhinge/control/extension.hpp
+++ b/oleanderhinge/control/extension.hpp
@@ -54,8 +54,9 @@
     // Reads the newest forwarding table, on the leader only.
     std::function<void(std::function<void(document_outcome)>)> read_forwarding;
     // Applies the report of a backend server and relays changes to the gateways
-    // and the other members.
-    std::function<void(wire::server_record)> report_server;
+    // and the other members. False if this node reaches none of them; then the
+    // report must go to another node.
+    std::function<bool(wire::server_record)> report_server;
 };
 
 enum class order_result : std::uint8_t {
--- a/oleanderhinge/control/group.cpp
+++ b/oleanderhinge/control/group.cpp
@@ -76,6 +76,31 @@
     return !status.has_quorum && now >= without_leader_since + admission_wait;
 }
 
+std::vector<replica::member> nodes_to_link(
+    const replica::log_status& status,
+    const std::vector<replica::member>& seeds,
+    base::time_point without_leader_since,
+    base::time_point now)
+{
+    if (status.members.empty())
+        return seeds;
+    auto nodes = status.members;
+    if (!status.has_quorum && now >= without_leader_since + admission_wait)
+        for (const auto& seed : seeds)
+            if (find(status, seed.vm) == nullptr)
+                nodes.push_back(seed);
+    return nodes;
+}
+
+bool is_isolated(
+    const replica::log_status& status,
+    base::time_point without_links_since,
+    base::time_point now)
+{
+    return !status.has_quorum &&
+           now >= without_links_since + unreachable_timeout;
+}
+
 bool should_add(const replica::log_status& status, const base::vm_id& asking)
 {
     return status.role == replica::member_role::leader && status.has_quorum &&
--- a/oleanderhinge/control/group.hpp
+++ b/oleanderhinge/control/group.hpp
@@ -19,6 +19,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace oleanderhinge::control
 {
@@ -61,6 +62,23 @@
     base::time_point without_leader_since,
     base::time_point now);
 
+// Returns the nodes to have links to: the members, or the seeds while the log
+// contains none. If this node is a member and has had no quorum since
+// `without_leader_since` and for at least `admission_wait`, both: all members
+// that it knows may have been replaced.
+std::vector<replica::member> nodes_to_link(
+    const replica::log_status& status,
+    const std::vector<replica::member>& seeds,
+    base::time_point without_leader_since,
+    base::time_point now);
+
+// Returns true if nobody would learn what is reported to this node: it has had
+// neither a link nor a quorum for `unreachable_timeout`.
+bool is_isolated(
+    const replica::log_status& status,
+    base::time_point without_links_since,
+    base::time_point now);
+
 // Returns true if this node leads with a quorum and `asking` is not a member.
 bool should_add(const replica::log_status& status, const base::vm_id& asking);
 
--- a/oleanderhinge/control/group_test.cpp
+++ b/oleanderhinge/control/group_test.cpp
@@ -135,6 +135,61 @@
     }
 }
 
+struct link_case {
+    const char* name;
+    std::string members;
+    bool has_quorum;
+    seconds without_leader;
+    std::string linked;
+};
+
+// The seeds are c and d.
+const link_case link_cases[] = {
+    {"a new node", "", false, seconds(0), "cd"},
+    {"a member with a quorum", "abc", true, seconds(0), "abc"},
+    {"an election", "abc", false, seconds(4), "abc"},
+    {"without the others for a while", "abc", false, seconds(5), "abcd"},
+    {"all others were replaced an hour ago",
+     "abe",
+     false,
+     seconds(3600),
+     "abecd"},
+    {"found back", "acd", true, seconds(3600), "acd"},
+};
+
+// Guards against a member that was down while all others were replaced, and
+// then has nobody to ask for admission.
+TEST(group, a_node_without_a_quorum_also_tries_the_seeds)
+{
+    std::vector<replica::member> seeds;
+    for (const char* name : {"c", "d"})
+        seeds.push_back({base::vm_id{name}, {}, {}, true});
+    for (const auto& item : link_cases) {
+        replica::log_status status;
+        status.has_quorum = item.has_quorum;
+        for (const char name : item.members)
+            status.members.push_back(
+                {base::vm_id{std::string(1, name)}, {}, {}, true});
+        std::string linked;
+        for (const auto& node :
+             nodes_to_link(status, seeds, start, start + item.without_leader))
+            linked += node.vm.value();
+        EXPECT_EQ(linked, item.linked) << item.name;
+    }
+}
+
+// Guards against reports of servers that are acknowledged by a node that nobody
+// learns them from, and against reports that are refused during an election.
+TEST(group, a_node_without_links_and_quorum_is_isolated)
+{
+    replica::log_status status;
+    EXPECT_FALSE(is_isolated(status, start, start));
+    EXPECT_FALSE(is_isolated(status, start, start + seconds(2)));
+    EXPECT_TRUE(is_isolated(status, start, start + seconds(3)));
+    status.has_quorum = true;
+    EXPECT_FALSE(is_isolated(status, start, start + seconds(3)));
+}
+
 // Guards against a node that was removed while it was unreachable and never
 // rejoins, and against members that ask for admission although they have a
 // leader.
--- a/oleanderhinge/control/internal/service_fleet.cpp
+++ b/oleanderhinge/control/internal/service_fleet.cpp
@@ -43,9 +43,12 @@
              [this](auto done) { this->read_forwarding(std::move(done)); },
          .report_server =
              [this](wire::server_record record) {
+                 if (this->isolated)
+                     return false;
                  this->on_strand([this, record = std::move(record)] {
                      this->on_report(record, false);
                  });
+                 return true;
              }},
         std::move(own));
 }
--- a/oleanderhinge/control/internal/service_group.cpp
+++ b/oleanderhinge/control/internal/service_group.cpp
@@ -42,8 +42,6 @@
         this->self,
         [this](const base::vm_id& vm) { return this->link_of(vm).has_value(); },
         now);
-    if (status.has_quorum)
-        this->without_leader_since = now;
     if (now >= this->next_join &&
         asks_for_admission(
             status, this->self, this->without_leader_since, now)) {
--- a/oleanderhinge/control/internal/service_impl.hpp
+++ b/oleanderhinge/control/internal/service_impl.hpp
@@ -38,7 +38,8 @@
 namespace asio = boost::asio;
 
 // The data members from `timer` to `redirects` are used on the strand only,
-// except the atomic `removing`. The other members are thread-safe.
+// except the atomic `removing` and `isolated`. The other members are
+// thread-safe.
 struct service::impl {
     impl(
         asio::io_context& context,
@@ -65,6 +66,7 @@
               .random = base::random_source(options.seed)}
         , peers{.self = self, .peers = {}}
         , watch{.self = self}
+        , seeds(options.initial_members)
         , links(context, clock, options.link, this->link_handlers())
         , consensus(make_log(this->state.machine(), this->sender()))
         , api(*consensus.log,
@@ -224,6 +226,10 @@
     std::map<net::link_id, fleet::peer_numbering> peer_numbers;
     member_reach reach;
     base::time_point without_leader_since = base::monotonic_now();
+    base::time_point without_links_since = base::monotonic_now();
+    std::atomic<bool> isolated{false};
+    // Members of the settings.
+    std::vector<replica::member> seeds;
     base::time_point next_join;
     std::atomic<bool> removing{false};
     base::time_point next_confirm;
--- a/oleanderhinge/control/program.cpp
+++ b/oleanderhinge/control/program.cpp
@@ -134,13 +134,24 @@
         });
 }
 
-void log_reload()
+// Reads the settings again and passes on the seeds; other changes need a
+// restart. Settings that are not valid leave the process as it is.
+template <class Node>
+void reload(Node& node, const std::string& path)
 {
-    // The log has the members, and seeds are used at the start only.
-    spdlog::info("event=reload ignored=settings");
+    base::handle(
+        [&]() -> base::result<void> {
+            BOOST_LEAF_AUTO(values, settings::load(path, control_keys()));
+            BOOST_LEAF_AUTO(changed, load_settings(values));
+            node.set_seeds(std::move(changed.members));
+            return {};
+        },
+        [](const base::error& failure) {
+            spdlog::error("event=reload_refused reason=\"{}\"", failure.detail);
+        });
 }
 
-int serve_without_disk(const control_settings& chosen)
+int serve_without_disk(const control_settings& chosen, const std::string& path)
 {
     boost::asio::io_context io;
     standby node(io, chosen.service);
@@ -154,10 +165,13 @@
          .begin_drain = [] {},
          .drained = [] { return true; },
          .stop = [&] { node.stop(); },
-         .reload = log_reload});
+         .reload = [&] { reload(node, path); }});
 }
 
-int serve(const control_settings& chosen, const extension& added)
+int serve(
+    const control_settings& chosen,
+    const extension& added,
+    const std::string& path)
 {
     prepare_folder(chosen.data_folder);
     const auto files = storage::make_posix_file_system(chosen.data_folder);
@@ -184,7 +198,7 @@
              },
          .drained = [&] { return control.drained(); },
          .stop = [&] { control.stop(); },
-         .reload = log_reload});
+         .reload = [&] { reload(control, path); }});
 }
 
 int load_and_run(
@@ -198,8 +212,8 @@
                 std::cout << path << ": ok\n";
                 return 0;
             }
-            return chosen.data_folder.empty() ? serve_without_disk(chosen)
-                                              : serve(chosen, added);
+            return chosen.data_folder.empty() ? serve_without_disk(chosen, path)
+                                              : serve(chosen, added, path);
         },
         [&](const base::error& failure) {
             std::cerr << failure.detail << '\n';
--- a/oleanderhinge/control/service.cpp
+++ b/oleanderhinge/control/service.cpp
@@ -46,7 +46,13 @@
     }
     if (!had_quorum && status.has_quorum)
         spdlog::info("event=quorum_present leader={}", status.leader.value());
+    if (status.has_quorum)
+        this->without_leader_since = now;
     this->connect_peers(status, now);
+    if (!this->open_links.empty())
+        this->without_links_since = now;
+    this->isolated = this->options.self_managed &&
+                     is_isolated(status, this->without_links_since, now);
     // Without another member to redirect them to, subscribers are kept: they
     // would not come back by themselves.
     if (const auto alternatives = this->redirect_targets();
@@ -77,10 +83,9 @@
     const replica::log_status& status, base::time_point now)
 {
     std::vector<net::link_id> dropped;
-    // A new, empty log gets its member list from its peers.
-    const auto& members =
-        status.members.empty() ? this->options.initial_members : status.members;
-    for (const auto& peer : due(this->peers, members, now, dropped))
+    const auto nodes =
+        nodes_to_link(status, this->seeds, this->without_leader_since, now);
+    for (const auto& peer : due(this->peers, nodes, now, dropped))
         connecting(this->peers, peer.vm, this->links.connect(peer.link));
     for (const auto link : dropped)
         this->links.close(link);
@@ -137,6 +142,15 @@
     return service_endpoints{link, admin, management};
 }
 
+void service::set_seeds(std::vector<replica::member> seeds)
+{
+    auto& running = *this->state;
+    running.on_strand([&running, seeds = std::move(seeds)]() mutable {
+        spdlog::info("event=reload seeds={}", seeds.size());
+        running.seeds = std::move(seeds);
+    });
+}
+
 void service::begin_drain()
 {
     auto& running = *this->state;
--- a/oleanderhinge/control/service.hpp
+++ b/oleanderhinge/control/service.hpp
@@ -34,7 +34,8 @@
     wire::endpoint admin_listen;
     wire::endpoint management_listen;
     std::string admin_token;
-    // Members to connect to while the log contains none.
+    // Members to connect to while the log contains none. A self-managed node
+    // also tries them when it has lost the quorum.
     std::vector<replica::member> initial_members;
     // Maximum number of direct subscribers of this node; further ones are
     // redirected to these. A self-managed group has no limit.
@@ -110,6 +111,10 @@
 
     // Opens the ports and starts the timers. Fails with `io`.
     base::result<service_endpoints> start();
+    // Replaces the initial members by those of changed settings. They are used
+    // while the log contains no members, and by a self-managed node without a
+    // quorum.
+    void set_seeds(std::vector<replica::member> seeds);
     // Redirects all subscribers to other members and accepts no new admin
     // connections.
     void begin_drain();
