--- a/oleanderhinge/net/http_client.cpp
+++ b/oleanderhinge/net/http_client.cpp
@@ -34,6 +34,8 @@
 // A kept connection that the server closed meanwhile leaves it unknown whether
 // the call ran. Servers close idle connections after tens of seconds.
 constexpr auto max_idle_time = std::chrono::seconds(5);
+// A member of control has connections to hundreds of engines.
+constexpr auto drop_interval = std::chrono::seconds(1);
 constexpr auto as_pair = asio::as_tuple(asio::use_awaitable);
 
 http_outcome failed_with(http_failure kind, boost::system::error_code error)
@@ -73,8 +75,12 @@
     std::unique_ptr<beast::tcp_stream> take(const wire::endpoint& server)
     {
         const std::lock_guard lock(this->mutex);
-        this->drop_old(std::chrono::steady_clock::now());
+        const auto now = std::chrono::steady_clock::now();
+        this->drop_old(now);
         auto& kept = this->idle[server];
+        // The newest one is last; if it is too old, all are.
+        if (!kept.empty() && now - kept.back().since > max_idle_time)
+            kept.clear();
         while (!kept.empty()) {
             auto stream = std::move(kept.back().stream);
             kept.pop_back();
@@ -95,9 +101,13 @@
                 {std::move(stream), std::chrono::steady_clock::now()});
     }
 
-    // Also drops those to servers that get no more calls; with the lock held.
+    // Drops those to servers that get no more calls, once per `drop_interval`;
+    // with the lock held.
     void drop_old(std::chrono::steady_clock::time_point now)
     {
+        if (now < this->next_drop)
+            return;
+        this->next_drop = now + drop_interval;
         for (auto& [server, kept] : this->idle)
             std::erase_if(kept, [now](const kept_connection& item) {
                 return now - item.since > max_idle_time;
@@ -115,6 +125,7 @@
         std::chrono::steady_clock::time_point since;
     };
     std::map<wire::endpoint, std::vector<kept_connection>> idle;
+    std::chrono::steady_clock::time_point next_drop;
 };
 
 http_client::http_client(
