--- a/oleanderhinge/gateway/settings.cpp
+++ b/oleanderhinge/gateway/settings.cpp
@@ -52,8 +52,7 @@
          "1",
          "1000000",
          "memory that the process may use, in MB; a quarter of it is for "
-         "answers "
-         "that are not passed on yet"},
+         "answers that are not passed on yet"},
         {"control",
          "seeds",
          value_type::endpoint_list,
