--- a/oleanderhinge/gateway/control_members.cpp
+++ b/oleanderhinge/gateway/control_members.cpp
@@ -36,12 +36,15 @@
     return forgotten;
 }
 
-control_member* find_node(control_members& members, net::link_id link)
+// For a constant map or not; null if no node has the link.
+template <class Nodes>
+auto* find_link(Nodes& known, net::link_id link)
 {
-    for (auto& [address, node] : members.known)
-        if (node.link == link)
-            return &node;
-    return nullptr;
+    const auto found =
+        std::find_if(known.begin(), known.end(), [link](const auto& item) {
+            return item.second.link == link;
+        });
+    return found == known.end() ? nullptr : &*found;
 }
 
 } // namespace
@@ -100,29 +103,26 @@
 
 void opened(control_members& members, net::link_id link)
 {
-    if (auto* node = find_node(members, link))
-        node->open = true;
+    if (auto* found = find_link(members.known, link))
+        found->second.open = true;
 }
 
 void closed(
     control_members& members, net::link_id link, base::time_point next_connect)
 {
-    auto* node = find_node(members, link);
-    if (node == nullptr)
+    auto* found = find_link(members.known, link);
+    if (found == nullptr)
         return;
-    node->link.reset();
-    node->open = false;
-    node->next_connect = next_connect;
+    auto& node = found->second;
+    node.link.reset();
+    node.open = false;
+    node.next_connect = next_connect;
 }
 
 const std::pair<const wire::endpoint, control_member>*
 find(const control_members& members, net::link_id link)
 {
-    const auto found = std::find_if(
-        members.known.begin(), members.known.end(), [link](const auto& item) {
-            return item.second.link == link;
-        });
-    return found == members.known.end() ? nullptr : &*found;
+    return find_link(members.known, link);
 }
 
 bool is_silent(
--- a/oleanderhinge/gateway/control_members_test.cpp
+++ b/oleanderhinge/gateway/control_members_test.cpp
@@ -211,8 +211,8 @@
      "def"},
 };
 
-// Guards against an address of control that is forgotten while nothing is
-// learned, or kept after the group has gone on without it.
+// Guards against an address of control that is forgotten while no list arrives,
+// or kept although the lists of the group do not contain it any more.
 TEST(control_members, addresses_follow_the_group)
 {
     for (const auto& item : membership_cases) {
--- a/oleanderhinge/net/http_client.cpp
+++ b/oleanderhinge/net/http_client.cpp
@@ -170,6 +170,7 @@
 
 using answer_parser = http::response_parser<http::string_body>;
 
+// Fails if the answer that was read cannot be known to be whole and alone.
 boost::system::error_code
 check_answer(const answer_parser& parser, const beast::flat_buffer& buffer)
 {
@@ -207,6 +208,7 @@
     }
     co_return http::error::header_limit;
 }
+
 // Runs on the strand of the stream. `fresh` is set for a new connection.
 // Resets `stream` if the connection cannot be kept.
 asio::awaitable<http_outcome> exchange(
