gateway: second attempts beside the first, for plain calls

A server that is slow or paused held a request that may be repeated until its attempt was given up, after 0.4 of the request's time. A second attempt now starts when the first is slower than the route's usual answers, or at the last moment from which a usual answer is on time. The first acceptable answer is passed on, and the other attempt's connection is closed.

Ruled out: a constant delay, tied requests, and faster repeats alone; docs/design/hedging.md says why. Limits are those of the operator, which the gateways share as they share the retry budget, and a reserve of the retry budget. Off unless the settings allow it.

An attempt at a plain call has its own state, so that two may run; an answer is read in full before it is passed on, as before.

--- a/oleanderhinge/gateway/forwarder.cpp
+++ b/oleanderhinge/gateway/forwarder.cpp
@@ -93,20 +93,34 @@
 void forwarder::note_gateways(std::uint32_t count, base::time_point now)
 {
     retry::note(this->gateways, count, now);
-    for (auto& [service, budget] : this->budgets)
-        retry::set_gateways(budget, retry::maximum(this->gateways));
+    for (auto* all : {&this->budgets, &this->hedge_limits})
+        for (auto& [service, budget] : *all)
+            retry::set_gateways(budget, retry::maximum(this->gateways));
 }
 
 retry::shared_budget& forwarder::budget_of(const forwarding_request& request)
 {
-    const auto& service = request.service->name;
-    if (const auto found = this->budgets.find(service);
-        found != this->budgets.end())
+    return this->budget_in(
+        this->budgets, request.service->name, this->options.retries);
+}
+
+retry::shared_budget&
+forwarder::hedge_limit_of(const forwarding_request& request)
+{
+    return this->budget_in(
+        this->hedge_limits, request.service->name, this->options.hedges);
+}
+
+retry::shared_budget& forwarder::budget_in(
+    std::map<std::string, retry::shared_budget>& all,
+    const std::string& service,
+    const retry::shared_budget_options& limits)
+{
+    if (const auto found = all.find(service); found != all.end())
         return found->second;
-    auto made =
-        retry::make_shared_budget(this->options.retries, base::monotonic_now());
+    auto made = retry::make_shared_budget(limits, base::monotonic_now());
     retry::set_gateways(made, retry::maximum(this->gateways));
-    return this->budgets.emplace(service, made).first->second;
+    return all.emplace(service, made).first->second;
 }
 
 void forwarder::set_table(std::shared_ptr<const route_index> next)
@@ -116,6 +130,14 @@
         return this->index->find_service(item.first) == nullptr;
     };
     std::erase_if(this->budgets, is_removed);
+    std::erase_if(this->hedge_limits, is_removed);
+    std::erase_if(this->call_times, [this](const auto& item) {
+        return std::ranges::find(
+                   this->index->table().routes,
+                   item.first,
+                   &wire::forwarding_route::name) ==
+               this->index->table().routes.end();
+    });
     std::erase_if(this->durations, is_removed);
     for (const auto& waiting : this->table_waiters)
         cancel_wait(*waiting);
@@ -141,13 +163,11 @@
             return;
         left->caller_left = true;
         cancel_wait(*left);
-        if (left->connection)
-            left->connection->cancel();
+        cancel_attempts(*left);
     });
     co_await this->serve(request);
     // The body may still be written.
-    if (request.connection)
-        request.connection->cancel();
+    cancel_attempts(request);
     this->running.erase(held);
     this->stats.in_progress.Set(double(this->running.size()));
     this->log_answer(request);
@@ -274,6 +294,7 @@
 void forwarder::log_attempt(
     const forwarding_request& request,
     const attempt_result& result,
+    const upstream_pointer& connection,
     base::time_point now)
 {
     if (result.end != attempt_end::failed || !this->log.try_take(now))
@@ -290,7 +311,7 @@
         base::to_string(result.why.code),
         result.why.detail,
         result.at_fault.address,
-        request.connection && !request.connection->fresh(),
+        connection && !connection->fresh(),
         ms_since(request.arrived),
         request.events.event_count,
         result.partial_bytes);
@@ -307,7 +328,8 @@
     }
     spdlog::info(
         "event=answer request={} route={} customer={} version={} outcome={} "
-        "attempts={} to={} framing={} body_bytes={} events={} last_event={} "
+        "attempts={} hedge={} to={} framing={} body_bytes={} events={} "
+        "last_event={} "
         "took_ms={:.0f}",
         request.metadata.id,
         request.route == nullptr ? "" : request.route->name,
@@ -315,6 +337,7 @@
         request.index ? request.index->table().version : 0,
         request.outcome,
         request.attempts,
+        request.hedge,
         request.logged_path,
         request.framing,
         request.body_bytes,
--- a/oleanderhinge/gateway/forwarder.hpp
+++ b/oleanderhinge/gateway/forwarder.hpp
@@ -15,6 +15,7 @@
 #include "oleanderhinge/base/verdict.hpp"
 #include "oleanderhinge/gateway/answer_memory.hpp"
 #include "oleanderhinge/gateway/forwarding_request.hpp"
+#include "oleanderhinge/gateway/hedging.hpp"
 #include "oleanderhinge/gateway/metrics.hpp"
 #include "oleanderhinge/gateway/request_log.hpp"
 #include "oleanderhinge/gateway/request_times.hpp"
@@ -44,6 +45,8 @@
 struct forwarder_options {
     // For each service.
     retry::shared_budget_options retries;
+    // Second attempts beside the first, for each service; see `allows_hedges`.
+    retry::shared_budget_options hedges{.request_share = 0, .slack = 0};
     std::uint64_t seed = 1;
     // Limit on the time for which a server gets no requests at its own wish.
     base::duration max_backoff = no_backoff_limit;
@@ -99,6 +102,9 @@
 
 private:
     struct attempt_result;
+    struct whole_answer;
+    struct call_attempt;
+    using call_pointer = std::shared_ptr<call_attempt>;
 
     boost::asio::awaitable<void> serve(forwarding_request& request);
     boost::asio::awaitable<void> await_table(forwarding_request& request);
@@ -108,8 +114,31 @@
     void end_unanswered();
     boost::asio::awaitable<void> serve_call(forwarding_request& request);
     boost::asio::awaitable<void> serve_stream(forwarding_request& request);
+    call_pointer
+    make_call(forwarding_request& request, const chosen_server& to);
+    boost::asio::awaitable<void>
+    call_once(forwarding_request& request, call_attempt& attempt);
     boost::asio::awaitable<attempt_result>
-    call_once(forwarding_request& request, const chosen_server& to);
+    fetch_answer(forwarding_request& request, call_attempt& attempt);
+    void note_call_end(forwarding_request& request, call_attempt& attempt);
+    bool may_hedge(const forwarding_request& request) const;
+    boost::asio::awaitable<call_pointer>
+    call_with_hedge(forwarding_request& request, call_pointer first);
+    void start_call(
+        forwarding_request& request,
+        const call_pointer& attempt,
+        const std::shared_ptr<boost::asio::steady_timer>& ended);
+    call_pointer
+    make_hedge(forwarding_request& request, const call_attempt& first);
+    hedge_target
+    find_hedge(forwarding_request& request, const call_attempt& first);
+    void end_race(
+        forwarding_request& request,
+        const call_pointer& counting,
+        const call_pointer& other,
+        bool second_counts);
+    hedge_terms terms_of(
+        const forwarding_request& request, const call_attempt& attempt) const;
     boost::asio::awaitable<attempt_result>
     stream_once(forwarding_request& request);
     boost::asio::awaitable<attempt_result>
@@ -118,7 +147,8 @@
     boost::asio::awaitable<void> note_crash(
         forwarding_request& request,
         const attempt_result& result,
-        const wire::endpoint& server);
+        const wire::endpoint& server,
+        std::uint32_t attempt_number);
     void note_answer(forwarding_request& request);
     std::optional<base::verdict> attempt_verdict(forwarding_request& request);
     std::optional<base::verdict>
@@ -133,14 +163,20 @@
         forwarding_request& request, const std::set<wire::endpoint>& avoided);
     boost::asio::awaitable<attempt_result> send_request(
         forwarding_request& request,
+        upstream_connection& connection,
         const base::backend_server_id& server,
         net::http_request to_send);
     bool may_send(
         const forwarding_request& request,
         const base::backend_server_id& server,
         base::time_point now) const;
-    boost::asio::awaitable<attempt_result>
-    read_answer_head(forwarding_request& request, steady_time limit);
+    boost::asio::awaitable<attempt_result> read_answer_head(
+        forwarding_request& request,
+        upstream_connection& connection,
+        const server_incarnation& sent_to,
+        steady_time limit);
+    boost::asio::awaitable<bool>
+    skip_body(upstream_connection& connection, steady_time limit);
     static steady_time first_event_limit(const forwarding_request& request);
     bool has_servers_body(const upstream_connection& answer) const;
     boost::asio::awaitable<attempt_result>
@@ -150,6 +186,14 @@
         forwarding_request& request, const std::vector<std::string>& events);
     boost::asio::awaitable<attempt_result>
     relay_whole_answer(forwarding_request& request);
+    boost::asio::awaitable<attempt_result> read_whole_answer(
+        const forwarding_request& request,
+        upstream_connection& connection,
+        whole_answer& answer);
+    boost::asio::awaitable<attempt_result> send_whole_answer(
+        forwarding_request& request,
+        upstream_pointer connection,
+        whole_answer& answer);
     boost::asio::awaitable<void>
     send_error(forwarding_request& request, const base::verdict& why);
     boost::asio::awaitable<void>
@@ -168,9 +212,15 @@
         const base::verdict& why,
         base::time_point now);
     retry::shared_budget& budget_of(const forwarding_request& request);
+    retry::shared_budget& hedge_limit_of(const forwarding_request& request);
+    retry::shared_budget& budget_in(
+        std::map<std::string, retry::shared_budget>& all,
+        const std::string& service,
+        const retry::shared_budget_options& options);
     void log_attempt(
         const forwarding_request& request,
         const attempt_result& result,
+        const upstream_pointer& connection,
         base::time_point now);
     void log_answer(const forwarding_request& request);
 
@@ -187,6 +237,10 @@
     std::shared_ptr<const route_index> index;
     // By service.
     std::map<std::string, retry::shared_budget> budgets;
+    // By service.
+    std::map<std::string, retry::shared_budget> hedge_limits;
+    // By route.
+    std::map<std::string, answer_times> call_times;
     retry::recent_maximum gateways;
     // By service.
     std::map<std::string, request_times> durations;
--- a/oleanderhinge/gateway/forwarder_fixture_test.hpp
+++ b/oleanderhinge/gateway/forwarder_fixture_test.hpp
@@ -220,6 +220,12 @@
 {
 protected:
     forwarder_fixture()
+        : forwarder_fixture(forwarder_options{.retries = {.request_share = 10}})
+    {
+    }
+
+    // With these limits; all other options are the fixture's own.
+    explicit forwarder_fixture(const forwarder_options& limits)
         : stats(registry)
         , protocol(make_protocol_adapter())
         , first(io)
@@ -230,7 +236,8 @@
               selector,
               quarantine,
               stats,
-              {.retries = {.request_share = 10},
+              {.retries = limits.retries,
+               .hedges = limits.hedges,
                .seed = 1,
                .answer_memory = answer_memory_bytes,
                .report_suspect = [](const wire::endpoint&) {},
--- a/oleanderhinge/gateway/forwarding_request.hpp
+++ b/oleanderhinge/gateway/forwarding_request.hpp
@@ -19,6 +19,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace oleanderhinge::gateway
 {
@@ -49,8 +50,13 @@
     std::uint32_t attempts = 0;
     // Attempts that may have run on a server.
     std::uint32_t possible_runs = 0;
-    // Connection of the present attempt; cancelled when the caller leaves.
+    // Connection of the present attempt at a stream; cancelled when the caller
+    // leaves.
     upstream_pointer connection;
+    // Connections of the present attempts at a plain call; likewise.
+    std::vector<upstream_pointer> call_connections;
+    // Attempts at a plain call without a result yet.
+    std::uint32_t running_calls = 0;
     // Path of the present attempt; empty for plain services.
     fleet::path parts;
     // The process that the present attempt was sent to.
@@ -78,12 +84,18 @@
     bool head_sent = false;
     steady_time last_event;
     event_position events;
-    // For the log: servers of the last attempt, how its answer was framed, the
-    // size of a plain answer, and how the request ended.
+    // For the log: servers of the last or answered attempt, how its answer was
+    // framed, the size of a plain answer, and how the request ended.
     std::string logged_path;
     std::string_view framing;
     std::size_t body_bytes = 0;
     std::string outcome;
+    // What became of the second attempt beside the first; see
+    // docs/OPERATIONS.md.
+    std::string_view hedge = "none";
 };
 
+// Closes the connections of all present attempts.
+void cancel_attempts(forwarding_request& request);
+
 } // namespace oleanderhinge::gateway
--- a/oleanderhinge/gateway/gateway_node.cpp
+++ b/oleanderhinge/gateway/gateway_node.cpp
@@ -39,6 +39,7 @@
           this->quarantine,
           this->stats,
           {.retries = this->options.retries,
+           .hedges = this->options.hedges,
            .seed = base::entropy_seed(),
            .max_backoff = this->options.max_backoff,
            .answer_memory = this->options.memory / answer_memory_part,
--- a/oleanderhinge/gateway/internal/attempt.cpp
+++ b/oleanderhinge/gateway/internal/attempt.cpp
@@ -21,6 +21,15 @@
     request.wait_timer.reset();
 }
 
+void cancel_attempts(forwarding_request& request)
+{
+    for (const auto& connection : request.call_connections)
+        connection->cancel();
+    request.call_connections.clear();
+    if (request.connection)
+        request.connection->cancel();
+}
+
 void cancel_wait(forwarding_request& request)
 {
     if (request.wait_timer)
--- a/oleanderhinge/gateway/internal/attempt.hpp
+++ b/oleanderhinge/gateway/internal/attempt.hpp
@@ -9,6 +9,9 @@
 #include "oleanderhinge/gateway/forwarder.hpp"
 
 #include <chrono>
+#include <exception>
+#include <optional>
+#include <string>
 #include <utility>
 
 namespace oleanderhinge::gateway
@@ -33,6 +36,47 @@
     bool timed_out = false;
 };
 
+// An answer that has arrived in full.
+struct forwarder::whole_answer {
+    explicit whole_answer(answer_memory& memory)
+        : share(memory)
+    {
+    }
+
+    std::string body;
+    // Held until the caller has the answer.
+    answer_share share;
+};
+
+// One attempt at a plain call. A second one may run beside it; see
+// `call_with_hedge`.
+struct forwarder::call_attempt {
+    explicit call_attempt(answer_memory& memory)
+        : answer(memory)
+    {
+    }
+
+    chosen_server to;
+    base::data_centre_id data_centre;
+    upstream_pointer connection;
+    // The process that the attempt was sent to.
+    server_incarnation sent_to;
+    // Number among the attempts at the request, from 1.
+    std::uint32_t number = 0;
+    steady_time started;
+    base::time_point noted_start;
+    // Set when the answer is complete or the attempt has failed. If it failed,
+    // `call_once` goes on until the failure is noted.
+    std::optional<attempt_result> result;
+    whole_answer answer;
+    // A second attempt beside the first.
+    bool hedge = false;
+    // Another attempt was answered.
+    bool cancelled = false;
+    bool ended = false;
+    std::exception_ptr failure;
+};
+
 template <class Result>
 Result failed_with(base::verdict why, wire::endpoint at_fault = {})
 {
--- a/oleanderhinge/gateway/internal/forwarder_attempts.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_attempts.cpp
@@ -70,26 +70,25 @@
                request.parts, accepts, &fleet::path_part::server);
 }
 
-// Connects if needed and sends the request over `request.connection`. Success
-// has the result `answered`, although no answer has been read yet and the body
-// may still be written.
+// Connects if needed and sends the request. Success has the result `answered`,
+// although no answer has been read yet and the body may still be written.
 asio::awaitable<forwarder::attempt_result> forwarder::send_request(
     forwarding_request& request,
+    upstream_connection& connection,
     const base::backend_server_id& server,
     net::http_request to_send)
 {
-    request.sent_to = incarnation_of(this->selector, server);
     ++request.attempts;
     this->stats.attempts.Increment();
     if (request.attempts > 1)
         this->stats.repeats.Increment();
     const auto limit = std::min(request.deadline, steady_now() + connect_limit);
-    const error_code refused = co_await request.connection->connect(limit);
+    const error_code refused = co_await connection.connect(limit);
     if (refused)
         co_return failed_with<attempt_result>(
             base::not_run(
                 failure_code::link_lost, "connect: " + refused.message()),
-            request.connection->server());
+            connection.server());
     // During the connect, another request may have got a signal, and a drain
     // may have begun.
     const auto now = base::monotonic_now();
@@ -101,23 +100,26 @@
     }
     ++request.possible_runs;
     const error_code failed =
-        co_await request.connection->send(std::move(to_send), request.deadline);
+        co_await connection.send(std::move(to_send), request.deadline);
     if (failed)
         co_return failed_with<attempt_result>(
             base::may_have_run(
                 failure_code::link_lost, "send: " + failed.message()),
-            request.connection->server());
+            connection.server());
     co_return attempt_result{};
 }
 
 // Reads the head of the answer to this request, and skips answers to others. An
 // answer without an id counts only as the first one on a new connection. Fails
 // if the server refused the request, or if there is no answer by `limit`.
-asio::awaitable<forwarder::attempt_result>
-forwarder::read_answer_head(forwarding_request& request, steady_time limit)
+asio::awaitable<forwarder::attempt_result> forwarder::read_answer_head(
+    forwarding_request& request,
+    upstream_connection& connection,
+    const server_incarnation& sent_to,
+    steady_time limit)
 {
     for (int stray = 0;; ++stray) {
-        const error_code failed = co_await request.connection->read_head(limit);
+        const error_code failed = co_await connection.read_head(limit);
         // The caller of a stream leaves soon after `limit`, so the deadline
         // counts as passed. A plain call has part of its time left.
         const auto last = request.route->streaming ? limit : request.deadline;
@@ -130,9 +132,8 @@
             co_return result;
         }
         auto metadata = this->protocol.read_answer(
-            request.connection->status(), request.connection->fields());
-        const bool first_on_connection =
-            stray == 0 && request.connection->fresh();
+            connection.status(), connection.fields());
+        const bool first_on_connection = stray == 0 && connection.fresh();
         const bool is_own = metadata.id == request.metadata.id ||
                             (metadata.id.empty() && first_on_connection);
         const bool ambiguous = metadata.mark == server_mark::ambiguous;
@@ -142,27 +143,24 @@
         if ((!is_own && !metadata.id.empty()) || ambiguous)
             metadata.retry_after.clear();
         this->signals.record(
-            request.sent_to,
-            request.connection->status(),
-            metadata,
-            base::monotonic_now());
+            sent_to, connection.status(), metadata, base::monotonic_now());
         if (is_own && ambiguous)
             co_return failed_with<attempt_result>(base::may_have_run(
                 failure_code::server_failed, "marks of several answers"));
         if (is_own) {
-            request.framing = request.connection->framing();
+            request.framing = connection.framing();
             if (!metadata.not_run)
                 co_return attempt_result{};
             --request.possible_runs;
             // The server does not want the rest of the body.
-            if (!request.connection->sent())
-                request.connection->cancel();
+            if (!connection.sent())
+                connection.cancel();
             co_return failed_with<attempt_result>(
                 base::not_run(
                     failure_code::server_failed,
                     "server refused with " +
-                        std::to_string(request.connection->status())),
-                metadata.at_fault.address.empty() ? request.connection->server()
+                        std::to_string(connection.status())),
+                metadata.at_fault.address.empty() ? connection.server()
                                                   : metadata.at_fault);
         }
         // An answer to another request: skip its body.
@@ -172,26 +170,33 @@
                 "reused={}",
                 request.metadata.id,
                 metadata.id,
-                request.connection->status(),
-                request.connection->server().address,
-                request.connection->server().port,
-                !request.connection->fresh());
-        std::size_t skipped = 0;
-        while (stray < max_stray_answers && !request.connection->complete() &&
-               skipped < max_answer_bytes) {
-            std::string bytes;
-            const error_code broken =
-                co_await request.connection->read_body(bytes, limit);
-            if (broken)
-                break;
-            skipped += bytes.size();
-        }
-        if (!request.connection->complete())
+                connection.status(),
+                connection.server().address,
+                connection.server().port,
+                !connection.fresh());
+        if (!connection.complete() &&
+            (stray >= max_stray_answers ||
+             !co_await this->skip_body(connection, limit)))
             co_return failed_with<attempt_result>(base::may_have_run(
                 failure_code::server_failed, "answer to another request"));
     }
 }
 
+// Reads the rest of an answer and drops it. False if it does not end.
+asio::awaitable<bool>
+forwarder::skip_body(upstream_connection& connection, steady_time limit)
+{
+    std::size_t skipped = 0;
+    while (!connection.complete() && skipped < max_answer_bytes) {
+        std::string bytes;
+        const error_code broken = co_await connection.read_body(bytes, limit);
+        if (broken)
+            break;
+        skipped += bytes.size();
+    }
+    co_return connection.complete();
+}
+
 // Whether the body of a successful answer is the server's own, unchanged.
 bool forwarder::has_servers_body(const upstream_connection& answer) const
 {
@@ -204,21 +209,34 @@
 asio::awaitable<forwarder::attempt_result>
 forwarder::relay_whole_answer(forwarding_request& request)
 {
-    const auto status = request.connection->status();
+    whole_answer answer(this->memory);
+    const auto connection = request.connection;
+    const auto read =
+        co_await this->read_whole_answer(request, *connection, answer);
+    if (read.end != attempt_end::answered)
+        co_return read;
+    request.connection = nullptr;
+    co_return co_await this->send_whole_answer(request, connection, answer);
+}
+
+asio::awaitable<forwarder::attempt_result> forwarder::read_whole_answer(
+    const forwarding_request& request,
+    upstream_connection& connection,
+    whole_answer& answer)
+{
+    const auto status = connection.status();
     const bool success = status >= 200 && status < 300;
-    if (success && !this->has_servers_body(*request.connection))
+    if (success && !this->has_servers_body(connection))
         co_return failed_with<attempt_result>(base::may_have_run(
             failure_code::server_failed, "answer without the server's mark"));
-    std::string body;
-    // Held until the caller has the answer.
-    answer_share share(this->memory);
-    while (!request.connection->complete()) {
+    while (!connection.complete()) {
         const error_code failed =
-            co_await request.connection->read_body(body, request.deadline);
-        if (body.size() > max_answer_bytes || !share.resize(body.capacity()))
+            co_await connection.read_body(answer.body, request.deadline);
+        if (answer.body.size() > max_answer_bytes ||
+            !answer.share.resize(answer.body.capacity()))
             co_return failed_with<attempt_result>(base::may_have_run(
                 failure_code::server_failed,
-                "answer of more than " + std::to_string(body.size()) +
+                "answer of more than " + std::to_string(answer.body.size()) +
                     " bytes"));
         if (failed)
             co_return failed_with<attempt_result>(base::may_have_run(
@@ -227,39 +245,49 @@
                     : failure_code::server_failed,
                 "answer broke off: " + failed.message()));
     }
-    if (request.connection->holds_second_answer(body))
+    if (connection.holds_second_answer(answer.body))
         co_return failed_with<attempt_result>(base::may_have_run(
             failure_code::server_failed,
             "another answer begins inside the body"));
-    request.body_bytes = body.size();
-    auto headers = end_to_end_fields(request.connection->fields());
+    co_return attempt_result{};
+}
+
+// Sends a complete answer, whose connection may then serve another request.
+asio::awaitable<forwarder::attempt_result> forwarder::send_whole_answer(
+    forwarding_request& request,
+    upstream_pointer connection,
+    whole_answer& answer)
+{
+    const auto status = connection->status();
+    request.body_bytes = answer.body.size();
+    request.framing = connection->framing();
+    auto headers = end_to_end_fields(connection->fields());
     if (status == 503)
         // The server's own value is meant for this gateway.
         for (auto& item : headers)
             if (boost::beast::iequals(item.name, "Retry-After"))
                 item = make_retry_after(
                     this->retry_after(request, base::monotonic_now()));
-    this->pool.keep(std::exchange(request.connection, nullptr));
+    std::erase(request.call_connections, connection);
+    this->pool.keep(std::move(connection));
     if (request.caller_left)
         co_return attempt_result{attempt_end::caller_left, {}, {}};
     request.outcome = std::to_string(status);
     this->stats.first_byte_seconds.Observe(ms_since(request.arrived) / 1000);
     const bool delivered = co_await request.exchange.respond(
-        status, "", std::move(body), std::move(headers));
+        status, "", std::move(answer.body), std::move(headers));
     if (!delivered)
         request.outcome = "caller_left";
     co_return attempt_result{};
 }
 
-// Closes the connection of the failed attempt. If another attempt is allowed,
+// Closes the connections of the failed attempts. If another attempt is allowed,
 // it is taken from the retry budget.
 bool forwarder::may_repeat(
     forwarding_request& request, const base::verdict& why, base::time_point now)
 {
-    if (request.connection) {
-        request.connection->cancel();
-        request.connection = nullptr;
-    }
+    cancel_attempts(request);
+    request.connection = nullptr;
     if (request.possible_runs >= request.route->attempts)
         return false;
     if (std::exchange(request.retry_reserved, false))
--- a/oleanderhinge/gateway/internal/forwarder_crashes.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_crashes.cpp
@@ -63,13 +63,20 @@
     return *request.repetition_key;
 }
 
-// The present attempt at the request, as evidence about the request itself.
-fleet::prompt as_whole(forwarding_request& request)
+// An attempt at the request, as evidence about the request itself.
+fleet::prompt
+as_whole(forwarding_request& request, std::uint32_t attempt_number)
 {
     return fleet::whole_request(
         repetition_key(request),
         base::prompt_part{
-            base::stable_hash(request.metadata.id, request.attempts)});
+            base::stable_hash(request.metadata.id, attempt_number)});
+}
+
+// The present attempt.
+fleet::prompt as_whole(forwarding_request& request)
+{
+    return as_whole(request, request.attempts);
 }
 
 } // namespace
@@ -86,7 +93,8 @@
 asio::awaitable<void> forwarder::note_crash(
     forwarding_request& request,
     const attempt_result& result,
-    const wire::endpoint& server)
+    const wire::endpoint& server,
+    std::uint32_t attempt_number)
 {
     if (request.events.event_count != 0 || !request.waits_for.address.empty() ||
         result.why.state != base::execution::may_have_run ||
@@ -101,8 +109,8 @@
         this->quarantine, request.metadata.prompt, server, now);
     const auto suspected_parts =
         news.crashes.empty() ? 0 : news.crashes.front().shared.size();
-    const auto whole =
-        fleet::note_crash(this->quarantine, as_whole(request), server, now);
+    const auto whole = fleet::note_crash(
+        this->quarantine, as_whole(request, attempt_number), server, now);
     news.crashes.insert(
         news.crashes.end(), whole.crashes.begin(), whole.crashes.end());
     this->stats.crashes.Increment();
--- a/oleanderhinge/gateway/internal/forwarder_drain.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_drain.cpp
@@ -50,8 +50,7 @@
         if (request->head_sent)
             continue;
         request->deadline = std::min(request->deadline, steady_now());
-        if (request->connection)
-            request->connection->cancel();
+        cancel_attempts(*request);
     }
 }
 
--- a/oleanderhinge/gateway/internal/forwarder_streams.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_streams.cpp
@@ -97,13 +97,13 @@
     if (result.end == attempt_end::failed && !request.waits_for.address.empty())
         result.at_fault = request.waits_for;
     note_ended(this->selector, first);
-    this->log_attempt(request, result, started);
+    this->log_attempt(request, result, request.connection, started);
     if (result.end == attempt_end::answered) {
         for (const auto& part : request.parts)
             this->selector.health[part.address].failures_in_a_row = 0;
     } else if (result.end == attempt_end::failed && !request.caller_left) {
         this->note_fault(request, result);
-        co_await this->note_crash(request, result, first);
+        co_await this->note_crash(request, result, first, request.attempts);
     }
     co_return result;
 }
@@ -205,13 +205,16 @@
         this->pool.take(request.parts.front().address, allowed_reuse(request));
     auto to_send = this->make_backend_request(
         request, request.parts, request.parts.front().server);
+    request.sent_to =
+        incarnation_of(this->selector, request.parts.front().server);
+    const auto connection = request.connection;
     const auto sent = co_await this->send_request(
-        request, request.parts.front().server, std::move(to_send));
+        request, *connection, request.parts.front().server, std::move(to_send));
     if (sent.end != attempt_end::answered)
         co_return sent;
     request.awaits_server = true;
-    const auto head =
-        co_await this->read_answer_head(request, first_event_limit(request));
+    const auto head = co_await this->read_answer_head(
+        request, *connection, request.sent_to, first_event_limit(request));
     request.awaits_server = false;
     if (head.why.code == failure_code::deadline_exceeded)
         this->note_first_event(request);
--- a/oleanderhinge/gateway/metrics.cpp
+++ b/oleanderhinge/gateway/metrics.cpp
@@ -20,6 +20,19 @@
                   .Name("oleanderhinge_gateway_answers_total")
                   .Help("Requests by outcome")
                   .Register(registry))
+    , hedges(prometheus::BuildCounter()
+                 .Name("oleanderhinge_gateway_hedges_total")
+                 .Help("Second attempts beside the first, by event")
+                 .Register(registry))
+    , withheld_hedges(
+          prometheus::BuildCounter()
+              .Name("oleanderhinge_gateway_hedges_withheld_total")
+              .Help("Second attempts that were due and not made, by reason")
+              .Register(registry))
+    , cancelled_attempts(net::add_counter(
+          registry,
+          "oleanderhinge_gateway_hedges_cancelled_attempts_total",
+          "Attempts cancelled because the other one was answered"))
     , attempts(net::add_counter(
           registry,
           "oleanderhinge_gateway_attempts_total",
@@ -27,7 +40,7 @@
     , repeats(net::add_counter(
           registry,
           "oleanderhinge_gateway_repeats_total",
-          "Requests sent to another server after a failure"))
+          "Requests sent again, after a failure or beside the first attempt"))
     , resumed_streams(net::add_counter(
           registry,
           "oleanderhinge_gateway_resumed_streams_total",
@@ -126,4 +139,14 @@
     this->answers.Add({{"outcome", outcome}}).Increment();
 }
 
+void metrics::count_hedge(const std::string& event)
+{
+    this->hedges.Add({{"event", event}}).Increment();
+}
+
+void metrics::count_withheld_hedge(const std::string& reason)
+{
+    this->withheld_hedges.Add({{"reason", reason}}).Increment();
+}
+
 } // namespace oleanderhinge::gateway
--- a/oleanderhinge/gateway/metrics.hpp
+++ b/oleanderhinge/gateway/metrics.hpp
@@ -22,7 +22,17 @@
     // or how the connection ended (docs/OPERATIONS.md).
     void count_answer(const std::string& outcome);
 
+    // Counts a second attempt beside the first: "made", and then "won" or
+    // "lost" if its answer or that of the first one was passed on, "failed" if
+    // neither was.
+    void count_hedge(const std::string& event);
+    // Counts a second attempt that was due and not made.
+    void count_withheld_hedge(const std::string& reason);
+
     prometheus::Family<prometheus::Counter>& answers;
+    prometheus::Family<prometheus::Counter>& hedges;
+    prometheus::Family<prometheus::Counter>& withheld_hedges;
+    prometheus::Counter& cancelled_attempts;
     prometheus::Counter& attempts;
     prometheus::Counter& repeats;
     prometheus::Counter& resumed_streams;
--- a/oleanderhinge/gateway/server_choice.cpp
+++ b/oleanderhinge/gateway/server_choice.cpp
@@ -29,6 +29,15 @@
     health.updated = now;
 }
 
+void update_latency(server_health& health, double latency_ms)
+{
+    constexpr double weight = 0.2;
+    health.latency_ms =
+        health.latency_ms == 0
+            ? latency_ms
+            : health.latency_ms + weight * (latency_ms - health.latency_ms);
+}
+
 bool is_ejected(
     const server_selector& selector,
     const wire::endpoint& server,
@@ -244,20 +253,24 @@
     --selector.health[server].in_progress;
 }
 
+void note_outrun(
+    server_selector& selector, const wire::endpoint& server, double time_ms)
+{
+    auto& health = selector.health[server];
+    if (time_ms > health.latency_ms)
+        update_latency(health, time_ms);
+}
+
 void note_success(
     server_selector& selector,
     const wire::endpoint& server,
     double latency_ms,
     base::time_point now)
 {
-    constexpr double weight = 0.2;
     auto& health = selector.health[server];
     update_failure_rate(health, false, now);
     health.failures_in_a_row = 0;
-    health.latency_ms =
-        health.latency_ms == 0
-            ? latency_ms
-            : health.latency_ms + weight * (latency_ms - health.latency_ms);
+    update_latency(health, latency_ms);
 }
 
 void note_failure(
@@ -293,6 +306,15 @@
     update_failure_rate(selector.health[server], true, now);
 }
 
+base::data_centre_id data_centre_of(
+    const server_selector& selector, const base::backend_server_id& id)
+{
+    const auto found = selector.servers.servers.find(id);
+    return found == selector.servers.servers.end()
+               ? base::data_centre_id{}
+               : found->second.record.data_centre;
+}
+
 server_incarnation incarnation_of(
     const server_selector& selector, const base::backend_server_id& id)
 {
--- a/oleanderhinge/gateway/server_choice.hpp
+++ b/oleanderhinge/gateway/server_choice.hpp
@@ -138,6 +138,10 @@
     server_selector& selector,
     const wire::endpoint& server,
     base::time_point now);
+// The request was answered by another server before this one, which has had it
+// for this long.
+void note_outrun(
+    server_selector& selector, const wire::endpoint& server, double time_ms);
 // The server refused its part of a path, mostly for lack of memory. Ejects it
 // for `refusal_ejection`; the failure rate does not change.
 void note_refusal(
@@ -155,6 +159,10 @@
 server_incarnation incarnation_of(
     const server_selector& selector, const base::backend_server_id& id);
 
+// The data centre of the server; empty if it is not known.
+base::data_centre_id data_centre_of(
+    const server_selector& selector, const base::backend_server_id& id);
+
 // Whether this server accepts requests, as far as its signals say.
 bool accepts_requests(
     const server_selector& selector,
--- a/oleanderhinge/gateway/settings.cpp
+++ b/oleanderhinge/gateway/settings.cpp
@@ -110,6 +110,22 @@
          "100ms",
          "10min",
          "window of retries.slack"},
+        {"hedging",
+         "share",
+         value_type::number,
+         "0",
+         "0",
+         "0.5",
+         "second attempts beside the first for each request that may be "
+         "repeated, over all gateways; they also count for retries.share"},
+        {"hedging",
+         "slack",
+         value_type::number,
+         "0",
+         "0",
+         "1000000",
+         "second attempts beside the first in retries.window whatever the "
+         "traffic, over all gateways; they also count for retries.slack"},
         {"servers",
          "max_backoff",
          value_type::duration,
@@ -130,6 +146,15 @@
         max_attempts_per_request};
 }
 
+// Second attempts beside the first.
+retry::shared_budget_options read_hedges(const settings::values& checked)
+{
+    auto limit = read_retries(checked);
+    limit.request_share = checked.number("hedging.share");
+    limit.slack = checked.number("hedging.slack");
+    return limit;
+}
+
 } // namespace
 
 settings::schema gateway_keys()
@@ -158,6 +183,7 @@
     for (const auto& seed : checked.endpoint_list("control.seeds"))
         chosen.seeds.push_back({seed.address, port});
     chosen.retries = read_retries(checked);
+    chosen.hedges = read_hedges(checked);
     if (checked.has("servers.max_backoff"))
         chosen.max_backoff = checked.duration("servers.max_backoff");
     chosen.times = settings::load_timing(checked);
--- a/oleanderhinge/gateway/settings.hpp
+++ b/oleanderhinge/gateway/settings.hpp
@@ -14,8 +14,8 @@
 namespace oleanderhinge::gateway
 {
 
-// Schema with the sections node, gateway, control, retries, servers and
-// management, and the timing settings that all daemons share.
+// Schema with the sections node, gateway, control, retries, hedging, servers
+// and management, and the timing settings that all daemons share.
 settings::schema gateway_keys();
 
 struct gateway_settings {
@@ -36,6 +36,7 @@
     // load balancer has noticed that the node is not ready.
     base::duration leave_time = std::chrono::seconds(2);
     retry::shared_budget_options retries;
+    retry::shared_budget_options hedges;
     base::duration max_backoff = no_backoff_limit;
     // Memory that the process may use, in bytes.
     std::size_t memory = default_memory_bytes;
--- a/oleanderhinge/gateway/settings_test.cpp
+++ b/oleanderhinge/gateway/settings_test.cpp
@@ -45,5 +45,42 @@
     }
 }
 
+// Guards against second attempts that no operator has allowed, and against
+// limits in another window than that of the retries.
+TEST(gateway_settings, hedges_are_made_only_on_request)
+{
+    struct row {
+        const char* lines;
+        bool allowed;
+        double share;
+        double slack;
+    };
+    const std::vector<row> rows{
+        {"", false, 0, 0},
+        {"[hedging]\nshare=0.05\n", true, 0.05, 0},
+        {"[hedging]\nslack=120\n", true, 0, 120},
+        // Out of range.
+        {"[hedging]\nshare=0.6\n", false, 0, 0}};
+    for (const auto& row : rows) {
+        const auto limits = base::handle(
+            [&]() -> base::result<retry::shared_budget_options> {
+                BOOST_LEAF_AUTO(
+                    chosen,
+                    load_with(
+                        std::string("[retries]\nwindow=4s\n") + row.lines));
+                return chosen.hedges;
+            },
+            [](const base::error&) -> retry::shared_budget_options {
+                return {.request_share = 0, .slack = 0};
+            });
+        EXPECT_EQ(allows_hedges(limits), row.allowed) << row.lines;
+        EXPECT_EQ(limits.request_share, row.share) << row.lines;
+        EXPECT_EQ(limits.slack, row.slack) << row.lines;
+        if (row.allowed) {
+            EXPECT_EQ(limits.window, std::chrono::seconds(4)) << row.lines;
+        }
+    }
+}
+
 } // namespace
 } // namespace oleanderhinge::gateway
--- a/oleanderhinge/retry/budget.cpp
+++ b/oleanderhinge/retry/budget.cpp
@@ -118,6 +118,13 @@
     b.saved = std::min(b.options.max_saved, b.saved + b.options.success_share);
 }
 
+double saved_retries(const budget& b, base::time_point now)
+{
+    budget present = b;
+    refill(present, now);
+    return present.saved;
+}
+
 bool take_retry(budget& b, base::time_point now)
 {
     refill(b, now);
--- a/oleanderhinge/retry/budget.hpp
+++ b/oleanderhinge/retry/budget.hpp
@@ -88,6 +88,9 @@
 // Adds `success_share` to the budget.
 void note_success(budget& b);
 
+// Number of retries in the budget at `now`.
+double saved_retries(const budget& b, base::time_point now);
+
 // Takes one retry from the budget. False if it holds none.
 bool take_retry(budget& b, base::time_point now);
 
--- a/oleanderhinge/retry/shared_budget.cpp
+++ b/oleanderhinge/retry/shared_budget.cpp
@@ -80,6 +80,16 @@
     note_success(b.tokens);
 }
 
+bool has_spare(
+    const shared_budget& b, double reserved_share, base::time_point now)
+{
+    auto present = b;
+    advance(present.requests, present.options.window, now);
+    update_limits(present);
+    return saved_retries(present.tokens, now) - 1 >=
+           reserved_share * present.tokens.options.max_saved;
+}
+
 bool take_retry(shared_budget& b, base::time_point now)
 {
     advance(b.requests, b.options.window, now);
--- a/oleanderhinge/retry/shared_budget.hpp
+++ b/oleanderhinge/retry/shared_budget.hpp
@@ -70,6 +70,11 @@
 // Counts a request for the service.
 void note_request(shared_budget& b, base::time_point now);
 
+// Whether this share of what the budget may hold is left once one more retry
+// has been taken.
+bool has_spare(
+    const shared_budget& b, double reserved_share, base::time_point now);
+
 // As `take_retry` and `may_retry` of a single budget.
 bool take_retry(shared_budget& b, base::time_point now);
 retry_decision may_retry(
