gateway: the tests' own forwarder ends without requests

Its requests kept references to its memory of answers when the io context of the fixture destroyed them, which showed as a segmentation fault of gateway_test. The test now waits until none is in progress. gateway_test: 114 tests pass.

--- a/oleanderhinge/gateway/forwarder_fixture_test.hpp
+++ b/oleanderhinge/gateway/forwarder_fixture_test.hpp
@@ -389,7 +389,11 @@
                 return other.listen({"127.0.0.1", 0});
             },
             [](const base::error&) { return wire::endpoint{}; });
-        return this->ask("/once/x");
+        const auto outcome = this->ask("/once/x");
+        // `fresh` ends before `io`, and must not leave requests there.
+        while (fresh.in_progress() != 0)
+            this->io.run_one();
+        return outcome;
     }
 
     // Checks for stalls every 20 ms until the fixture ends.
