--- a/oleanderhinge/gateway/forwarder_fixture_test.hpp
+++ b/oleanderhinge/gateway/forwarder_fixture_test.hpp
@@ -220,6 +220,12 @@
 {
 protected:
     forwarder_fixture()
+        : forwarder_fixture(forwarder_options{.retries = {.request_share = 10}})
+    {
+    }
+
+    // With these limits; all other options are the fixture's own.
+    explicit forwarder_fixture(const forwarder_options& limits)
         : stats(registry)
         , protocol(make_protocol_adapter())
         , first(io)
@@ -230,7 +236,8 @@
               selector,
               quarantine,
               stats,
-              {.retries = {.request_share = 10},
+              {.retries = limits.retries,
+               .hedges = limits.hedges,
                .seed = 1,
                .answer_memory = answer_memory_bytes,
                .report_suspect = [](const wire::endpoint&) {},
@@ -382,7 +389,11 @@
                 return other.listen({"127.0.0.1", 0});
             },
             [](const base::error&) { return wire::endpoint{}; });
-        return this->ask("/once/x");
+        const auto outcome = this->ask("/once/x");
+        // `fresh` ends before `io`, and must not leave requests there.
+        while (fresh.in_progress() != 0)
+            this->io.run_one();
+        return outcome;
     }
 
     // Checks for stalls every 20 ms until the fixture ends.
