gateway: streams leave servers that end, and keep their attempt until the next one answers

Cause: a server that announces its end serves for about two seconds, and the streams that still run on it are cut. Stalled streams were cancelled before another server had accepted them; if it refused, the stream was lost although its server might have gone on. Requests that no server began waited at one server until their callers left.

Change: gateway/path_change decides which streams move in a tick and by which way. Streams on a leaving later part change their path, spread over 1.5 s; those on a leaving first part, and stalled ones, are continued by another attempt beside the present one, which replaces it when its head has arrived. Streams on a suspected server move at once. Requests that have not begun leave a path if another one would probably begin them in half of the time that they have waited. Failed changes are tried again after 200 or 500 ms (1 s before), and a server that a refused change names is passed by for 200 ms. While a stream that has begun waits for a retry, new requests take none.

Tests: path_change.* (pure), stream_takeover.* (loopback).

--- a/oleanderhinge/gateway/forwarder.cpp
+++ b/oleanderhinge/gateway/forwarder.cpp
@@ -2,6 +2,7 @@
 
 #include "oleanderhinge/gateway/headers.hpp"
 #include "oleanderhinge/gateway/internal/attempt.hpp"
+#include "oleanderhinge/gateway/internal/takeover.hpp"
 
 #include <spdlog/spdlog.h>
 
@@ -73,9 +74,14 @@
           stats_in,
           signals,
           options.report_suspect,
-          [this](auto& request, const auto& avoided) {
-              return this->reserve_attempt(request, avoided);
-          })
+          {.take_over =
+               [this](auto& request, const auto& avoided, auto cause) {
+                   return this->begin_takeover(request, avoided, cause);
+               },
+           .leave_before_start =
+               [this](auto& request) {
+                   return this->leave_before_start(request);
+               }})
     , random(options.seed)
 {
 }
@@ -141,10 +147,12 @@
             return;
         left->caller_left = true;
         cancel_wait(*left);
+        abandon_takeover(*left);
         if (left->connection)
             left->connection->cancel();
     });
     co_await this->serve(request);
+    abandon_takeover(request);
     // The body may still be written.
     if (request.connection)
         request.connection->cancel();
--- a/oleanderhinge/gateway/forwarder.hpp
+++ b/oleanderhinge/gateway/forwarder.hpp
@@ -112,6 +112,8 @@
     call_once(forwarding_request& request, const chosen_server& to);
     boost::asio::awaitable<attempt_result>
     stream_once(forwarding_request& request);
+    std::optional<attempt_result>
+    check_stream_head(const forwarding_request& request) const;
     boost::asio::awaitable<attempt_result>
     attempt_stream(forwarding_request& request, fleet::path parts);
     void note_fault(forwarding_request& request, const attempt_result& result);
@@ -129,8 +131,22 @@
     boost::asio::awaitable<bool>
     may_continue(forwarding_request& request, base::verdict why);
     boost::asio::awaitable<bool> wait_to_resume(forwarding_request& request);
-    bool reserve_attempt(
+    fleet::path reserve_attempt(
         forwarding_request& request, const std::set<wire::endpoint>& avoided);
+    bool leave_before_start(forwarding_request& request);
+    bool has_waiting_streams(const forwarding_request& request) const;
+    bool begin_takeover(
+        forwarding_request& request,
+        const std::set<wire::endpoint>& avoided,
+        takeover_cause cause);
+    boost::asio::awaitable<void>
+    take_over(std::shared_ptr<forwarding_request> held);
+    void end_takeover(
+        forwarding_request& request,
+        stream_takeover& takeover,
+        const attempt_result& result);
+    boost::asio::awaitable<bool>
+    is_replaced(forwarding_request& request, bool goes_on);
     boost::asio::awaitable<attempt_result> send_request(
         forwarding_request& request,
         const base::backend_server_id& server,
@@ -188,6 +204,8 @@
     // By service.
     std::map<std::string, retry::shared_budget> budgets;
     retry::recent_maximum gateways;
+    // Streams that have begun and wait for a retry, by service; none is zero.
+    std::map<std::string, std::size_t> waiting_streams;
     // By service.
     std::map<std::string, request_times> durations;
     std::optional<base::time_point> drain_end;
--- a/oleanderhinge/gateway/forwarder_fixture_test.hpp
+++ b/oleanderhinge/gateway/forwarder_fixture_test.hpp
@@ -80,6 +80,9 @@
         return net::http_call{
             "POST", "/order/" + id, {}, fleet::describe(parts)};
     };
+    protocol.parse_refused_part = [](const std::string&) {
+        return wire::endpoint{};
+    };
     return protocol;
 }
 
--- a/oleanderhinge/gateway/forwarding_request.hpp
+++ b/oleanderhinge/gateway/forwarding_request.hpp
@@ -14,6 +14,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <set>
@@ -23,6 +24,16 @@
 namespace oleanderhinge::gateway
 {
 
+struct stream_takeover;
+
+// Why a stream that has begun is continued by another attempt.
+enum class takeover_cause : std::uint8_t {
+    // The present attempt makes no progress.
+    stalled,
+    // The first server of its path ends soon, but still serves.
+    leaving,
+};
+
 struct forwarding_request
     : public std::enable_shared_from_this<forwarding_request> {
     forwarding_request(
@@ -66,8 +77,15 @@
     bool awaits_server = false;
     // The first server has been asked to change the path and has not answered.
     bool path_change_pending = false;
-    // No path change is tried before this time, since the last one failed.
-    steady_time next_path_change;
+    // Another attempt that continues the stream, made while the present one is
+    // kept; null: none.
+    std::shared_ptr<stream_takeover> takeover;
+    // When the last change of the path or takeover failed, and the generation
+    // of the server selector then.
+    base::time_point last_failed_move;
+    std::uint64_t failed_move_generation = 0;
+    // The next check whether a request that has not begun leaves its path.
+    base::time_point next_start_check;
     // What identifies the request among its repetitions; set when first needed.
     std::optional<base::prompt_part> repetition_key;
     // The retry for the next attempt has been taken from the budget.
--- a/oleanderhinge/gateway/internal/attempt.hpp
+++ b/oleanderhinge/gateway/internal/attempt.hpp
@@ -20,6 +20,8 @@
     caller_left,
     // A server of the attempt stopped accepting requests before it was sent.
     withheld,
+    // Another attempt continues the stream: `forwarding_request::takeover`.
+    replaced,
 };
 
 struct forwarder::attempt_result {
--- a/oleanderhinge/gateway/internal/forwarder_attempts.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_attempts.cpp
@@ -264,6 +264,8 @@
         return false;
     if (std::exchange(request.retry_reserved, false))
         return true;
+    if (!request.head_sent && this->has_waiting_streams(request))
+        return false;
     return retry::may_retry(
                this->budget_of(request),
                why,
--- a/oleanderhinge/gateway/internal/forwarder_streams.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_streams.cpp
@@ -1,5 +1,7 @@
 #include "oleanderhinge/gateway/headers.hpp"
 #include "oleanderhinge/gateway/internal/attempt.hpp"
+#include "oleanderhinge/gateway/internal/takeover.hpp"
+#include "oleanderhinge/gateway/path_change.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -24,6 +26,13 @@
 // would leave.
 constexpr auto first_event_margin = milliseconds(100);
 
+// Whether these bytes complete an event.
+bool holds_event(
+    event_buffer buffer, event_position position, std::string_view bytes)
+{
+    return !take_events(buffer, position, bytes).empty();
+}
+
 } // namespace
 
 milliseconds caller_silence_limit(const wire::forwarding_route& route)
@@ -61,8 +70,11 @@
                 "all paths are full or wait too long");
             co_return co_await this->fail_request(request, why);
         }
-        const auto result =
+        auto result =
             co_await this->attempt_stream(request, std::move(found.parts));
+        while (result.end == attempt_end::replaced)
+            result = co_await this->attempt_stream(
+                request, request.takeover->next.parts);
         if (result.end == attempt_end::answered)
             co_return;
         if (result.end == attempt_end::withheld && !request.caller_left)
@@ -96,6 +108,9 @@
     request.in_attempt = false;
     if (result.end == attempt_end::failed && !request.waits_for.address.empty())
         result.at_fault = request.waits_for;
+    // The gateway has left the path, and no server has failed.
+    if (request.retry_reserved)
+        result.timed_out = true;
     note_ended(this->selector, first);
     this->log_attempt(request, result, started);
     if (result.end == attempt_end::answered) {
@@ -138,10 +153,14 @@
     if (!refused_midway &&
         this->may_repeat(request, why, base::monotonic_now()))
         co_return true;
-    while (co_await this->wait_to_resume(request))
-        if (this->may_repeat(request, why, base::monotonic_now()))
-            co_return true;
-    co_return false;
+    const auto service = request.service->name;
+    ++this->waiting_streams[service];
+    bool granted = false;
+    while (!granted && co_await this->wait_to_resume(request))
+        granted = this->may_repeat(request, why, base::monotonic_now());
+    if (--this->waiting_streams[service] == 0)
+        this->waiting_streams.erase(service);
+    co_return granted;
 }
 
 // Waits `resume_retry_wait`. Returns false if the stream has not begun, its
@@ -160,29 +179,56 @@
     co_return !request.caller_left;
 }
 
-// Takes the retry for an attempt that continues the stream now, if there is a
-// path for it. `avoided` is excluded beside the servers that have failed it.
-bool forwarder::reserve_attempt(
+// Takes the retry for another attempt at the request now and returns its path;
+// empty if there is none. `avoided` is excluded beside the servers that have
+// failed it.
+fleet::path forwarder::reserve_attempt(
     forwarding_request& request, const std::set<wire::endpoint>& avoided)
 {
     if (!is_repeatable(*request.route) ||
-        request.possible_runs >= request.route->attempts)
-        return false;
+        request.possible_runs >= request.route->attempts ||
+        (!request.head_sent && this->has_waiting_streams(request)))
+        return {};
     const auto now = base::monotonic_now();
     auto excluded = request.tried;
     excluded.insert(avoided.begin(), avoided.end());
-    const auto found = choose_path(
+    auto found = choose_path(
         this->selector,
         *request.service,
         excluded,
         request.priority,
         this->random,
         now);
-    request.retry_reserved = !found.parts.empty() &&
-                             retry::take_retry(this->budget_of(request), now);
+    if (found.parts.empty() ||
+        (!request.head_sent && !leaves_before_start(
+                                   std::chrono::duration_cast<base::duration>(
+                                       steady_now() - request.attempt_started),
+                                   found.expected_wait)) ||
+        !retry::take_retry(this->budget_of(request), now))
+        return {};
+    return std::move(found.parts);
+}
+
+// Cancels the attempt of a request that has not begun if another path would
+// probably begin it sooner.
+bool forwarder::leave_before_start(forwarding_request& request)
+{
+    std::set<wire::endpoint> avoided;
+    for (const auto& part : request.parts)
+        avoided.insert(part.address);
+    request.retry_reserved = !this->reserve_attempt(request, avoided).empty();
+    if (request.retry_reserved) {
+        this->stats.left_paths.Increment();
+        request.connection->cancel();
+    }
     return request.retry_reserved;
 }
 
+bool forwarder::has_waiting_streams(const forwarding_request& request) const
+{
+    return this->waiting_streams.contains(request.service->name);
+}
+
 // When the wait for the first event of an attempt ends: shortly before the
 // caller would leave, so that it can try again while an attempt is left. For a
 // stream that has begun, `stall_watch` decides.
@@ -201,6 +247,15 @@
 asio::awaitable<forwarder::attempt_result>
 forwarder::stream_once(forwarding_request& request)
 {
+    if (request.takeover &&
+        request.takeover->state == takeover_state::granted) {
+        const auto granted = std::exchange(request.takeover, nullptr);
+        request.connection = granted->next.connection;
+        request.sent_to = granted->next.sent_to;
+        request.tried.insert(granted->avoided.begin(), granted->avoided.end());
+        this->stats.resumed_streams.Increment();
+        co_return co_await this->relay_events(request);
+    }
     request.connection =
         this->pool.take(request.parts.front().address, allowed_reuse(request));
     auto to_send = this->make_backend_request(
@@ -217,18 +272,25 @@
         this->note_first_event(request);
     if (head.end != attempt_end::answered)
         co_return head;
-    if (request.connection->status() != 200) {
-        if (request.head_sent)
-            co_return failed_with<attempt_result>(base::may_have_run(
-                failure_code::server_failed,
-                "server answered " +
-                    std::to_string(request.connection->status())));
+    if (request.connection->status() != 200 && !request.head_sent)
         co_return co_await this->relay_whole_answer(request);
-    }
+    if (auto failed = this->check_stream_head(request))
+        co_return std::move(*failed);
+    co_return co_await this->relay_events(request);
+}
+
+// Why the answer whose head has arrived is no stream of the server's own.
+std::optional<forwarder::attempt_result>
+forwarder::check_stream_head(const forwarding_request& request) const
+{
+    if (request.connection->status() != 200)
+        return failed_with<attempt_result>(base::may_have_run(
+            failure_code::server_failed,
+            "server answered " + std::to_string(request.connection->status())));
     if (!this->has_servers_body(*request.connection))
-        co_return failed_with<attempt_result>(base::may_have_run(
+        return failed_with<attempt_result>(base::may_have_run(
             failure_code::server_failed, "answer without the server's mark"));
-    co_return co_await this->relay_events(request);
+    return std::nullopt;
 }
 
 // Relays complete events until the stream ends. The answer to the caller begins
@@ -252,6 +314,12 @@
         const error_code failed = co_await request.connection->read_body(
             bytes, first_event_limit(request));
         request.awaits_server = false;
+        if (request.takeover &&
+            co_await this->is_replaced(
+                request,
+                !failed && (request.connection->complete() ||
+                            holds_event(buffer, request.events, bytes))))
+            co_return attempt_result{attempt_end::replaced, {}, {}};
         const auto events = take_events(buffer, request.events, bytes);
         if (!events.empty() && !request.head_sent) {
             request.head_sent = true;
--- a/oleanderhinge/gateway/metrics.cpp
+++ b/oleanderhinge/gateway/metrics.cpp
@@ -36,6 +36,18 @@
           registry,
           "oleanderhinge_gateway_changed_paths_total",
           "Streams whose first server went on along another path"))
+    , left_paths(net::add_counter(
+          registry,
+          "oleanderhinge_gateway_left_paths_total",
+          "Requests that left a path before their first event"))
+    , takeovers(net::add_counter(
+          registry,
+          "oleanderhinge_gateway_takeovers_total",
+          "Attempts to continue a stream while its present one is kept"))
+    , failed_takeovers(net::add_counter(
+          registry,
+          "oleanderhinge_gateway_failed_takeovers_total",
+          "Such attempts that did not replace the present one"))
     , crashes(net::add_counter(
           registry,
           "oleanderhinge_gateway_crashes_total",
--- a/oleanderhinge/gateway/metrics.hpp
+++ b/oleanderhinge/gateway/metrics.hpp
@@ -27,6 +27,9 @@
     prometheus::Counter& repeats;
     prometheus::Counter& resumed_streams;
     prometheus::Counter& changed_paths;
+    prometheus::Counter& left_paths;
+    prometheus::Counter& takeovers;
+    prometheus::Counter& failed_takeovers;
     prometheus::Counter& crashes;
     prometheus::Counter& quarantined;
     prometheus::Counter& servers_leaving;
--- a/oleanderhinge/gateway/protocol_adapter.hpp
+++ b/oleanderhinge/gateway/protocol_adapter.hpp
@@ -111,6 +111,9 @@
     std::function<net::http_call(
         const std::string& request, const fleet::path& parts)>
         make_path_change;
+    // The server that the refusal of a path change names, as it lacks the part
+    // or room for it; empty address: none.
+    std::function<wire::endpoint(const std::string& body)> parse_refused_part;
 };
 
 } // namespace oleanderhinge::gateway
--- a/oleanderhinge/gateway/server_choice.cpp
+++ b/oleanderhinge/gateway/server_choice.cpp
@@ -421,12 +421,32 @@
         total += weights.back();
     }
     if (total <= 0)
-        return {{}, !candidates.empty()};
+        return {{}, !candidates.empty(), {}};
     double drawn = random.unit() * total;
     std::size_t index = 0;
     while (index + 1 < candidates.size() && drawn >= weights[index])
         drawn -= weights[index++];
-    return {candidates[index].parts, false};
+    const auto& drawn_path = candidates[index].parts;
+    return {
+        drawn_path, false, first_event_wait(selector, drawn_path.front(), now)};
+}
+
+server_standing
+standing_of(const server_selector& selector, const base::backend_server_id& id)
+{
+    const auto found = selector.servers.servers.find(id);
+    if (found == selector.servers.servers.end())
+        return server_standing::sound;
+    const auto& [record, heard, suspected] = found->second;
+    const auto signal = selector.signals.servers.find(id);
+    // Some servers announce their end only by ending their registration.
+    if (record.state != wire::reported_state::ready ||
+        (signal != selector.signals.servers.end() && signal->second.leaving &&
+         signal->second.started_ms == record.started_ms))
+        return server_standing::leaving;
+    return fleet::is_alive(selector.servers, found->second)
+               ? server_standing::sound
+               : server_standing::lost;
 }
 
 fleet::path choose_continuation(
--- a/oleanderhinge/gateway/server_choice.hpp
+++ b/oleanderhinge/gateway/server_choice.hpp
@@ -18,6 +18,7 @@
 #include "oleanderhinge/fleet/directory.hpp"
 #include "oleanderhinge/fleet/paths.hpp"
 #include "oleanderhinge/gateway/congestion.hpp"
+#include "oleanderhinge/gateway/path_change.hpp"
 #include "oleanderhinge/gateway/server_signals.hpp"
 
 #include <map>
@@ -193,6 +194,8 @@
     fleet::path parts;
     // There are paths, but each is beyond `cache_limit` or `wait_limit`.
     bool overloaded = false;
+    // Wait for a first event to expect on the path.
+    base::duration expected_wait{0};
 };
 
 // Draws a path over all layers by weight, without the servers in `tried`. Paths
@@ -207,6 +210,10 @@
     base::time_point now,
     base::duration target = base::duration(0));
 
+// What this gateway knows of the server of a running request.
+server_standing
+standing_of(const server_selector& selector, const base::backend_server_id& id);
+
 // The cheapest path for a running request that keeps its first part, whatever
 // the signals of its server, and uses no server that is in `avoided` or
 // ejected. Empty if there is none.
--- a/oleanderhinge/gateway/stall_watch.cpp
+++ b/oleanderhinge/gateway/stall_watch.cpp
@@ -21,8 +21,8 @@
 constexpr auto stall_threshold = milliseconds(250);
 // Shortest time between two state queries to the same server.
 constexpr auto state_query_interval = milliseconds(300);
-// Timeout of state queries and path changes. Servers answer both at once.
-constexpr auto engine_call_timeout = milliseconds(200);
+// Timeout of state queries. Servers answer at once.
+constexpr auto state_query_timeout = milliseconds(200);
 // Answers to both carry no id, so that on a kept connection a late copy of one
 // could not be told from the next.
 constexpr std::size_t kept_connections = 0;
@@ -33,13 +33,11 @@
 constexpr auto min_silence = milliseconds(1500);
 // A tick that is this late shows that the process was paused.
 constexpr auto pause_threshold = milliseconds(1000);
-// Time until a path change that failed is tried again.
-constexpr auto path_change_interval = milliseconds(1000);
 
 bool is_stalled(const forwarding_request& request, steady_time now)
 {
     return request.in_attempt && request.connection &&
-           !request.path_change_pending &&
+           !request.path_change_pending && !request.takeover &&
            now >= request.last_progress + stall_threshold;
 }
 
@@ -60,14 +58,14 @@
     metrics& stats_in,
     signal_recorder& signals_in,
     std::function<void(const wire::endpoint&)> report_suspect_in,
-    attempt_reservation reserve_attempt_in)
+    stream_actions actions_in)
     : io(context)
     , protocol(protocol_in)
     , selector(selector_in)
     , stats(stats_in)
     , signals(signals_in)
     , report_suspect(std::move(report_suspect_in))
-    , reserve_attempt(std::move(reserve_attempt_in))
+    , actions(std::move(actions_in))
     , client(context, kept_connections, max_engine_state_bytes)
 {
 }
@@ -107,7 +105,7 @@
         }
         if (!is_stalled(*request, now))
             continue;
-        this->cancel_if_silent(*request, now);
+        this->replace_if_silent(*request, now);
         auto& last = this->last_query[request->connection->server()];
         if (now < last + state_query_interval)
             continue;
@@ -117,6 +115,9 @@
             this->query_state(request->connection->server(), request->sent_to),
             asio::detached);
     }
+    const auto decided_at = base::monotonic_now();
+    this->move_streams(decided_at);
+    this->check_starts(decided_at);
 }
 
 void stall_watch::record_signals(
@@ -138,7 +139,7 @@
     const auto started = steady_now();
     auto call = this->protocol.make_state_query();
     const auto outcome = co_await this->client.call(
-        first_server, std::move(call), engine_call_timeout, net::reuse::never);
+        first_server, std::move(call), state_query_timeout, net::reuse::never);
     if (outcome.failure == net::http_failure::none) {
         this->record_signals(process, outcome.answer);
         for (const auto& stalled :
@@ -170,23 +171,35 @@
     this->report_suspect(stalled.waits_for);
 }
 
-void stall_watch::cancel_if_silent(forwarding_request& request, steady_time now)
+// A stream whose server is silent without a known reason.
+void stall_watch::replace_if_silent(
+    forwarding_request& request, steady_time now)
 {
     const auto limit = std::max<milliseconds>(
         min_silence,
         silence_gap_factor * milliseconds(request.route->largest_gap_ms));
     if (request.head_sent && request.awaits_server &&
         now >= request.last_progress + limit &&
-        this->reserve_attempt(request, servers_of(request.parts)))
-        request.connection->cancel();
+        base::monotonic_now() >= this->next_move(request) &&
+        !this->actions.take_over(
+            request, servers_of(request.parts), takeover_cause::stalled))
+        this->note_failed_move(request);
 }
 
-// False if the answer has begun and cannot be continued.
-bool stall_watch::cancel_attempt(
+// Ends the attempt, which waits for this server, or has another one continue
+// the answer if it has begun. False if that is not possible now.
+bool stall_watch::leave_attempt(
     forwarding_request& request, const wire::endpoint& waits_for)
 {
-    if (request.head_sent && !this->reserve_attempt(request, {waits_for}))
-        return false;
+    if (request.head_sent) {
+        if (base::monotonic_now() < this->next_move(request))
+            return false;
+        const bool begun = this->actions.take_over(
+            request, {waits_for}, takeover_cause::stalled);
+        if (!begun)
+            this->note_failed_move(request);
+        return begun;
+    }
     request.waits_for = waits_for;
     request.connection->cancel();
     return true;
@@ -214,68 +227,11 @@
 {
     auto& request = *held;
     if (request.parts.empty() || waits_for == request.parts.front().address) {
-        this->cancel_attempt(request, waits_for);
-        return;
-    }
-    if (steady_now() < request.next_path_change)
+        this->leave_attempt(request, waits_for);
         return;
-    request.path_change_pending = true;
-    asio::co_spawn(
-        this->io, this->change_path(held, waits_for), asio::detached);
-}
-
-asio::awaitable<void>
-stall_watch::change_path(request_pointer held, wire::endpoint waits_for)
-{
-    auto& request = *held;
-    const auto connection = request.connection;
-    const auto process = request.sent_to;
-    auto avoided = request.tried;
-    avoided.insert(waits_for);
-    auto parts = choose_continuation(
-        this->selector,
-        *request.service,
-        request.parts.front(),
-        avoided,
-        base::monotonic_now());
-    net::http_outcome outcome;
-    if (!parts.empty()) {
-        auto call = this->protocol.make_path_change(request.metadata.id, parts);
-        outcome = co_await this->client.call(
-            parts.front().address,
-            std::move(call),
-            engine_call_timeout,
-            net::reuse::never);
-        if (outcome.failure == net::http_failure::none)
-            this->record_signals(process, outcome.answer);
     }
-    request.path_change_pending = false;
-    // The attempt may have ended during the call.
-    if (!request.in_attempt || request.connection != connection)
-        co_return;
-    const bool changed = !parts.empty() &&
-                         outcome.failure == net::http_failure::none &&
-                         outcome.answer.status < 300;
-    request.next_path_change = steady_now() + path_change_interval;
-    const bool cancelled = !changed && this->cancel_attempt(request, waits_for);
-    spdlog::info(
-        "event=path_changed request={} waits_for={}:{} parts={} outcome={} "
-        "cancelled={} paused_ms={:.0f}",
-        request.metadata.id,
-        waits_for.address,
-        waits_for.port,
-        parts.size(),
-        parts.empty() ? "none"
-        : changed     ? "changed"
-                      : std::to_string(outcome.answer.status),
-        cancelled,
-        ms_since(request.last_progress));
-    if (!changed)
-        co_return;
-    this->stats.changed_paths.Increment();
-    request.parts = std::move(parts);
-    request.logged_path = fleet::describe(request.parts);
-    request.last_progress = steady_now();
+    if (base::monotonic_now() >= this->next_move(request))
+        this->begin_path_change(held, waits_for, server_standing::lost);
 }
 
 } // namespace oleanderhinge::gateway
