--- a/oleanderhinge/gateway/internal/stall_watch_moves.cpp
+++ b/oleanderhinge/gateway/internal/stall_watch_moves.cpp
@@ -166,7 +166,7 @@
     auto parts = choose_continuation(
         this->selector,
         *request.service,
-        request.parts.front(),
+        request.parts,
         avoided,
         base::monotonic_now());
     net::http_outcome outcome;
--- a/oleanderhinge/gateway/server_choice.cpp
+++ b/oleanderhinge/gateway/server_choice.cpp
@@ -452,17 +452,26 @@
 fleet::path choose_continuation(
     const server_selector& selector,
     const wire::forwarding_service& service,
-    const fleet::path_part& first,
+    const fleet::path& present,
     const std::set<wire::endpoint>& avoided,
     base::time_point now)
 {
-    auto candidates =
-        find_candidates(selector, service, avoided, false, now, &first.server);
-    const auto found =
-        std::find_if(candidates.begin(), candidates.end(), [&](auto& item) {
-            return item.parts.front() == first;
-        });
-    return found == candidates.end() ? fleet::path{} : found->parts;
+    const auto& first = present.front();
+    auto servers =
+        path_servers(selector, service, avoided, false, now, &first.server);
+    for (auto& server : servers)
+        if (std::ranges::find(present, server.id, &fleet::path_part::server) !=
+            present.end())
+            server.ms_per_layer *= kept_part_factor;
+    auto candidates = fleet::find_paths(
+        servers,
+        service.engine->layer_count,
+        selector.home,
+        fleet::costs_of(*service.engine));
+    const auto found = std::ranges::find_if(candidates, [&](const auto& item) {
+        return item.parts.front() == first;
+    });
+    return found == candidates.end() ? fleet::path{} : std::move(found->parts);
 }
 
 } // namespace oleanderhinge::gateway
--- a/oleanderhinge/gateway/server_choice.hpp
+++ b/oleanderhinge/gateway/server_choice.hpp
@@ -57,6 +57,9 @@
 // its path. First events normally take 80 ms.
 inline constexpr base::duration weight_halving_wait =
     std::chrono::milliseconds(200);
+// Factor for the cost of a server in the search for a continuation if it is
+// part of the present path. A new part reads the whole prompt.
+inline constexpr double kept_part_factor = 0.1;
 // The cost of an engine grows with the used share of its cache up to this one.
 inline constexpr double max_priced_cache_use = 0.95;
 
@@ -214,13 +217,14 @@
 server_standing
 standing_of(const server_selector& selector, const base::backend_server_id& id);
 
-// The cheapest path for a running request that keeps its first part, whatever
-// the signals of its server, and uses no server that is in `avoided` or
-// ejected. Empty if there is none.
+// A path for a running request that keeps its first part, whatever the signals
+// of its server, and uses no server that is in `avoided` or ejected. The other
+// parts of `present`, which have read the prompt, are preferred to cheaper
+// ones. Empty if there is none.
 fleet::path choose_continuation(
     const server_selector& selector,
     const wire::forwarding_service& service,
-    const fleet::path_part& first,
+    const fleet::path& present,
     const std::set<wire::endpoint>& avoided,
     base::time_point now);
 
--- a/oleanderhinge/gateway/server_choice_test.cpp
+++ b/oleanderhinge/gateway/server_choice_test.cpp
@@ -254,12 +254,46 @@
         base::data_centre_id{"a"},
         {base::layer_index{0}, base::layer_index{2}}};
     const auto found =
-        choose_continuation(this->selector, this->service, first, {}, start);
+        choose_continuation(this->selector, this->service, {first}, {}, start);
     ASSERT_EQ(found.size(), 2U);
     EXPECT_EQ(found[1].server.value(), "far");
     EXPECT_EQ(this->count_first_servers(0)["first"], 0);
 }
 
+// A later part leaves, and the others of the path are busy. Guards against a
+// stream whose parts all change, each of which would read the prompt again.
+TEST_F(choice_fixture, a_continuation_keeps_the_parts_that_stay)
+{
+    this->selector.servers = {};
+    fleet::path present;
+    std::uint32_t layer = 0;
+    for (const auto* id : {"first", "busy", "ends"}) {
+        const base::layer_range layers{
+            base::layer_index{layer}, base::layer_index{layer + 1}};
+        for (const std::string& name :
+             {std::string(id), std::string(id) + "2"}) {
+            auto record = make_record(name, "a");
+            record.layers = layers;
+            apply_record(this->selector, record, start);
+        }
+        present.push_back(
+            {base::backend_server_id{id},
+             {id, 80},
+             base::data_centre_id{"a"},
+             layers});
+        ++layer;
+    }
+    this->service.engine->layer_count = layer;
+    this->set_load("busy", 5, 0);
+    auto& busy =
+        this->selector.servers.servers.at(base::backend_server_id{"busy"});
+    busy.record.layers = present[1].layers;
+    note_leaving(this->selector.signals, {base::backend_server_id{"ends"}, 1});
+    const auto found =
+        choose_continuation(this->selector, this->service, present, {}, start);
+    EXPECT_EQ(fleet::describe(found), "first,busy,ends2");
+}
+
 // Guards against callers that are told to return before any server is usable,
 // or later than needed.
 TEST_F(choice_fixture, a_service_is_in_backoff_if_no_path_is_left)
