--- a/oleanderhinge/gateway/metrics.hpp
+++ b/oleanderhinge/gateway/metrics.hpp
@@ -37,6 +37,10 @@
     prometheus::Counter& repeats;
     prometheus::Counter& resumed_streams;
     prometheus::Counter& changed_paths;
+    prometheus::Counter& left_paths;
+    prometheus::Counter& takeovers;
+    prometheus::Counter& failed_takeovers;
+    prometheus::Counter& unreachable_servers;
     prometheus::Counter& crashes;
     prometheus::Counter& quarantined;
     prometheus::Counter& servers_leaving;
--- a/oleanderhinge/gateway/server_choice.cpp
+++ b/oleanderhinge/gateway/server_choice.cpp
@@ -443,28 +443,57 @@
         total += weights.back();
     }
     if (total <= 0)
-        return {{}, !candidates.empty()};
+        return {{}, !candidates.empty(), {}};
     double drawn = random.unit() * total;
     std::size_t index = 0;
     while (index + 1 < candidates.size() && drawn >= weights[index])
         drawn -= weights[index++];
-    return {candidates[index].parts, false};
+    const auto& drawn_path = candidates[index].parts;
+    return {
+        drawn_path, false, first_event_wait(selector, drawn_path.front(), now)};
+}
+
+server_standing
+standing_of(const server_selector& selector, const base::backend_server_id& id)
+{
+    const auto found = selector.servers.servers.find(id);
+    if (found == selector.servers.servers.end())
+        return server_standing::sound;
+    const auto& [record, heard, suspected] = found->second;
+    const auto signal = selector.signals.servers.find(id);
+    // Some servers announce their end only by ending their registration.
+    if (record.state != wire::reported_state::ready ||
+        (signal != selector.signals.servers.end() && signal->second.leaving &&
+         signal->second.started_ms == record.started_ms))
+        return server_standing::leaving;
+    return fleet::is_alive(selector.servers, found->second)
+               ? server_standing::sound
+               : server_standing::lost;
 }
 
 fleet::path choose_continuation(
     const server_selector& selector,
     const wire::forwarding_service& service,
-    const fleet::path_part& first,
+    const fleet::path& present,
     const std::set<wire::endpoint>& avoided,
     base::time_point now)
 {
-    auto candidates =
-        find_candidates(selector, service, avoided, false, now, &first.server);
-    const auto found =
-        std::find_if(candidates.begin(), candidates.end(), [&](auto& item) {
-            return item.parts.front() == first;
-        });
-    return found == candidates.end() ? fleet::path{} : found->parts;
+    const auto& first = present.front();
+    auto servers =
+        path_servers(selector, service, avoided, false, now, &first.server);
+    for (auto& server : servers)
+        if (std::ranges::find(present, server.id, &fleet::path_part::server) !=
+            present.end())
+            server.ms_per_layer *= kept_part_factor;
+    auto candidates = fleet::find_paths(
+        servers,
+        service.engine->layer_count,
+        selector.home,
+        fleet::costs_of(*service.engine));
+    const auto found = std::ranges::find_if(candidates, [&](const auto& item) {
+        return item.parts.front() == first;
+    });
+    return found == candidates.end() ? fleet::path{} : std::move(found->parts);
 }
 
 } // namespace oleanderhinge::gateway
--- a/oleanderhinge/gateway/server_choice.hpp
+++ b/oleanderhinge/gateway/server_choice.hpp
@@ -18,6 +18,7 @@
 #include "oleanderhinge/fleet/directory.hpp"
 #include "oleanderhinge/fleet/paths.hpp"
 #include "oleanderhinge/gateway/congestion.hpp"
+#include "oleanderhinge/gateway/path_change.hpp"
 #include "oleanderhinge/gateway/server_signals.hpp"
 
 #include <map>
@@ -56,6 +57,9 @@
 // its path. First events normally take 80 ms.
 inline constexpr base::duration weight_halving_wait =
     std::chrono::milliseconds(200);
+// Factor for the cost of a server in the search for a continuation if it is
+// part of the present path. A new part reads the whole prompt.
+inline constexpr double kept_part_factor = 0.1;
 // The cost of an engine grows with the used share of its cache up to this one.
 inline constexpr double max_priced_cache_use = 0.95;
 
@@ -201,6 +205,8 @@
     fleet::path parts;
     // There are paths, but each is beyond `cache_limit` or `wait_limit`.
     bool overloaded = false;
+    // Wait for a first event to expect on the path.
+    base::duration expected_wait{0};
 };
 
 // Draws a path over all layers by weight, without the servers in `tried`. Paths
@@ -215,13 +221,18 @@
     base::time_point now,
     base::duration target = base::duration(0));
 
-// The cheapest path for a running request that keeps its first part, whatever
-// the signals of its server, and uses no server that is in `avoided` or
-// ejected. Empty if there is none.
+// What this gateway knows of the server of a running request.
+server_standing
+standing_of(const server_selector& selector, const base::backend_server_id& id);
+
+// A path for a running request that keeps its first part, whatever the signals
+// of its server, and uses no server that is in `avoided` or ejected. The other
+// parts of `present`, which have read the prompt, are preferred to cheaper
+// ones. Empty if there is none.
 fleet::path choose_continuation(
     const server_selector& selector,
     const wire::forwarding_service& service,
-    const fleet::path_part& first,
+    const fleet::path& present,
     const std::set<wire::endpoint>& avoided,
     base::time_point now);
 
