fleet, control: announced leaves hand their layers on at once

Spare servers took over layers of other data centres, where they serve no chain. The state of an engine, older than its report, undid a load that had just been reported, which led to a second order and 0.9 s without the layers. A refused order was sent again after 3 s only.

- leaving servers: layers go to a spare server of the data centre in the next round, else they are failed over at once; new servers are kept 2 s for that; not divided anew within 7 s of a leave because few first servers are left
- failover: the neighbours take over if they keep room for requests, which aborts none; else first servers as before
- a refused order is sent again after 0.3 s; an engine's state does not undo a report of the last second
- a new leader replaces servers that are suspected, leaving or gone at once; silence counts after 1.6 s as before

--- a/oleanderhinge/control/fleet_watch.cpp
+++ b/oleanderhinge/control/fleet_watch.cpp
@@ -49,6 +49,33 @@
     return batch;
 }
 
+// Adds the servers of a recorded plan that are not ready, though nothing speaks
+// against them, with the layers that they should hold.
+void add_unknown(
+    std::vector<wire::server_record>& present,
+    const fleet::placement& plan,
+    const fleet::directory& known,
+    const std::string& service)
+{
+    std::set<wire::endpoint> skipped;
+    for (const auto& record : present)
+        skipped.insert(fleet::address_of(record));
+    for (const auto& address : fleet::known_lost(known, service))
+        skipped.insert(address);
+    for (const auto& [address, server] : plan.servers) {
+        if (skipped.contains(address) || server.layers == base::layer_range{})
+            continue;
+        wire::server_record record;
+        record.service = service;
+        record.address = address.address;
+        record.port = address.port;
+        record.data_centre = server.data_centre;
+        record.kind = server.kind;
+        record.layers = server.layers;
+        present.push_back(record);
+    }
+}
+
 } // namespace
 
 fleet::report_outcome report(
@@ -224,17 +251,24 @@
             for (const auto& [service, places] : kept)
                 fleet.placements[service] = fleet::restore(places, now);
     }
-    if (!leads || fleet.first_report == base::time_point{} ||
-        now < fleet.leads_since + settle_time ||
-        now < fleet.first_report + settle_time)
+    if (!leads || fleet.first_report == base::time_point{})
         return {};
+    const bool settled = now >= fleet.leads_since + settle_time &&
+                         now >= fleet.first_report + settle_time;
     std::vector<fleet::layer_assignment> orders;
     for (const auto& service : table.services) {
         if (!service.engine || service.engine->layer_count == 0)
             continue;
+        if (!settled && !fleet.placements.contains(service.name))
+            continue;
         const auto ready = fleet::usable(fleet.servers, service.name);
         auto& plan = fleet.placements[service.name];
-        fleet::update(plan, *service.engine, ready, now);
+        fleet::note_leaving(
+            plan, fleet::leaving(fleet.servers, service.name), now);
+        auto present = ready;
+        if (!settled)
+            add_unknown(present, plan, fleet.servers, service.name);
+        fleet::update(plan, *service.engine, present, now);
         const auto due = fleet::due_orders(
             plan,
             *service.engine,
--- a/oleanderhinge/control/fleet_watch.hpp
+++ b/oleanderhinge/control/fleet_watch.hpp
@@ -27,8 +27,10 @@
 // change is sent once per interval.
 inline constexpr base::duration refresh_interval =
     std::chrono::milliseconds(250);
-// A new leader waits this long before it plans. Every server reports within
-// 1.2 s, and a placement on a part of the fleet would move layers later.
+// A new leader waits this long before it plans a fleet that nobody has planned
+// yet, or replaces servers of a recorded plan because it has not heard of them.
+// Every server reports within 1.2 s, and a placement on a part of the fleet
+// would move layers later.
 inline constexpr base::duration settle_time = std::chrono::milliseconds(1600);
 // For this long after the first report, the number of layer loads at once is
 // not limited: before the first request, loads take a tenth of the time.
@@ -152,9 +154,10 @@
 std::vector<control_state::record_places> due_records(fleet_watch& fleet);
 
 // Updates the placements and returns the orders that are due; none unless
-// `leads`, and none before `settle_time` has passed. `leads` is true while this
-// node is leader with a quorum. A new leader starts from `kept`, the placements
-// that the previous leader recorded.
+// `leads`. `leads` is true while this node is leader with a quorum. A new
+// leader starts from `kept`, the placements that the previous leader recorded.
+// Before `settle_time` has passed, it only replaces servers that are known to
+// be lost, and plans no service without a recorded placement.
 std::vector<fleet::layer_assignment> plan_orders(
     fleet_watch& fleet,
     const wire::forwarding_table& table,
--- a/oleanderhinge/control/fleet_watch_test.cpp
+++ b/oleanderhinge/control/fleet_watch_test.cpp
@@ -4,6 +4,10 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <functional>
+#include <optional>
+
 namespace oleanderhinge::control
 {
 namespace
@@ -163,6 +167,137 @@
         EXPECT_EQ(count, 1) << id.value();
 }
 
+// A chain of twelve servers, and members that hear of them in different ways.
+struct planned_member {
+    planned_member()
+    {
+        this->table.services = {{"chat", "", 0, wire::engine_profile{}}};
+        auto& engine = *this->table.services[0].engine;
+        engine.layer_count = 80;
+        engine.layer_mb = 1750;
+        engine.load_seconds = 14;
+        engine.loads_at_once = 6;
+        engine.cache_bytes_per_token = 328000;
+        engine.step_ms = 1;
+        engine.read_tokens_per_second = 164000;
+        engine.usual_prompt_tokens = 774;
+        engine.usual_answer_tokens = 210;
+        engine.kinds = {{"l4", 21600, 16, 8.2}};
+        for (int i = 0; i < 12; ++i) {
+            auto record = make_record("s" + std::to_string(i), 1);
+            record.data_centre = base::data_centre_id{"glasgow"};
+            record.kind = "l4";
+            this->servers.push_back(record);
+        }
+        // An earlier leader places the layers.
+        fleet_watch earlier;
+        for (const auto& record : this->servers)
+            report(earlier, record, true, start - 60s);
+        for (const auto at : {start - 60s, start - 58s})
+            for (const auto& order :
+                 plan_orders(earlier, this->table, {}, true, at))
+                for (auto& record : this->servers)
+                    if (record.id == order.server)
+                        record.layers = order.layers;
+        this->kept["chat"] = fleet::places_of(earlier.placements["chat"]);
+    }
+
+    // Reports of all servers but one.
+    void hear_all_but(const std::string& id, base::time_point at)
+    {
+        for (auto& record : this->servers) {
+            record.sequence += 10;
+            if (record.id.value() != id)
+                report(this->member, record, true, at);
+        }
+    }
+
+    // The holder of the last layer.
+    wire::server_record last_part() const
+    {
+        return *std::max_element(
+            this->servers.begin(),
+            this->servers.end(),
+            [](const auto& left, const auto& right) {
+                return left.layers.end < right.layers.end;
+            });
+    }
+
+    wire::forwarding_table table;
+    std::vector<wire::server_record> servers;
+    std::map<std::string, fleet::places> kept;
+    fleet_watch member;
+};
+
+struct succession_case {
+    const char* name;
+    // What the successor knows of the server with the last layers.
+    std::function<void(planned_member&, const wire::server_record&)> knows;
+    // When it leads and gives the first order; unset if it gives none in 3 s.
+    std::optional<base::duration> first_order;
+    bool has_plan;
+};
+
+const succession_case succession_cases[] = {
+    {"a gateway suspects it",
+     [](auto& f, const auto& lost) {
+         report(f.member, lost, true, start - 1s);
+         fleet::suspect(f.member.servers, {lost.address, 80}, start - 200ms);
+     },
+     0ms,
+     true},
+    {"it leaves as announced",
+     [](auto& f, auto lost) {
+         lost.state = wire::reported_state::draining;
+         ++lost.sequence;
+         report(f.member, lost, true, start - 200ms);
+     },
+     0ms,
+     true},
+    {"nothing: another member may have heard of it",
+     [](auto&, const auto&) {},
+     settle_time + fleet::failover_after,
+     true},
+    {"it serves",
+     [](auto& f, const auto& present) {
+         report(f.member, present, true, start - 200ms);
+     },
+     std::nullopt,
+     true},
+    {"nothing, and no plan is recorded",
+     [](auto&, const auto&) {},
+     settle_time + fleet::failover_after,
+     false},
+};
+
+// The leader fails just before or after a server. Guards against a chain that
+// waits for a new leader's own reports although the members follow them all,
+// and against a new leader that moves layers since it knows a part of the fleet
+// only.
+TEST(fleet_watch, a_new_leader_replaces_servers_that_are_known_to_be_lost)
+{
+    for (const auto& item : succession_cases) {
+        planned_member f;
+        const auto lost = f.last_part();
+        f.hear_all_but(lost.id.value(), start - 1s);
+        item.knows(f, lost);
+        if (!item.has_plan)
+            f.kept.clear();
+        std::optional<base::duration> first;
+        for (auto after = 0ms; after < 3s && !first; after += 100ms) {
+            if (after % 1000ms == 0ms)
+                f.hear_all_but(lost.id.value(), start + after);
+            if (!plan_orders(f.member, f.table, f.kept, true, start + after)
+                     .empty())
+                first = after;
+        }
+        EXPECT_EQ(first.has_value(), item.first_order.has_value()) << item.name;
+        if (first && item.first_order) {
+            EXPECT_EQ(*first, *item.first_order) << item.name;
+        }
+    }
+}
+
 // Guards against members whose placement does not follow what others asked.
 TEST(fleet_watch, loads_reach_the_other_members)
 {
--- a/oleanderhinge/control/internal/service_fleet.cpp
+++ b/oleanderhinge/control/internal/service_fleet.cpp
@@ -254,18 +254,30 @@
                 });
         }
     for (const auto& order : orders) {
+        const bool aborts = order.running == fleet::handover::abort_running;
+        this->numbers.layer_orders.Increment();
+        if (aborts)
+            this->numbers.layer_orders_aborting.Increment();
         spdlog::info(
-            "event=order server={} layers={}-{} term={}",
+            "event=order server={} layers={}-{} aborts={} term={}",
             order.server.value(),
             order.layers.first.value(),
             order.layers.end.value(),
+            aborts,
             status.current_term.value());
-        this->options.send_order(order, [order](order_result result) {
-            if (result != order_result::accepted)
-                spdlog::warn(
-                    "event=order_failed server={} result={}",
-                    order.server.value(),
-                    result == order_result::refused ? "refused" : "unknown");
+        this->options.send_order(order, [this, order](order_result result) {
+            if (result == order_result::accepted)
+                return;
+            const bool refused = result == order_result::refused;
+            spdlog::warn(
+                "event=order_failed server={} result={}",
+                order.server.value(),
+                refused ? "refused" : "unknown");
+            if (refused)
+                this->on_strand([this, order] {
+                    for (auto& [service, plan] : this->fleet.placements)
+                        fleet::note_refused(plan, order);
+                });
         });
     }
 }
--- a/oleanderhinge/control/metrics.cpp
+++ b/oleanderhinge/control/metrics.cpp
@@ -86,6 +86,12 @@
           registry,
           "slow_subscribers_closed_total",
           "Links closed, since the subscriber read too slowly"))
+    , layer_orders(counter(
+          registry, "layer_orders_total", "Orders to hold other layers"))
+    , layer_orders_aborting(counter(
+          registry,
+          "layer_orders_aborting_total",
+          "Orders that abort the requests on layers given up"))
     , claims(prometheus::BuildCounter()
                  .Name("oleanderhinge_control_claims_total")
                  .Help("Claim requests by the answer")
--- a/oleanderhinge/control/metrics.hpp
+++ b/oleanderhinge/control/metrics.hpp
@@ -48,6 +48,8 @@
     prometheus::Counter& updates_sent;
     prometheus::Counter& subscribers_redirected;
     prometheus::Counter& slow_subscribers_closed;
+    prometheus::Counter& layer_orders;
+    prometheus::Counter& layer_orders_aborting;
 
     void count_claim(wire::claim_state state);
     void set_gauges(const state_sizes& sizes);
--- a/oleanderhinge/fleet/directory.cpp
+++ b/oleanderhinge/fleet/directory.cpp
@@ -55,6 +55,32 @@
     return true;
 }
 
+bool is_suspected(const known_server& server)
+{
+    return server.suspected != base::time_point{} &&
+           server.heard < server.suspected + suspicion_margin;
+}
+
+bool started_last(const directory& known, const known_server& server)
+{
+    const auto last = known.last_started.find(address_of(server.record));
+    return last == known.last_started.end() ||
+           last->second <= server.record.started_ms;
+}
+
+// Addresses of the service whose last process meets the condition.
+template <class Predicate>
+std::vector<wire::endpoint> last_processes(
+    const directory& known, std::string_view service, Predicate&& is_meant)
+{
+    std::vector<wire::endpoint> found;
+    for (const auto& [id, server] : known.servers)
+        if (server.record.service == service && is_meant(server) &&
+            started_last(known, server))
+            found.push_back(address_of(server.record));
+    return found;
+}
+
 } // namespace
 
 report_outcome apply(
@@ -63,7 +89,7 @@
     known.newest = std::max(known.newest, heard);
     auto found = known.servers.find(record.id);
     if (found == known.servers.end()) {
-        known.servers.emplace(record.id, known_server{record, heard, {}});
+        known.servers.emplace(record.id, known_server{record, heard, {}, {}});
         note_started_at(known, record);
         return report_outcome::changed;
     }
@@ -85,6 +111,8 @@
     const auto load = current.record.load;
     const bool same_process = current.record.started_ms == record.started_ms;
     const auto address_before = address_of(current.record);
+    if (current.record.layers != record.layers)
+        current.layers_reported = heard;
     current.record = record;
     note_started_at(known, record);
     if (address_before != address_of(record) || !same_process)
@@ -129,11 +157,14 @@
     const auto found = known.servers.find(id);
     if (found == known.servers.end())
         return false;
-    auto& record = found->second.record;
-    const bool layers_changed = record.layers != load.layers;
+    auto& [record, heard, suspected, layers_reported] = found->second;
     record.load = load;
+    if (record.layers == load.layers ||
+        (layers_reported != base::time_point{} &&
+         known.newest < layers_reported + reported_layers_hold))
+        return false;
     record.layers = load.layers;
-    return layers_changed;
+    return true;
 }
 
 void expire(directory& known, base::time_point now)
@@ -156,14 +187,9 @@
 
 bool is_alive(const directory& known, const known_server& server)
 {
-    if (server.record.state == wire::reported_state::gone ||
-        server.heard + silence_limit < known.newest ||
-        (server.suspected != base::time_point{} &&
-         server.heard < server.suspected + suspicion_margin))
-        return false;
-    const auto last = known.last_started.find(address_of(server.record));
-    return last == known.last_started.end() ||
-           last->second <= server.record.started_ms;
+    return server.record.state != wire::reported_state::gone &&
+           server.heard + silence_limit >= known.newest &&
+           !is_suspected(server) && started_last(known, server);
 }
 
 std::vector<wire::server_record>
@@ -176,6 +202,23 @@
     return found;
 }
 
+std::vector<wire::endpoint>
+leaving(const directory& known, std::string_view service)
+{
+    return last_processes(known, service, [](const known_server& server) {
+        return server.record.state != wire::reported_state::ready;
+    });
+}
+
+std::vector<wire::endpoint>
+known_lost(const directory& known, std::string_view service)
+{
+    return last_processes(known, service, [](const known_server& server) {
+        return server.record.state != wire::reported_state::ready ||
+               is_suspected(server);
+    });
+}
+
 wire::server_record with_age(const known_server& server, base::time_point now)
 {
     auto record = server.record;
--- a/oleanderhinge/fleet/directory.hpp
+++ b/oleanderhinge/fleet/directory.hpp
@@ -38,6 +38,11 @@
 inline constexpr base::duration suspicion_margin =
     std::chrono::milliseconds(300);
 
+// An engine gives a state from some hundred milliseconds before; its reports
+// carry a change of layers at once. The layers of its state do not count for
+// this long after such a report.
+inline constexpr base::duration reported_layers_hold = std::chrono::seconds(1);
+
 struct known_server {
     wire::server_record record;
     // Arrival of the last report.
@@ -45,6 +50,8 @@
     // When requests that depend on the server were last seen to make no
     // progress; unset if never.
     base::time_point suspected;
+    // Arrival of the last report that changed the layers; unset if none did.
+    base::time_point layers_reported;
 };
 
 struct directory {
@@ -88,7 +95,8 @@
     directory& known, const wire::endpoint& address, base::time_point now);
 
 // Stores the load and the layers that an engine gave when it was polled.
-// Ignored for unknown ids. True if the layers changed.
+// Ignored for unknown ids. The layers are ignored for `reported_layers_hold`
+// after a report that changed them. True if the layers changed.
 bool note_load(
     directory& known,
     const base::backend_server_id& id,
@@ -109,6 +117,16 @@
 std::vector<wire::server_record>
 usable(const directory& known, std::string_view service);
 
+// Addresses whose last process has announced that it leaves, or has left.
+std::vector<wire::endpoint>
+leaving(const directory& known, std::string_view service);
+
+// Addresses at which something speaks against the last process: it is
+// suspected, leaves or has left. Silence alone does not count: another member
+// of control may have heard of the server.
+std::vector<wire::endpoint>
+known_lost(const directory& known, std::string_view service);
+
 // Calls `visit(const wire::server_record&)` for each of them, without copies.
 template <class Visitor>
 void visit_usable(
--- a/oleanderhinge/fleet/directory_test.cpp
+++ b/oleanderhinge/fleet/directory_test.cpp
@@ -163,5 +163,58 @@
     }
 }
 
+// An engine's state is some hundred milliseconds old when it is read. Guards
+// against a server that has loaded its layers, has reported them and is not
+// used, since a state from before the load arrives after the report.
+TEST(directory, a_state_from_before_a_report_does_not_undo_its_layers)
+{
+    struct lag_case {
+        base::duration after_report;
+        bool applies;
+    };
+    for (const auto& item :
+         {lag_case{milliseconds(100), false},
+          lag_case{milliseconds(900), false},
+          lag_case{seconds(1), true}}) {
+        directory known;
+        apply(known, make_record("a", 1, 1), start);
+        auto loaded = make_record("a", 1, 2);
+        loaded.layers = {base::layer_index{5}, base::layer_index{9}};
+        apply(known, loaded, start + seconds(2));
+        const auto now = start + seconds(2) + item.after_report;
+        apply(known, make_record("b", 1, 1, reported_state::ready, "b"), now);
+        wire::engine_load empty;
+        empty.running = 3;
+        EXPECT_EQ(note_load(known, loaded.id, empty), item.applies);
+        const auto& record = known.servers.at(loaded.id).record;
+        EXPECT_EQ(record.layers == loaded.layers, !item.applies);
+        EXPECT_EQ(record.load->running, 3U);
+    }
+}
+
+// Guards against a plan that takes silent servers, or an earlier process at an
+// address, for servers that leave.
+TEST(
+    directory, leaving_and_lost_servers_are_those_that_something_speaks_against)
+{
+    directory known;
+    apply(known, make_record("silent", 1, 1), start);
+    const auto now = start + seconds(20);
+    apply(
+        known,
+        make_record("leaves", 1, 1, reported_state::draining, "leaves"),
+        now);
+    apply(known, make_record("left", 1, 1, reported_state::gone, "again"), now);
+    apply(
+        known, make_record("again", 2, 1, reported_state::ready, "again"), now);
+    apply(known, make_record("dark", 1, 1, reported_state::ready, "dark"), now);
+    suspect(known, {"dark", 80}, now + seconds(1));
+    EXPECT_EQ(
+        leaving(known, "chat"), (std::vector<wire::endpoint>{{"leaves", 80}}));
+    EXPECT_EQ(
+        known_lost(known, "chat"),
+        (std::vector<wire::endpoint>{{"dark", 80}, {"leaves", 80}}));
+}
+
 } // namespace
 } // namespace oleanderhinge::fleet
--- a/oleanderhinge/fleet/internal/failover.cpp
+++ b/oleanderhinge/fleet/internal/failover.cpp
@@ -1,38 +1,39 @@
 #include "oleanderhinge/fleet/internal/failover.hpp"
 
+#include "oleanderhinge/fleet/internal/extension.hpp"
+
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <tuple>
 
 namespace oleanderhinge::fleet::internal
 {
 
-namespace
-{
-
 bool contains(const base::layer_range& outer, const base::layer_range& inner)
 {
     return outer.first <= inner.first && inner.end <= outer.end;
 }
 
-bool overlap(const base::layer_range& left, const base::layer_range& right)
-{
-    return left.first < right.end && right.first < left.end;
-}
-
 std::uint32_t size_of(const base::layer_range& range)
 {
     return range.end.value() - range.first.value();
 }
 
-// True if the server was available with its assigned layers when it was last
-// observed.
 bool is_serving(const placed_server& server)
 {
     return server.layers != base::layer_range{} &&
            server.unavailable_since == base::time_point{};
 }
 
+namespace
+{
+
+bool overlap(const base::layer_range& left, const base::layer_range& right)
+{
+    return left.first < right.end && right.first < left.end;
+}
+
 // True if the server is ready and not slow, whatever layers it holds.
 bool is_available(const placed_server& server, base::time_point now)
 {
@@ -86,6 +87,26 @@
     return largest;
 }
 
+// Target ranges before an update.
+using former_targets = std::map<const placed_server*, base::layer_range>;
+
+former_targets targets_of(const server_group& members)
+{
+    former_targets targets;
+    for (const auto* server : members)
+        targets.emplace(server, server->target);
+    return targets;
+}
+
+// True if the server holds layers of the gap, or was ordered to.
+bool is_filling(
+    const placed_server& server,
+    const base::layer_range& gap,
+    const former_targets& before)
+{
+    return overlap(server.reported, gap) || overlap(before.at(&server), gap);
+}
+
 struct substitute {
     placed_server* server = nullptr;
     base::layer_range layers;
@@ -97,16 +118,16 @@
 std::vector<substitute> take_substitutes(
     server_group& redundant,
     const base::layer_range& gap,
-    const wire::engine_profile& profile)
+    const wire::engine_profile& profile,
+    const former_targets& before)
 {
     // First the servers that hold or load layers of the gap, so that nothing
     // moves again; then those that serve their assigned range, fewest running
     // requests first; last those that fill another gap.
     const auto preference = [&](const placed_server* server) {
-        const int rank =
-            overlap(server->reported, gap) || overlap(server->target, gap) ? 0
-            : is_serving(*server)                                          ? 1
-                                                                           : 2;
+        const int rank = is_filling(*server, gap, before) ? 0
+                         : is_serving(*server)            ? 1
+                                                          : 2;
         return std::tuple{
             rank, rank == 0 ? 0 : server->running, server->address};
     };
@@ -142,88 +163,86 @@
     return chosen;
 }
 
-// Layers that the server can hold beside its target range; 0 for null.
-std::uint32_t extra_layer_capacity(
-    const placed_server* server, const wire::engine_profile& profile)
+// True if other servers should take over the server's layers. A server that is
+// ready and still loads its layers serves soon and does not need it.
+bool needs_failover(const placed_server& server, base::time_point now)
 {
-    if (server == nullptr)
-        return 0;
-    const auto max_layers = largest_range(
-        profile, server->memory_mb * max_weight_share_in_failover);
-    const auto used = size_of(server->target);
-    return max_layers > used ? max_layers - used : 0;
+    return server.layers != base::layer_range{} && !is_serving(server) &&
+           (server.last_seen < now || server.slow) &&
+           (server.leaving || now >= server.unavailable_since + failover_after);
 }
 
-// Extends the servers with the adjacent ranges over the gap. Changes nothing
-// if together they lack the memory.
-void extend_neighbours(
-    const server_group& members,
-    const base::layer_range& gap,
-    const wire::engine_profile& profile)
+// Smallest memory for requests in a layer of the serving members behind the
+// first part.
+double
+smallest_room(const server_group& members, const wire::engine_profile& profile)
 {
-    placed_server* left = nullptr;
-    placed_server* right = nullptr;
-    for (auto* server : members) {
-        if (!is_serving(*server))
-            continue;
-        if (server->target.end == gap.first)
-            left = server;
-        if (server->target.first == gap.end)
-            right = server;
-    }
-    const auto size = size_of(gap);
-    const auto left_capacity = extra_layer_capacity(left, profile);
-    const auto right_capacity = extra_layer_capacity(right, profile);
-    if (left_capacity + right_capacity < size)
-        return;
-    // Split in proportion to capacity, without exceeding it on either side.
-    const auto proportional = std::uint32_t(
-        std::uint64_t(size) * left_capacity / (left_capacity + right_capacity));
-    const auto left_share = std::max(
-        proportional, size > right_capacity ? size - right_capacity : 0);
-    if (left_share > 0)
-        left->target.end = base::layer_index{gap.first.value() + left_share};
-    if (left_share < size)
-        right->target.first = base::layer_index{gap.first.value() + left_share};
+    double smallest = std::numeric_limits<double>::infinity();
+    for (const auto* server : members)
+        if (is_serving(*server) && server->layers.first.value() != 0)
+            smallest = std::min(
+                smallest,
+                room_per_layer(
+                    profile, server->memory_mb, size_of(server->layers)));
+    return smallest;
 }
 
-// True if other servers should take over the server's layers. A server that is
-// ready and still loads its layers serves soon and does not need it.
-bool needs_failover(const placed_server& server, base::time_point now)
+// Whether the neighbours rather than the substitutes take over the gap. They
+// abort no requests, but must keep enough memory for them. What has begun is
+// kept up.
+bool prefers_extension(
+    const extension& neighbours,
+    const std::vector<substitute>& substitutes,
+    const base::layer_range& gap,
+    double chain_room_mb,
+    const former_targets& before)
 {
-    return server.layers != base::layer_range{} && !is_serving(server) &&
-           (server.last_seen < now || server.slow) &&
-           now >= server.unavailable_since + failover_after;
+    if (substitutes.empty())
+        return true;
+    for (const auto& item : substitutes)
+        if (is_filling(*item.server, gap, before))
+            return false;
+    for (const auto* server : {neighbours.left, neighbours.right})
+        if (server != nullptr && is_filling(*server, gap, before))
+            return true;
+    // Requests of all first servers would run through one of them.
+    if (neighbours.left != nullptr &&
+        neighbours.left->layers.first.value() == 0)
+        return false;
+    return neighbours.room_mb >= min_extension_room * chain_room_mb;
 }
 
-// Assigns each gap to redundant servers or, if they cannot hold it, to the
-// servers with the adjacent ranges.
+// Assigns each gap to the servers with the adjacent ranges or to redundant
+// servers.
 void fail_over_group(
     const server_group& members,
     const wire::engine_profile& profile,
     base::time_point now)
 {
+    const auto before = targets_of(members);
+    for (auto* server : members)
+        server->target = server->layers;
+    const auto room_mb = smallest_room(members, profile);
     auto redundant = find_redundant_servers(members, now);
-    std::vector<substitute> chosen;
-    std::vector<base::layer_range> uncovered;
     for (const auto& gap :
          find_gaps(members, profile.layer_count, is_serving)) {
+        auto left_over = redundant;
         // Redundant servers do not fill a gap in their own range.
         const bool is_own_range =
             !redundant.empty() && overlap(redundant.front()->layers, gap);
-        const auto found = is_own_range
-                               ? std::vector<substitute>{}
-                               : take_substitutes(redundant, gap, profile);
-        if (found.empty())
-            uncovered.push_back(gap);
-        chosen.insert(chosen.end(), found.begin(), found.end());
+        const auto substitutes =
+            is_own_range ? std::vector<substitute>{}
+                         : take_substitutes(left_over, gap, profile, before);
+        const auto neighbours = find_extension(members, gap, profile);
+        if (neighbours &&
+            prefers_extension(*neighbours, substitutes, gap, room_mb, before)) {
+            apply(*neighbours);
+            continue;
+        }
+        for (const auto& item : substitutes)
+            item.server->target = item.layers;
+        redundant = std::move(left_over);
     }
-    for (auto* server : members)
-        server->target = server->layers;
-    for (const auto& item : chosen)
-        item.server->target = item.layers;
-    for (const auto& gap : uncovered)
-        extend_neighbours(members, gap, profile);
 }
 
 } // namespace
@@ -286,25 +305,29 @@
     const wire::engine_profile& profile,
     base::time_point now)
 {
+    const auto before = targets_of(members);
     auto redundant = find_redundant_servers(members, now);
     for (const auto& gap : find_gaps(members, profile.layer_count, is_any))
-        for (const auto& item : take_substitutes(redundant, gap, profile))
+        for (const auto& item :
+             take_substitutes(redundant, gap, profile, before))
             item.server->layers = item.layers;
 }
 
 bool needs_new_division(
     const server_group& members,
     const wire::engine_profile& profile,
+    bool release_under_way,
     base::time_point now)
 {
+    const auto before = targets_of(members);
     auto redundant = find_redundant_servers(members, now);
     const auto min_remaining = redundant.size() / 2;
     const auto is_present = [&](const placed_server& server) {
         return !is_missing(server, now);
     };
     for (const auto& gap : find_gaps(members, profile.layer_count, is_present))
-        if (take_substitutes(redundant, gap, profile).empty() ||
-            redundant.size() < min_remaining)
+        if (take_substitutes(redundant, gap, profile, before).empty() ||
+            (!release_under_way && redundant.size() < min_remaining))
             return true;
     return false;
 }
--- a/oleanderhinge/fleet/internal/failover.hpp
+++ b/oleanderhinge/fleet/internal/failover.hpp
@@ -1,8 +1,8 @@
 // Failover of layer ranges while servers are unavailable.
 //
-// The layers of an unavailable server go to redundant servers of the same
-// chain (usually replicas of its first part) or, if these have no capacity, to
-// the servers that hold the adjacent ranges.
+// The layers of an unavailable server go to the servers that hold the adjacent
+// ranges if these keep enough memory for requests, else to redundant servers of
+// the same chain (usually replicas of its first part).
 //
 // Example:
 //   observe_servers(plan, ready, now);
@@ -17,6 +17,14 @@
 namespace oleanderhinge::fleet::internal
 {
 
+std::uint32_t size_of(const base::layer_range& range);
+
+bool contains(const base::layer_range& outer, const base::layer_range& inner);
+
+// True if the server was available with its assigned layers when it was last
+// observed.
+bool is_serving(const placed_server& server);
+
 // True if no ready server has been known at the address for `replace_after`.
 bool is_missing(const placed_server& server, base::time_point now);
 
@@ -44,10 +52,13 @@
     base::time_point now);
 
 // True if some layer is assigned to no member that is present, and redundant
-// servers cannot take it, or only if fewer than half of them stay behind.
+// servers cannot take it, or only if fewer than half of them stay behind. The
+// latter does not count during a release, which brings a replacement for each
+// server.
 bool needs_new_division(
     const server_group& members,
     const wire::engine_profile& profile,
+    bool release_under_way,
     base::time_point now);
 
 } // namespace oleanderhinge::fleet::internal
--- a/oleanderhinge/fleet/placement.cpp
+++ b/oleanderhinge/fleet/placement.cpp
@@ -3,6 +3,7 @@
 #include "oleanderhinge/fleet/directory.hpp"
 #include "oleanderhinge/fleet/internal/chains.hpp"
 #include "oleanderhinge/fleet/internal/failover.hpp"
+#include "oleanderhinge/fleet/internal/handover.hpp"
 
 #include <algorithm>
 
@@ -36,7 +37,11 @@
         const auto* kind = find_kind(profile, record.kind);
         if (kind == nullptr)
             continue;
-        auto& server = plan.servers[address_of(record)];
+        const auto [found, is_new] =
+            plan.servers.try_emplace(address_of(record));
+        auto& server = found->second;
+        if (is_new)
+            server.first_seen = now;
         const auto needed =
             server.layers.end.value() - server.layers.first.value();
         const auto max_layers = largest_range(
@@ -48,6 +53,8 @@
         server.data_centre = record.data_centre;
         server.kind = record.kind;
         server.last_seen = now;
+        server.reported = record.layers;
+        server.leaving = false;
     }
 }
 
@@ -63,46 +70,6 @@
     }
 }
 
-// A present server without assigned layers that can hold the range of the lost
-// one, preferably in the same data centre, then with the most memory. Null if
-// there is none.
-placed_server* find_spare(
-    placement& plan,
-    const wire::engine_profile& profile,
-    const placed_server& lost,
-    base::time_point now)
-{
-    const auto needed = lost.layers.end.value() - lost.layers.first.value();
-    placed_server* best = nullptr;
-    for (auto& [address, server] : plan.servers) {
-        if (server.layers != base::layer_range{} || is_missing(server, now) ||
-            largest_range(profile, server.memory_mb) < needed)
-            continue;
-        const bool is_near = server.data_centre == lost.data_centre;
-        const bool best_is_near =
-            best != nullptr && best->data_centre == lost.data_centre;
-        if (best == nullptr || (is_near && !best_is_near) ||
-            (is_near == best_is_near && server.memory_mb > best->memory_mb))
-            best = &server;
-    }
-    return best;
-}
-
-// Reassigns the layers of missing servers to spare ones.
-void replace_missing_servers(
-    placement& plan, const wire::engine_profile& profile, base::time_point now)
-{
-    for (auto& [address, server] : plan.servers) {
-        if (server.layers == base::layer_range{} || !is_missing(server, now))
-            continue;
-        auto* spare = find_spare(plan, profile, server, now);
-        if (spare == nullptr)
-            continue;
-        spare->layers = server.layers;
-        server.layers = {};
-    }
-}
-
 // Adopts the layers that servers report as the plan, for a new leader without a
 // recorded one. False if none reports any that it can hold.
 bool adopt_reported_layers(
@@ -172,7 +139,8 @@
             std::find(has_holder.begin(), has_holder.end(), false) -
             has_holder.begin());
         if (first == profile.layer_count) {
-            join_first_part(*spare, members, profile);
+            if (!internal::is_held(*spare, now))
+                join_first_part(*spare, members, profile);
             continue;
         }
         const auto max_layers =
@@ -240,7 +208,8 @@
             if (!is_missing(*server, now))
                 present.push_back(server);
         if (present.empty() ||
-            !internal::needs_new_division(members, profile, now))
+            !internal::needs_new_division(
+                members, profile, internal::release_under_way(plan, now), now))
             continue;
         for (auto* server : members)
             server->layers = {};
@@ -304,10 +273,11 @@
         server.memory_mb = item.memory_mb;
         server.layers = item.layers;
         // Not missing until `replace_after` has passed without a report.
-        server.last_seen = now;
+        server.last_seen = now - base::duration(1);
         // Unavailable until it reports its layers, so that servers that
-        // already replace it stay where they are.
-        server.unavailable_since = now;
+        // already replace it stay where they are. The previous leader may have
+        // been lost before the server, so this is not waited for again.
+        server.unavailable_since = now - failover_after;
         plan.servers.emplace(server.address, server);
     }
     return plan;
@@ -342,6 +312,28 @@
                largest_range(profile, kind.memory_mb);
 }
 
+void note_leaving(
+    placement& plan,
+    const std::vector<wire::endpoint>& leaving,
+    base::time_point now)
+{
+    for (const auto& address : leaving) {
+        const auto found = plan.servers.find(address);
+        if (found == plan.servers.end() || found->second.leaving)
+            continue;
+        found->second.leaving = true;
+        plan.last_leave = now;
+    }
+}
+
+void note_refused(placement& plan, const layer_assignment& order)
+{
+    const auto found = plan.servers.find(order.address);
+    if (found != plan.servers.end() &&
+        found->second.ordered_layers == order.layers)
+        found->second.ordered_at -= order_resend_after - refused_resend_after;
+}
+
 void update(
     placement& plan,
     const wire::engine_profile& profile,
@@ -355,7 +347,8 @@
     if (first || (plan.first_divided_at &&
                   now < *plan.first_divided_at + late_report_window))
         divide_initially(plan, profile, now);
-    replace_missing_servers(plan, profile, now);
+    for (const auto& members : internal::replica_groups(plan, profile))
+        internal::replace_servers(members, profile, now);
     divide_incomplete_groups(plan, profile, now);
     fill_unassigned_ranges(plan, profile, now);
     internal::observe_servers(plan, ready, now);
@@ -407,9 +400,11 @@
         server.load_pending = true;
         ++loading;
         // The chain cannot serve until a failover is complete, and requests
-        // that run on it go through the lost server, so they are aborted.
+        // that run on it go through the lost server, so they are aborted if
+        // layers are given up.
         const bool is_failover =
-            server.target != server.layers && record.layers == server.layers;
+            server.target != server.layers && record.layers == server.layers &&
+            !internal::contains(server.target, record.layers);
         orders.push_back(
             {record.id,
              server.address,
--- a/oleanderhinge/fleet/placement.hpp
+++ b/oleanderhinge/fleet/placement.hpp
@@ -46,14 +46,25 @@
 // Other servers take over the layers of a server that has been unavailable for
 // this long. Loading 5 layers takes 1 s; a crashed server is away for 5 s.
 inline constexpr base::duration failover_after = std::chrono::milliseconds(400);
+// A new server without layers is kept for this long for a server that announces
+// its leave, before it joins the first part of a chain. In a rolling release
+// the replacement starts first.
+inline constexpr base::duration spare_hold = std::chrono::seconds(2);
 // Servers with at least this `wire::engine_load::slowness` count as slow.
 inline constexpr double slow_threshold = 2;
 // Share of a server's memory that weights may take while it also holds layers
 // of an unavailable neighbour, or if it joins the first part of a chain.
 inline constexpr double max_weight_share_in_failover = 0.87;
+// Neighbours rather than redundant servers take over layers if they keep at
+// least this share of the memory for requests in a layer that the chain has.
+inline constexpr double min_extension_room = 0.4;
 // An order whose effect is not reported within this time is sent again. A
 // report is up to 1.2 s old, and some orders are carried out 12 s late.
 inline constexpr base::duration order_resend_after = std::chrono::seconds(3);
+// One that was refused is sent again after this time: the server carries out
+// another order.
+inline constexpr base::duration refused_resend_after =
+    std::chrono::milliseconds(300);
 
 struct placed_server {
     wire::endpoint address;
@@ -76,6 +87,10 @@
     bool slow = false;
     // Other servers hold its layers until it serves them again.
     bool failed_over = false;
+    // Its process has announced that it leaves.
+    bool leaving = false;
+    // First time at which a ready server was known at the address.
+    base::time_point first_seen;
     // Last time at which a ready server was known at the address.
     base::time_point last_seen;
     // When the last order was due, and the layers in it.
@@ -95,6 +110,8 @@
     std::optional<base::time_point> first_divided_at;
     // Since when some layers have been assigned to no server of a group.
     std::optional<base::time_point> unassigned_since;
+    // When a server of the plan last announced that it leaves.
+    std::optional<base::time_point> last_leave;
 };
 
 // The assigned layers of a plan, which are replicated and survive a change of
@@ -102,7 +119,8 @@
 using places = std::vector<wire::server_place>;
 places places_of(const placement& plan);
 // A plan with these assignments, for a new leader. Each server counts as seen
-// at `now`, and as unavailable from then on until it reports its layers.
+// just before `now`, and as unavailable for `failover_after` until it reports
+// its layers.
 placement restore(const places& saved, base::time_point now);
 
 // What happens to requests that run on layers which a server unloads.
@@ -123,13 +141,21 @@
     bool operator==(const layer_assignment&) const = default;
 };
 
+// Notes the addresses whose processes have announced that they leave. Their
+// layers are reassigned by the next update, without waiting for
+// `failover_after` or `replace_after`.
+void note_leaving(
+    placement& plan,
+    const std::vector<wire::endpoint>& leaving,
+    base::time_point now);
+
 // Updates the plan from the ready servers of the service. A plan without
 // assignments adopts the layers that the servers report or, if they report
 // none, divides the model over each data centre. An existing plan reassigns the
-// layers of servers that have been missing for `replace_after`, those that the
-// server at the address cannot hold by its kind and the profile, and ranges
-// that are assigned to no server. Servers of a kind that the profile does not
-// list are ignored.
+// layers of servers that leave or have been missing for `replace_after`, those
+// that the server at the address cannot hold by its kind and the profile, and
+// ranges that are assigned to no server. Servers of a kind that the profile
+// does not list are ignored.
 void update(
     placement& plan,
     const wire::engine_profile& profile,
@@ -147,6 +173,9 @@
     bool unbounded,
     base::time_point now);
 
+// Notes that the server refused the order.
+void note_refused(placement& plan, const layer_assignment& order);
+
 // --- Queries ----------------------------------------------------------------
 
 // Null if the profile has no such kind.
