gateway: paths that change the data centre share a budget of the link

One prompt takes 40 ms of the link, and the passes of a first server wait for it.

Change: each gateway sends over the link at most its part of half the capacity. A new request beyond it is refused, a continuation waits.

--- a/oleanderhinge/gateway/forwarder.cpp
+++ b/oleanderhinge/gateway/forwarder.cpp
@@ -99,6 +99,7 @@
 void forwarder::note_gateways(std::uint32_t count, base::time_point now)
 {
     retry::note(this->gateways, count, now);
+    this->selector.gateways = retry::maximum(this->gateways);
     for (auto& [service, budget] : this->budgets)
         retry::set_gateways(budget, retry::maximum(this->gateways));
 }
--- a/oleanderhinge/gateway/server_choice.cpp
+++ b/oleanderhinge/gateway/server_choice.cpp
@@ -427,6 +427,13 @@
     while (index + 1 < candidates.size() && drawn >= weights[index])
         drawn -= weights[index++];
     const auto& drawn_path = candidates[index].parts;
+    if (!take_crossing(
+            selector.crossings,
+            crossing_bits(*service.engine, drawn_path),
+            *service.engine,
+            selector.gateways,
+            now))
+        return {{}, true, {}};
     return {
         drawn_path, false, first_event_wait(selector, drawn_path.front(), now)};
 }
@@ -450,7 +457,7 @@
 }
 
 fleet::path choose_continuation(
-    const server_selector& selector,
+    server_selector& selector,
     const wire::forwarding_service& service,
     const fleet::path& present,
     const std::set<wire::endpoint>& avoided,
@@ -471,7 +478,18 @@
     const auto found = std::ranges::find_if(candidates, [&](const auto& item) {
         return item.parts.front() == first;
     });
-    return found == candidates.end() ? fleet::path{} : std::move(found->parts);
+    if (found == candidates.end())
+        return {};
+    const double added = crossing_bits(*service.engine, found->parts) -
+                         crossing_bits(*service.engine, present);
+    return take_crossing(
+               selector.crossings,
+               added,
+               *service.engine,
+               selector.gateways,
+               now)
+               ? std::move(found->parts)
+               : fleet::path{};
 }
 
 } // namespace oleanderhinge::gateway
--- a/oleanderhinge/gateway/server_choice.hpp
+++ b/oleanderhinge/gateway/server_choice.hpp
@@ -18,6 +18,7 @@
 #include "oleanderhinge/fleet/directory.hpp"
 #include "oleanderhinge/fleet/paths.hpp"
 #include "oleanderhinge/gateway/congestion.hpp"
+#include "oleanderhinge/gateway/crossing_budget.hpp"
 #include "oleanderhinge/gateway/path_change.hpp"
 #include "oleanderhinge/gateway/server_signals.hpp"
 
@@ -111,6 +112,9 @@
     std::map<wire::endpoint, base::duration> first_event_waits;
     // Waits that ended.
     congestion ended_waits;
+    // Gateways that share the link between data centres.
+    std::uint32_t gateways = 1;
+    crossing_budget crossings;
 };
 
 // --- Commands ---------------------------------------------------------------
@@ -195,7 +199,8 @@
 struct path_choice {
     // Empty if there is none.
     fleet::path parts;
-    // There are paths, but each is beyond `cache_limit` or `wait_limit`.
+    // There are paths, but each is beyond `cache_limit` or `wait_limit`, or
+    // changes the data centre beyond the `crossing_budget`.
     bool overloaded = false;
     // Wait for a first event to expect on the path.
     base::duration expected_wait{0};
@@ -220,9 +225,10 @@
 // A path for a running request that keeps its first part, whatever the signals
 // of its server, and uses no server that is in `avoided` or ejected. The other
 // parts of `present`, which have read the prompt, are preferred to cheaper
-// ones. Empty if there is none.
+// ones. Empty if there is none, or if it changes the data centre more often
+// than the present path and the `crossing_budget` is used up.
 fleet::path choose_continuation(
-    const server_selector& selector,
+    server_selector& selector,
     const wire::forwarding_service& service,
     const fleet::path& present,
     const std::set<wire::endpoint>& avoided,
