--- a/oleanderhinge/gateway/internal/stall_watch_moves.cpp
+++ b/oleanderhinge/gateway/internal/stall_watch_moves.cpp
@@ -181,10 +181,16 @@
                          outcome.answer.status < 300;
     if (!changed && !parts.empty())
         this->note_refused_part(outcome);
+    const bool failed_before =
+        to_time_point(request.last_progress) < request.last_failed_move;
     const bool left = !changed && standing == server_standing::lost &&
                       this->leave_attempt(request, away_from);
     if (!changed)
         this->note_failed_move(request);
+    // Tried again and again until a server takes over the layers.
+    if (parts.empty() && !left &&
+        (standing == server_standing::leaving || failed_before))
+        co_return;
     spdlog::info(
         "event=path_changed request={} away_from={}:{} cause={} parts={} "
         "outcome={} left={} paused_ms={:.0f}",
--- a/oleanderhinge/gateway/stream_takeover_test.cpp
+++ b/oleanderhinge/gateway/stream_takeover_test.cpp
@@ -20,7 +20,8 @@
 
     // `first` announces its end after the first event, writes the second one
     // when `second` has been asked, and ends the stream if it keeps it.
-    void expect_whole_stream(const backend::behaviour& other)
+    void
+    expect_stream(const backend::behaviour& other, const std::string& expected)
     {
         this->prefer_first_path();
         this->first.behave =
@@ -38,7 +39,9 @@
             };
             while (this->second.seen.empty())
                 co_await pause();
-            co_await exchange.write_chunk("id: 2\ndata: x\n\n");
+            co_await exchange.write_chunk("id: 2\ndata: held\n\n");
+            co_await pause();
+            this->held_written = true;
             while (this->stats.resumed_streams.Value() +
                        this->stats.failed_takeovers.Value() ==
                    0)
@@ -46,11 +49,24 @@
             co_await exchange.write_chunk("id: 3\ndata: x\n\n");
             co_await exchange.end_stream();
         };
-        this->second.behave = other;
+        this->second.behave =
+            [&](const net::http_request& request,
+                net::http_exchange& exchange) -> asio::awaitable<void> {
+            asio::steady_timer timer(this->io);
+            while (!this->held_written) {
+                timer.expires_after(5ms);
+                co_await timer.async_wait(asio::use_awaitable);
+            }
+            co_await other(request, exchange);
+        };
         this->patience = 20s;
         this->start_stall_checks();
-        EXPECT_EQ(this->ask("/talk/x").answer.body, three_events);
+        EXPECT_EQ(this->ask("/talk/x").answer.body, expected);
     }
+
+    // The event that `first` writes after `second` has been asked is on its
+    // way.
+    bool held_written = false;
 };
 
 // Guards against a stream that is given up as its server is silent for a while
@@ -76,14 +92,15 @@
 // stream that is given up although the other server refuses it.
 TEST_F(stream_takeover, a_stream_leaves_a_first_server_that_ends)
 {
-    this->expect_whole_stream(stream);
+    this->expect_stream(stream, three_events);
     EXPECT_EQ(this->second.seen.front()["After"], "1");
     EXPECT_EQ(this->stats.resumed_streams.Value(), 1);
 }
 
 TEST_F(stream_takeover, a_stream_stays_at_a_first_server_that_ends)
 {
-    this->expect_whole_stream(refuse);
+    this->expect_stream(
+        refuse, "id: 1\ndata: x\n\nid: 2\ndata: held\n\nid: 3\ndata: x\n\n");
     EXPECT_EQ(this->stats.resumed_streams.Value(), 0);
 }
 
