--- a/oleanderhinge/gateway/forwarder_hedges_test.cpp
+++ b/oleanderhinge/gateway/forwarder_hedges_test.cpp
@@ -25,8 +25,10 @@
     {
         auto table = this->index->table();
         for (auto& route : table.routes)
-            if (!route.streaming)
+            if (!route.streaming) {
                 route.target_latency_ms = 40;
+                route.timeout_ms = 60000;
+            }
         this->index = std::make_shared<route_index>(table);
         this->forward.set_table(this->index);
     }
@@ -240,8 +242,12 @@
     asio::co_spawn(
         this->io,
         [&]() -> asio::awaitable<void> {
+            // Without the caller's leave, the attempts would last as long.
             net::http_call call{
-                "POST", "/read/x", {{"Id", "r1"}, {"Key", "key"}}, "body"};
+                "POST",
+                "/read/x",
+                {{"Id", "r1"}, {"Key", "key"}, {"Patience", "60000"}},
+                "body"};
             co_await leaving->call(
                 this->address, std::move(call), 300ms, net::reuse::never);
         },
