--- a/oleanderhinge/gateway/server_choice.cpp
+++ b/oleanderhinge/gateway/server_choice.cpp
@@ -466,7 +466,7 @@
     const auto found = selector.servers.servers.find(id);
     if (found == selector.servers.servers.end())
         return server_standing::sound;
-    const auto& [record, heard, suspected] = found->second;
+    const auto& record = found->second.record;
     const auto signal = selector.signals.servers.find(id);
     // Some servers announce their end only by ending their registration.
     if (record.state != wire::reported_state::ready ||
