--- a/oleanderhinge/gateway/metrics.cpp
+++ b/oleanderhinge/gateway/metrics.cpp
@@ -61,10 +61,6 @@
           registry,
           "oleanderhinge_gateway_failed_takeovers_total",
           "Such attempts that did not replace the present one"))
-    , unreachable_servers(net::add_counter(
-          registry,
-          "oleanderhinge_gateway_unreachable_servers_total",
-          "Servers on the path of a silent stream that accepted no connection"))
     , crashes(net::add_counter(
           registry,
           "oleanderhinge_gateway_crashes_total",
--- a/oleanderhinge/gateway/metrics.hpp
+++ b/oleanderhinge/gateway/metrics.hpp
@@ -40,7 +40,6 @@
     prometheus::Counter& left_paths;
     prometheus::Counter& takeovers;
     prometheus::Counter& failed_takeovers;
-    prometheus::Counter& unreachable_servers;
     prometheus::Counter& crashes;
     prometheus::Counter& quarantined;
     prometheus::Counter& servers_leaving;
--- a/oleanderhinge/gateway/stall_watch.cpp
+++ b/oleanderhinge/gateway/stall_watch.cpp
@@ -67,9 +67,6 @@
     , report_suspect(std::move(report_suspect_in))
     , actions(std::move(actions_in))
     , client(context, kept_connections, max_engine_state_bytes)
-    , checker(context, [this](const wire::endpoint& server) {
-        this->on_unreachable(server);
-    })
 {
 }
 
@@ -106,7 +103,6 @@
                 std::chrono::duration_cast<base::duration>(
                     now - request->last_progress));
         }
-        this->check_path(*request, now);
         if (!is_stalled(*request, now))
             continue;
         this->replace_if_silent(*request, now);
@@ -175,37 +171,6 @@
     this->report_suspect(stalled.waits_for);
 }
 
-// The servers through which some stream has made progress within the time.
-std::set<wire::endpoint>
-stall_watch::progressing_servers(steady_time now, milliseconds within) const
-{
-    std::set<wire::endpoint> found;
-    for (const auto& [id, request] : this->requests)
-        if (request->in_attempt && request->events.event_count > 0 &&
-            now < request->last_progress + within)
-            found.merge(servers_of(request->parts));
-    return found;
-}
-
-// Checks the path of a silent stream.
-void stall_watch::check_path(const forwarding_request& request, steady_time now)
-{
-    const auto delay = check_delay(milliseconds(request.route->largest_gap_ms));
-    if (delay && request.in_attempt && request.awaits_server &&
-        !request.path_change_pending && now >= request.last_progress + *delay)
-        this->checker.check(
-            request.parts,
-            this->progressing_servers(now, *delay),
-            base::monotonic_now());
-}
-
-void stall_watch::on_unreachable(const wire::endpoint& server)
-{
-    this->stats.unreachable_servers.Increment();
-    this->note_suspicion({"", server});
-    this->move_streams(base::monotonic_now());
-}
-
 // A stream whose server is silent without a known reason.
 void stall_watch::replace_if_silent(
     forwarding_request& request, steady_time now)
--- a/oleanderhinge/gateway/stall_watch.hpp
+++ b/oleanderhinge/gateway/stall_watch.hpp
@@ -29,7 +29,6 @@
 #include "oleanderhinge/gateway/forwarding_request.hpp"
 #include "oleanderhinge/gateway/metrics.hpp"
 #include "oleanderhinge/gateway/path_change.hpp"
-#include "oleanderhinge/gateway/path_check.hpp"
 #include "oleanderhinge/gateway/server_choice.hpp"
 #include "oleanderhinge/gateway/signal_recorder.hpp"
 #include "oleanderhinge/net/http_client.hpp"
@@ -95,10 +94,6 @@
     void
     handle_stall(const request_pointer& held, const wire::endpoint& waits_for);
     void note_suspicion(const stalled_request& stalled);
-    std::set<wire::endpoint> progressing_servers(
-        steady_time now, std::chrono::milliseconds within) const;
-    void check_path(const forwarding_request& request, steady_time now);
-    void on_unreachable(const wire::endpoint& server);
     void replace_if_silent(forwarding_request& request, steady_time now);
     bool
     leave_attempt(forwarding_request& request, const wire::endpoint& waits_for);
@@ -128,7 +123,6 @@
     const std::function<void(const wire::endpoint&)> report_suspect;
     const stream_actions actions;
     net::http_client client;
-    path_checker checker;
     // By the id that their callers gave them, which need not be unique.
     std::multimap<std::string, request_pointer> requests;
     steady_time last_tick;
