--- a/oleanderhinge/gateway/forwarder_fixture_test.hpp
+++ b/oleanderhinge/gateway/forwarder_fixture_test.hpp
@@ -389,7 +389,7 @@
                 return other.listen({"127.0.0.1", 0});
             },
             [](const base::error&) { return wire::endpoint{}; });
-        const auto outcome = this->ask("/once/x");
+        auto outcome = this->ask("/once/x");
         // `fresh` ends before `io`, and must not leave requests there.
         while (fresh.in_progress() != 0)
             this->io.run_one();
--- a/oleanderhinge/gateway/forwarder_hedges_test.cpp
+++ b/oleanderhinge/gateway/forwarder_hedges_test.cpp
@@ -86,7 +86,7 @@
     int cancelled = 0;
 };
 
-backend::behaviour answer_with(unsigned status, std::string body)
+backend::behaviour answer_with(unsigned status, const std::string& body)
 {
     return [status, body](
                const net::http_request& request,
--- a/oleanderhinge/gateway/internal/forwarder_calls.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_calls.cpp
@@ -62,7 +62,7 @@
 forwarder::call_pointer
 forwarder::make_call(forwarding_request& request, const chosen_server& to)
 {
-    const auto made = std::make_shared<call_attempt>(this->memory);
+    auto made = std::make_shared<call_attempt>(this->memory);
     made->to = to;
     made->data_centre = data_centre_of(this->selector, to.id);
     made->connection = this->pool.take(to.address, allowed_reuse(request));
