control: a group of the size that its losses need

A seed killed before the first group had formed was left out of it, since it announced no disk without the setting of a first start, and the others waited for it for ever.

Nodes that are not needed are reserves, which know the members from their lists, relay to them and redirect calls. Standbys without a disk pass the list and requests for admission on too, and the leader links to the seeds of its settings: seeds may be standbys only. The initial members are recorded on the disk at the first start; a seed without the record takes part by invitation. `should_add`, `nodes_to_link` and `asks_for_admission` take more arguments; the rows of their tests are kept.

Ruled out: a larger share, all nodes as members, a flag in the settings (docs/decisions/0007-group-size.md).

--- a/oleanderhinge/consensus/fake_cluster_test.hpp
+++ b/oleanderhinge/consensus/fake_cluster_test.hpp
@@ -34,7 +34,12 @@
         auto& h = this->hosts[i];
         if (h.disk == incarnation{})
             h.disk = incarnation{++this->last_disk};
-        h.start(name_of(i), this->initial, this->random.next(), this->now);
+        h.start(
+            name_of(i),
+            this->initial,
+            this->first_start,
+            this->random.next(),
+            this->now);
         this->schedule_tick(i, h.generation);
     }
 
@@ -119,6 +124,8 @@
     std::set<std::pair<int, int>> blocked_links;
     network_faults faults;
     membership initial;
+    // Processes that start find settings of a first start.
+    bool first_start = true;
     // Entries applied by any member, and the leader of each term.
     std::map<log_index, entry> committed;
     std::map<term, int> leaders;
--- a/oleanderhinge/consensus/fake_host_test.hpp
+++ b/oleanderhinge/consensus/fake_host_test.hpp
@@ -3,7 +3,7 @@
 //
 // Example:
 //   fake_host host;
-//   host.start(name_of(1), members, seed, now);
+//   host.start(name_of(1), members, true, seed, now);
 #pragma once
 
 #include "oleanderhinge/consensus/queries.hpp"
@@ -50,6 +50,8 @@
     vote_record vote;
     std::optional<snapshot_content> snapshot;
     std::vector<entry> entries;
+    // The folder records that this disk took part in a first start.
+    bool first_start_recorded = false;
     std::deque<std::function<void()>> writes;
     // State of the process. `generation` changes at each start and stop, so
     // that scheduled calls for an earlier process are ignored.
@@ -65,9 +67,11 @@
     void start(
         vm_id self,
         membership initial,
+        bool first_start,
         std::uint64_t seed,
         base::time_point now)
     {
+        this->first_start_recorded |= first_start;
         this->entries_since_snapshot = 0;
         this->value = this->snapshot ? std::stoi(*this->snapshot->data) : 0;
         setup options{std::move(self), this->disk, {}, {}, seed};
@@ -77,6 +81,7 @@
         options.bounds.max_append_entries = 3;
         options.bounds.max_in_flight_entries = 9;
         options.initial = std::move(initial);
+        options.waits_for_invitation = !this->first_start_recorded;
         options.vote = this->vote;
         options.snapshot = this->snapshot;
         options.entries = this->entries;
--- a/oleanderhinge/consensus/internal/membership.cpp
+++ b/oleanderhinge/consensus/internal/membership.cpp
@@ -61,9 +61,15 @@
 
 disk_announcement make_disk_announcement(const context& c)
 {
+    const auto& state = c.state;
     disk_announcement m;
-    m.known_disks = c.state.known_disks;
-    m.has_logged_membership = membership_index(c.state.log) != log_index{};
+    // A report of all disks is what the others wait for, so a member that waits
+    // for an invitation gives it only after it has got theirs.
+    if (state.waits_for_invitation && !has_membership(state))
+        m.known_disks[state.self] = state.disk;
+    else
+        m.known_disks = state.known_disks;
+    m.has_logged_membership = membership_index(state.log) != log_index{};
     return m;
 }
 
@@ -191,7 +197,14 @@
         return refuse(reject_reason::unknown_member);
     c.actions.emplace_back(
         accepted{e.tag, last_index(state.log).next(), state.vote.current_term});
+    const auto peer = state.leading.peers.find(e.removed);
+    auto farewell = peer == state.leading.peers.end()
+                        ? std::nullopt
+                        : std::optional(peer->second);
     append_membership(c, members);
+    // With this entry in its log, the removed member does not campaign.
+    if (farewell)
+        replicate(c, e.removed, *farewell, false);
 }
 
 void promote_learners(context& c)
--- a/oleanderhinge/consensus/node_state.hpp
+++ b/oleanderhinge/consensus/node_state.hpp
@@ -100,6 +100,9 @@
     // Members of the cluster at its first start. Only VMs and endpoints count:
     // the disks are announced, and all members become voters.
     membership initial;
+    // This member takes part in forming the cluster only once all others of
+    // `initial` have reported its disk. Two such members never form a cluster.
+    bool waits_for_invitation = false;
 
     // Durable once the write `vote_write_sequence` is.
     vote_record vote;
@@ -160,6 +163,7 @@
     limits bounds;
     std::uint64_t seed = 0;
     membership initial;
+    bool waits_for_invitation = false;
     vote_record vote;
     std::optional<snapshot_content> snapshot;
     // The entries that follow the snapshot, without a gap.
--- a/oleanderhinge/consensus/step.cpp
+++ b/oleanderhinge/consensus/step.cpp
@@ -195,6 +195,7 @@
     state.bounds = options.bounds;
     state.random = base::random_source(options.seed);
     state.initial = std::move(options.initial);
+    state.waits_for_invitation = options.waits_for_invitation;
     state.vote = std::move(options.vote);
     state.log.memberships.push_back({});
     if (options.snapshot) {
--- a/oleanderhinge/control/group_test.cpp
+++ b/oleanderhinge/control/group_test.cpp
@@ -40,9 +40,9 @@
 // need: with three members, the loss of two disks loses the log.
 TEST(group, a_group_that_bears_two_losses_keeps_five_members)
 {
-    EXPECT_EQ(wanted_members(0), 3U);
-    EXPECT_EQ(wanted_members(1), 3U);
-    EXPECT_EQ(wanted_members(2), 5U);
+    EXPECT_EQ(needed_members(0), 3U);
+    EXPECT_EQ(needed_members(1), 3U);
+    EXPECT_EQ(needed_members(2), 5U);
     member_reach reach;
     const auto has_link = [](const base::vm_id& vm) {
         return vm.value() != "c";
@@ -141,6 +141,7 @@
     bool has_quorum;
     seconds without_leader;
     std::string linked;
+    bool leads = false;
 };
 
 // The seeds are c and d.
@@ -155,6 +156,12 @@
      seconds(3600),
      "abecd"},
     {"found back", "acd", true, seconds(3600), "acd"},
+    {"the leader, since nodes may know only the seeds",
+     "abe",
+     true,
+     seconds(0),
+     "abecd",
+     true},
 };
 
 // Guards against a member that was down while all others were replaced, and
@@ -167,12 +174,14 @@
     for (const auto& item : link_cases) {
         replica::log_status status;
         status.has_quorum = item.has_quorum;
+        if (item.leads)
+            status.role = replica::member_role::leader;
         for (const char name : item.members)
             status.members.push_back(
                 {base::vm_id{std::string(1, name)}, {}, {}, true});
         std::string linked;
-        for (const auto& node :
-             nodes_to_link(status, seeds, start, start + item.without_leader))
+        for (const auto& node : nodes_to_link(
+                 status, {}, seeds, self, start, start + item.without_leader))
             linked += node.vm.value();
         EXPECT_EQ(linked, item.linked) << item.name;
     }
@@ -196,16 +205,133 @@
 TEST(group, a_node_without_a_group_or_a_leader_asks_for_admission)
 {
     auto status = make_status({"b", "c"});
-    EXPECT_TRUE(asks_for_admission(status, self, start, start));
+    EXPECT_TRUE(asks_for_admission(status, {}, self, start, start));
     status = make_status({"a", "b", "c"});
-    EXPECT_FALSE(asks_for_admission(status, self, start, start + seconds(9)));
+    EXPECT_FALSE(
+        asks_for_admission(status, {}, self, start, start + seconds(9)));
     status.has_quorum = false;
-    EXPECT_FALSE(asks_for_admission(status, self, start, start + seconds(1)));
-    EXPECT_TRUE(asks_for_admission(status, self, start, start + seconds(9)));
-    EXPECT_FALSE(should_add(status, base::vm_id{"d"}));
+    EXPECT_FALSE(
+        asks_for_admission(status, {}, self, start, start + seconds(1)));
+    EXPECT_TRUE(
+        asks_for_admission(status, {}, self, start, start + seconds(9)));
+    EXPECT_FALSE(should_add({}, status, 3, base::vm_id{"d"}));
     status.has_quorum = true;
-    EXPECT_TRUE(should_add(status, base::vm_id{"d"}));
-    EXPECT_FALSE(should_add(status, base::vm_id{"b"}));
+    EXPECT_TRUE(should_add({}, status, 3, base::vm_id{"d"}));
+    EXPECT_FALSE(should_add({}, status, 3, base::vm_id{"b"}));
+}
+
+struct size_case {
+    const char* name;
+    std::uint32_t losses;
+    // Members, of which the learners are in upper case, and those without a
+    // link for as long as they have been members. The leader is a.
+    std::string members;
+    std::string lost;
+    bool adds;
+    // Removed after a minute in this state.
+    std::string removed;
+    std::size_t missing;
+    std::size_t borne;
+};
+
+const size_case size_cases[] = {
+    {"alone, no losses", 0, "a", "", true, "", 2, 0},
+    {"the seeds, no losses", 0, "abc", "", true, "", 0, 1},
+    {"the seeds, one loss", 1, "abc", "", true, "", 0, 1},
+    {"one loss, full", 1, "abcd", "", false, "", 0, 1},
+    {"one loss, full and one lost", 1, "abcd", "c", true, "c", 0, 1},
+    {"one loss, one too many", 1, "abcde", "", false, "e", 0, 2},
+    {"the seeds, two losses", 2, "abc", "", true, "", 2, 1},
+    {"a fourth learns", 2, "abcD", "", true, "", 2, 1},
+    {"four", 2, "abcd", "", true, "", 1, 1},
+    {"five", 2, "abcde", "", true, "", 0, 2},
+    {"five, two lost", 2, "abcde", "de", true, "", 0, 2},
+    {"six", 2, "abcdef", "", false, "", 0, 2},
+    {"six, one lost", 2, "abcdef", "b", true, "b", 0, 2},
+    {"six, two lost", 2, "abcdef", "bc", true, "c", 0, 2},
+    {"six, three lost", 2, "abcdef", "bcd", true, "d", 0, 2},
+    {"six of which one learns", 2, "abcdeF", "", false, "", 0, 2},
+    {"seven of which one learns", 2, "abcdefG", "", false, "G", 0, 2},
+    {"seven and a wiped disk", 2, "abCdefg", "", false, "C", 0, 2},
+    {"seven, one lost", 2, "abcdefg", "c", false, "c", 0, 3},
+    {"the last added leads", 2, "bcdefga", "", false, "g", 0, 3},
+};
+
+// Guards against a group of three where the settings need five, against one
+// that keeps growing with every node that has a disk, and against one that
+// stays too large when lost members come back.
+TEST(group, grows_and_shrinks_to_the_size_that_its_losses_need)
+{
+    for (const auto& item : size_cases) {
+        replica::log_status status;
+        status.role = replica::member_role::leader;
+        status.has_quorum = true;
+        status.leader = self;
+        for (const char name : item.members)
+            status.members.push_back(
+                {base::vm_id{std::string(1, name)}, {}, {}, name >= 'a'});
+        const auto has_link = [&](const base::vm_id& vm) {
+            return item.lost.find(vm.value()) == item.lost.npos;
+        };
+        member_reach reach;
+        observe_links(reach, status, self, has_link, start);
+        const auto needed = needed_members(item.losses);
+        EXPECT_EQ(
+            should_add(reach, status, needed, base::vm_id{"z"}), item.adds)
+            << item.name;
+        const auto removed =
+            member_to_remove(reach, status, needed, start + seconds(60));
+        EXPECT_EQ(removed ? removed->value() : "", item.removed) << item.name;
+        EXPECT_FALSE(
+            member_to_remove(reach, status, needed, start + seconds(1)))
+            << item.name;
+        EXPECT_EQ(voters_missing(status, needed), item.missing) << item.name;
+        EXPECT_EQ(losses_borne(status), item.borne) << item.name;
+    }
+}
+
+// Guards against a reserve that follows a list of nodes which are long gone,
+// that two reserves keep telling each other, and against a node that disturbs
+// the members with elections after they have removed it.
+TEST(group, a_reserve_follows_the_lists_of_members)
+{
+    const std::vector<wire::endpoint> members{{"b", 1}, {"c", 1}};
+    const base::vm_id b{"b"};
+    const base::vm_id reserve{"r"};
+    group_news news;
+    EXPECT_FALSE(is_excluded(news, self, start));
+    note_group(news, members, reserve, start);
+    EXPECT_TRUE(list_to_relay(news, start).empty());
+    EXPECT_FALSE(is_excluded(news, self, start));
+    note_group(news, members, b, start);
+    EXPECT_EQ(list_to_relay(news, start), members);
+    EXPECT_TRUE(is_excluded(news, self, start));
+    EXPECT_FALSE(is_excluded(news, b, start));
+    // What a reserve relays and an empty list change nothing.
+    note_group(news, {{"d", 1}}, reserve, start + seconds(2));
+    note_group(news, {}, b, start + seconds(2));
+    EXPECT_EQ(list_to_relay(news, start + seconds(2)), members);
+    EXPECT_TRUE(list_to_relay(news, start + seconds(3)).empty());
+    EXPECT_FALSE(is_excluded(news, self, start + seconds(3)));
+
+    // A member that was removed while it was away.
+    auto status = make_status({"a", "x", "y"});
+    status.role = replica::member_role::follower;
+    status.has_quorum = false;
+    EXPECT_TRUE(asks_for_admission(status, news, self, start, start));
+    const auto linked = [&](seconds after) {
+        std::string names;
+        const std::vector<replica::member> seeds{{base::vm_id{"s"}, {}, {}}};
+        for (const auto& node :
+             nodes_to_link(status, news, seeds, self, start, start + after))
+            names += node.vm.value();
+        return names;
+    };
+    EXPECT_EQ(linked(seconds(0)), "bc");
+    EXPECT_EQ(linked(seconds(4)), "axy");
+    status.members.clear();
+    EXPECT_EQ(linked(seconds(4)), "bc");
+    EXPECT_EQ(linked(seconds(6)), "bcs");
 }
 
 } // namespace
--- a/oleanderhinge/control/internal/service_configuration.cpp
+++ b/oleanderhinge/control/internal/service_configuration.cpp
@@ -54,7 +54,7 @@
             base::monotonic_now());
     }));
     if (this->options.self_managed && is_new) {
-        this->links.send(link, this->group());
+        this->links.send(link, this->group(base::monotonic_now()));
         this->send_records(
             {link}, all_servers(this->fleet, base::monotonic_now()));
     }
--- a/oleanderhinge/control/internal/service_fleet.cpp
+++ b/oleanderhinge/control/internal/service_fleet.cpp
@@ -59,7 +59,11 @@
     for (const auto& item : status.members)
         if (item.vm == status.leader && item.vm != this->self)
             return item.admin;
-    return {};
+    const std::lock_guard lock(this->reserve_mutex);
+    if (this->reserve_targets.empty())
+        return {};
+    return this->reserve_targets
+        [this->reserve_redirects++ % this->reserve_targets.size()];
 }
 
 void service::impl::replace_forwarding(
--- a/oleanderhinge/control/internal/service_impl.hpp
+++ b/oleanderhinge/control/internal/service_impl.hpp
@@ -29,7 +29,9 @@
 #include <algorithm>
 #include <atomic>
 #include <limits>
+#include <mutex>
 #include <optional>
+#include <set>
 #include <utility>
 
 namespace oleanderhinge::control
@@ -38,7 +40,7 @@
 namespace asio = boost::asio;
 
 // The data members from `timer` to `redirects` are used on the strand only,
-// except the atomic `removing` and `isolated`. The other members are
+// except the atomic `adding`, `removing` and `isolated`. The other members are
 // thread-safe.
 struct service::impl {
     impl(
@@ -159,8 +161,20 @@
     void forward_join_request(
         const replica::log_status& status, const wire::join_request& request);
     void manage_group(const replica::log_status& status, base::time_point now);
-    // The message about the group for gateways.
-    wire::control_group group() const;
+    // Says whether the group bears the losses that the settings name.
+    void observe_size(const replica::log_status& status);
+    std::size_t needed() const
+    {
+        return needed_members(this->options.tolerated_losses);
+    }
+    // The message about the group for gateways and for nodes that are not
+    // members.
+    wire::control_group group(base::time_point now) const;
+    // Sends it to these, once a second.
+    void tell_group(const replica::log_status& status, base::time_point now);
+    // Keeps what other threads ask of a node that is not a member.
+    void
+    update_reserve(const replica::log_status& status, base::time_point now);
     // The links to gateways.
     std::vector<net::link_id> gateway_links() const;
     // The links that this node has opened to other members.
@@ -217,6 +231,8 @@
     base::random_source random;
     config_feed feed;
     peer_table peers;
+    // Seeds that are not members, to which the leader has links.
+    std::set<base::vm_id> outsiders;
     status_watch watch;
     // The peer's hello for each open link.
     std::map<net::link_id, wire::hello> open_links;
@@ -225,17 +241,29 @@
     // Numbers of servers that the other members use.
     std::map<net::link_id, fleet::peer_numbering> peer_numbers;
     member_reach reach;
+    group_news news;
+    // True while this node would campaign although it has been removed: what it
+    // sends then only disturbs the members.
+    bool stands_aside = false;
+    std::optional<std::size_t> last_missing;
     base::time_point without_leader_since = base::monotonic_now();
     base::time_point without_links_since = base::monotonic_now();
     std::atomic<bool> isolated{false};
     // Members of the settings.
     std::vector<replica::member> seeds;
     base::time_point next_join;
+    std::atomic<bool> adding{false};
     std::atomic<bool> removing{false};
     base::time_point next_confirm;
     base::time_point next_expire;
     std::uint64_t redirects = 0;
 
+    // Admin endpoints of the members while this node is a reserve, and the
+    // calls sent there so far.
+    mutable std::mutex reserve_mutex;
+    std::vector<wire::endpoint> reserve_targets;
+    mutable std::atomic<std::uint64_t> reserve_redirects{0};
+
     net::link_table links;
     // Declared after the members that its callbacks use, so that it is
     // destroyed before them.
--- a/oleanderhinge/control/internal/service_links.cpp
+++ b/oleanderhinge/control/internal/service_links.cpp
@@ -31,6 +31,8 @@
 {
     return [this](const base::vm_id& to, wire::consensus_message content) {
         this->on_strand([this, to, content = std::move(content)] {
+            if (this->stands_aside)
+                return;
             if (const auto link = this->link_of(to))
                 this->links.send(*link, content);
         });
@@ -61,6 +63,7 @@
     std::vector<net::link_id> found;
     for (const auto& [link, peer] : this->open_links)
         if (peer.sender != wire::role::entry &&
+            !this->outsiders.contains(peer.vm) &&
             link_to(this->peers, peer.vm) == link)
             found.push_back(link);
     return found;
@@ -92,9 +95,11 @@
     this->links.send(link, fleet::all_numbers(this->fleet.numbers));
     // Refreshes do not carry what has changed while there was no link. Gateways
     // get all records when they subscribe.
+    const auto now = base::monotonic_now();
     if (peer.sender == wire::role::control)
-        this->send_records(
-            {link}, all_servers(this->fleet, base::monotonic_now()));
+        this->send_records({link}, all_servers(this->fleet, now));
+    if (peer.sender == wire::role::control && this->options.self_managed)
+        this->links.send(link, this->group(now));
     this->send_crashes(link);
     this->events.record(event_kind::link_opened, peer.vm.value());
     spdlog::info("event=link_opened peer={}", peer.vm.value());
@@ -167,6 +172,13 @@
         const auto* request = std::get_if<wire::join_request>(&content)) {
         if (peer->second.sender == wire::role::control)
             this->on_join_request(*request);
+    } else if (const auto* group = std::get_if<wire::control_group>(&content)) {
+        if (peer->second.sender == wire::role::control)
+            note_group(
+                this->news,
+                group->members,
+                peer->second.vm,
+                base::monotonic_now());
     }
 }
 
--- a/oleanderhinge/control/metrics.cpp
+++ b/oleanderhinge/control/metrics.cpp
@@ -1,5 +1,6 @@
 #include "oleanderhinge/control/metrics.hpp"
 
+#include "oleanderhinge/control/group.hpp"
 #include "oleanderhinge/net/metric_builders.hpp"
 
 #include <string>
@@ -114,7 +115,7 @@
     set("claim_bytes", double(sizes.claim_bytes));
 }
 
-void metrics::set_gauges(const replica::log_status& status)
+void metrics::set_gauges(const replica::log_status& status, std::size_t needed)
 {
     const auto set = [this](const char* name, double value) {
         this->gauges.Add({{"name", name}}).Set(value);
@@ -126,6 +127,8 @@
     set("quorum", status.has_quorum ? 1 : 0);
     set("leader", status.role == replica::member_role::leader ? 1 : 0);
     set("members", double(status.members.size()));
+    set("voters_missing", double(voters_missing(status, needed)));
+    set("losses_borne", double(losses_borne(status)));
     set("lease_age_ms", double(status.lease_age_ms));
 }
 
--- a/oleanderhinge/control/metrics.hpp
+++ b/oleanderhinge/control/metrics.hpp
@@ -51,7 +51,8 @@
 
     void count_claim(wire::claim_state state);
     void set_gauges(const state_sizes& sizes);
-    void set_gauges(const replica::log_status& status);
+    // `needed` is the number of voters that bear the tolerated losses.
+    void set_gauges(const replica::log_status& status, std::size_t needed);
     void set_gauges(const net::link_counters& counters);
     void set_subscribers(std::size_t subscribers);
 
--- a/oleanderhinge/control/program.cpp
+++ b/oleanderhinge/control/program.cpp
@@ -1,5 +1,6 @@
 #include "oleanderhinge/control/program.hpp"
 
+#include "oleanderhinge/control/group.hpp"
 #include "oleanderhinge/control/settings.hpp"
 #include "oleanderhinge/control/standby.hpp"
 #include "oleanderhinge/net/process.hpp"
@@ -38,8 +39,9 @@
 {
     replica::node_setup setup;
     setup.self = chosen.service.link.self.vm;
-    setup.initial =
-        chosen.forms_group ? chosen.members : std::vector<replica::member>{};
+    if (chosen.is_named)
+        setup.initial = chosen.members;
+    setup.first_start = chosen.forms_group;
     setup.times = {
         chosen.times.raft_heartbeat,
         chosen.times.leader_lease,
@@ -168,6 +170,20 @@
          .reload = [&] { reload(node, path); }});
 }
 
+void log_group_size(const control_settings& chosen)
+{
+    if (!chosen.service.self_managed)
+        return;
+    const auto losses = chosen.service.tolerated_losses;
+    spdlog::info(
+        "event=group_size needed={} seeds={} tolerated_losses={} "
+        "first_start={}",
+        needed_members(losses),
+        chosen.members.size(),
+        losses,
+        chosen.forms_group);
+}
+
 int serve(
     const control_settings& chosen,
     const extension& added,
@@ -187,6 +203,7 @@
         });
     if (!start(control, chosen))
         return exit_cannot_start;
+    log_group_size(chosen);
     return net::run_process(
         io,
         {.threads = chosen.threads,
--- a/oleanderhinge/control/service.cpp
+++ b/oleanderhinge/control/service.cpp
@@ -64,7 +64,7 @@
         this->next_confirm = now + this->options.confirm_interval;
         this->confirm_if_newest();
         if (this->options.self_managed)
-            this->links.send(this->gateway_links(), this->group());
+            this->tell_group(status, now);
     }
     this->send_servers();
     this->send_loads();
@@ -83,8 +83,19 @@
     const replica::log_status& status, base::time_point now)
 {
     std::vector<net::link_id> dropped;
-    const auto nodes =
-        nodes_to_link(status, this->seeds, this->without_leader_since, now);
+    const auto nodes = nodes_to_link(
+        status,
+        this->news,
+        this->seeds,
+        this->self,
+        this->without_leader_since,
+        now);
+    this->outsiders.clear();
+    if (status.role == replica::member_role::leader)
+        for (const auto& node : nodes)
+            if (std::find(status.members.begin(), status.members.end(), node) ==
+                status.members.end())
+                this->outsiders.insert(node.vm);
     for (const auto& peer : due(this->peers, nodes, now, dropped))
         connecting(this->peers, peer.vm, this->links.connect(peer.link));
     for (const auto link : dropped)
@@ -113,7 +124,9 @@
 void service::impl::copy_gauges()
 {
     this->numbers.set_gauges(this->state.read(sizes_of));
-    this->numbers.set_gauges(this->consensus.log->status());
+    this->numbers.set_gauges(
+        this->consensus.log->status(),
+        this->options.self_managed ? this->needed() : 0);
     this->numbers.set_gauges(this->links.counters());
     this->numbers.set_subscribers(this->subscribers);
 }
--- a/oleanderhinge/control/settings.cpp
+++ b/oleanderhinge/control/settings.cpp
@@ -218,7 +218,7 @@
          "0",
          "10",
          "members that may be lost at once; a group that finds itself by "
-         "control.seeds removes none below twice as many and one"},
+         "control.seeds needs twice as many and one, and has at most one more"},
         {"link",
          "listen",
          value_type::endpoint,
@@ -338,8 +338,9 @@
         chosen.service.self_managed = true;
         chosen.service.tolerated_losses =
             std::uint32_t(checked.integer("control.tolerated_losses"));
-        chosen.forms_group = checked.boolean("control.first_start") &&
-                             is_listed(chosen, chosen.service.link.self.vm);
+        chosen.is_named = is_listed(chosen, chosen.service.link.self.vm);
+        chosen.forms_group =
+            checked.boolean("control.first_start") && chosen.is_named;
     } else {
         return base::fail(
             base::error_code::out_of_range,
--- a/oleanderhinge/control/settings.hpp
+++ b/oleanderhinge/control/settings.hpp
@@ -26,6 +26,8 @@
     // True if this node may form a new group with `members`; false if it has to
     // be admitted to an existing group.
     bool forms_group = true;
+    // `members` contains this node.
+    bool is_named = true;
     // Members of the group at its first start, or seed nodes that may know it.
     std::vector<replica::member> members;
     // Empty if this VM has no disk.
--- a/oleanderhinge/control/standby_test.cpp
+++ b/oleanderhinge/control/standby_test.cpp
@@ -93,6 +93,94 @@
                 "http://10.4.0.1:8229/v1/forwarding-table"))));
 }
 
+net::link_options link_options_of(wire::role sender, const std::string& vm)
+{
+    net::link_options options;
+    options.cluster_secret = "secret of the test";
+    options.self.sender = sender;
+    options.self.vm = base::vm_id{vm};
+    return options;
+}
+
+wire::endpoint listen(net::link_table& links)
+{
+    return base::handle(
+        [&] {
+            return links.listen({"127.0.0.1", 0});
+        },
+        [](const base::error& e) -> wire::endpoint {
+            ADD_FAILURE() << e.detail;
+            return {};
+        });
+}
+
+// After new seeds, the settings of all others may name only standbys. Guards
+// against gateways and new members that then never find the group.
+TEST(standby, who_knows_only_standbys_learns_the_members_and_can_ask_them)
+{
+    boost::asio::io_context io;
+    timeline::hybrid_clock clock;
+    const auto ignore = [](net::link_id, net::close_reason, bool) {};
+    std::vector<wire::endpoint> learned;
+    std::string asked;
+    wire::endpoint member_at;
+    std::unique_ptr<net::link_table> member;
+    member = std::make_unique<net::link_table>(
+        io,
+        clock,
+        link_options_of(wire::role::control, "127.0.0.1"),
+        net::link_events{
+            [&](net::link_id link, const wire::hello&) {
+                member->send(link, wire::control_group{{member_at}, 0});
+            },
+            [&](net::link_id, const wire::message& content) {
+                if (const auto* join =
+                        std::get_if<wire::join_request>(&content))
+                    asked = join->vm.value();
+                if (!asked.empty() && !learned.empty())
+                    io.stop();
+            },
+            ignore});
+    member_at = listen(*member);
+    service_options options;
+    options.link = link_options_of(wire::role::control, "edge-4");
+    options.link_listen = {"127.0.0.1", 0};
+    options.admin_listen = {"127.0.0.1", 0};
+    options.management_listen = {"127.0.0.1", 0};
+    options.initial_members.push_back(
+        {base::vm_id{"127.0.0.1"}, member_at, {}, true});
+    standby node(io, options);
+    const auto open = base::handle(
+        [&] { return node.start(); },
+        [](const base::error& e) -> service_endpoints {
+            ADD_FAILURE() << e.detail;
+            return {};
+        });
+    std::unique_ptr<net::link_table> joining;
+    joining = std::make_unique<net::link_table>(
+        io,
+        clock,
+        link_options_of(wire::role::control, "edge-5"),
+        net::link_events{
+            [](net::link_id, const wire::hello&) {},
+            [&](net::link_id link, const wire::message& content) {
+                const auto* group = std::get_if<wire::control_group>(&content);
+                if (group == nullptr)
+                    return;
+                learned = group->members;
+                joining->send(
+                    link, wire::join_request{base::vm_id{"edge-5"}, {}, {}});
+            },
+            ignore});
+    joining->connect(open.link);
+    io.run_for(20s);
+    EXPECT_EQ(learned, std::vector<wire::endpoint>{member_at});
+    EXPECT_EQ(asked, "edge-5");
+    node.stop();
+    joining->shutdown();
+    member->shutdown();
+}
+
 // Guards against a restart loop when the platform starts a control node on a VM
 // without a disk, and against acknowledgments by a node that cannot store them.
 TEST(standby, calls_are_refused_as_not_run)
--- a/oleanderhinge/replica/node.cpp
+++ b/oleanderhinge/replica/node.cpp
@@ -2,7 +2,9 @@
 
 #include "oleanderhinge/base/random.hpp"
 #include "oleanderhinge/replica/internal/event_loop.hpp"
+#include "oleanderhinge/storage/formation.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace oleanderhinge::replica
@@ -15,10 +17,48 @@
 namespace
 {
 
+bool has_membership(const consensus::setup& options)
+{
+    const auto is_membership = [](const consensus::entry& e) {
+        return e.kind == consensus::entry_kind::membership;
+    };
+    return options.snapshot ||
+           std::any_of(
+               options.entries.begin(), options.entries.end(), is_membership);
+}
+
+// Chooses the members that form the cluster: at a first start those of the
+// settings, which it records; later those of the record.
+base::result<void> choose_initial(
+    const node_setup& setup,
+    storage::file_system& files,
+    consensus::setup& options)
+{
+    for (const auto& m : setup.initial)
+        options.initial.push_back(internal::to_consensus(m));
+    if (has_membership(options))
+        return {};
+    if (setup.first_start) {
+        if (!options.initial.empty())
+            BOOST_LEAF_CHECK(storage::write_formation(
+                files, consensus::encode_membership(options.initial)));
+        return {};
+    }
+    BOOST_LEAF_AUTO(recorded, storage::read_formation(files));
+    options.waits_for_invitation = !recorded;
+    if (recorded) {
+        BOOST_LEAF_ASSIGN(
+            options.initial, consensus::decode_membership(*recorded));
+    }
+    return {};
+}
+
 // Builds the state from the recovered folder. Checks what its checksums do not
 // cover: kinds of entries, and that snapshot and memberships parse.
-base::result<consensus::node_state>
-recover(const node_setup& setup, storage::recovered_state& found)
+base::result<consensus::node_state> recover(
+    const node_setup& setup,
+    storage::file_system& files,
+    storage::recovered_state& found)
 {
     consensus::setup options;
     options.self = setup.self;
@@ -26,8 +66,6 @@
     options.times = setup.times;
     options.bounds = setup.bounds;
     options.seed = setup.seed;
-    for (const auto& m : setup.initial)
-        options.initial.push_back(internal::to_consensus(m));
     options.vote = {found.vote.current, found.vote.voted_for};
     if (found.snapshot) {
         BOOST_LEAF_ASSIGN(
@@ -44,6 +82,7 @@
         if (e.kind == consensus::entry_kind::membership)
             BOOST_LEAF_CHECK(consensus::decode_membership(e.payload));
     }
+    BOOST_LEAF_CHECK(choose_initial(setup, files, options));
     return consensus::make_state(std::move(options), setup.clock());
 }
 
@@ -67,7 +106,7 @@
             : setup.new_disk_incarnation;
     BOOST_LEAF_AUTO(
         opened, storage::log_store::open(files, setup.store, new_incarnation));
-    BOOST_LEAF_AUTO(state, recover(setup, opened.state));
+    BOOST_LEAF_AUTO(state, recover(setup, files, opened.state));
     // `event_loop` cannot be moved, so the aggregate is built in place.
     std::unique_ptr<implementation> impl(new implementation{
         {std::move(setup),
--- a/oleanderhinge/replica/node.hpp
+++ b/oleanderhinge/replica/node.hpp
@@ -31,6 +31,11 @@
     // must have the same list. A member that is added later has the existing
     // members or none.
     std::vector<member> initial;
+    // Whether the cluster starts for the first time, so that an empty folder is
+    // no lost disk. If not, a member that was interrupted at the first start
+    // still takes part in forming the cluster; one with an empty folder does so
+    // only once all other initial members have invited it.
+    bool first_start = true;
     consensus::timing times;
     consensus::limits bounds;
     storage::store_options store;
--- a/oleanderhinge/replica/node_test.cpp
+++ b/oleanderhinge/replica/node_test.cpp
@@ -55,6 +55,7 @@
         setup.self = vm(i);
         if (i <= int(this->initial.size()))
             setup.initial = this->initial;
+        setup.first_start = this->first_start;
         setup.snapshot_interval_entries = this->snapshot_interval_entries;
         setup.bounds.trailing_entries = 10;
         setup.on_fatal_error = [&h](const std::string& reason) {
@@ -187,6 +188,8 @@
     }
 
     std::uint64_t snapshot_interval_entries = 50;
+    // Processes that start find settings of a first start.
+    bool first_start = true;
     std::vector<member> initial;
 
 private:
@@ -241,6 +244,22 @@
     std::condition_variable delivered;
 };
 
+// A power loss of all during the first start. Guards against members that wait
+// for each other for ever, since no restart has settings of a first start.
+TEST(node, members_interrupted_at_the_first_start_form_the_cluster)
+{
+    cluster c(3);
+    c.first_start = false;
+    base::random_source random(1);
+    for (int i = 1; i <= 3; ++i) {
+        c.stop(i);
+        c.files(i).crash(storage::unsynced::lost, random);
+    }
+    for (int i = 1; i <= 3; ++i)
+        c.start(i);
+    EXPECT_NE(c.leader(), 0);
+}
+
 TEST(node, a_single_member_applies_and_keeps_commands)
 {
     cluster c(1);
--- a/oleanderhinge/storage/internal/files.hpp
+++ b/oleanderhinge/storage/internal/files.hpp
@@ -2,6 +2,7 @@
 //
 // - member: the disk incarnation
 // - vote: term and vote
+// - formation: the initial members, on a disk of a first start
 // - snapshot: the newest snapshot with its index
 // - log-<number>: segments of the log
 // - *.tmp: unfinished replacements, removed at the start
@@ -16,6 +17,7 @@
 {
 
 inline constexpr const char* member_name = "member";
+inline constexpr const char* formation_name = "formation";
 inline constexpr const char* vote_name = "vote";
 inline constexpr const char* snapshot_name = "snapshot";
 
--- a/tests/harness/http.cpp
+++ b/tests/harness/http.cpp
@@ -31,7 +31,7 @@
     request.method_string(query.method);
     request.target(query.target);
     request.version(11);
-    request.set(http::field::host, "127.0.0.1");
+    request.set(http::field::host, query.host);
     request.set(http::field::connection, "close");
     for (const auto& [name, value] : query.headers)
         request.set(name, value);
@@ -66,7 +66,7 @@
     stream.expires_after(limit);
     if (run(io, [&](auto done) {
             stream.async_connect(
-                tcp::endpoint(asio::ip::address_v4::loopback(), port), done);
+                tcp::endpoint(asio::ip::make_address(query.host), port), done);
         }))
         return reply;
     const auto request = to_request(query);
--- a/tests/harness/http.hpp
+++ b/tests/harness/http.hpp
@@ -20,6 +20,8 @@
     std::string target = "/";
     std::string body;
     std::vector<std::pair<std::string, std::string>> headers;
+    // Address of the process.
+    std::string host = "127.0.0.1";
 };
 
 struct http_reply {
