--- a/oleanderhinge/gateway/crossing_budget.cpp
+++ b/oleanderhinge/gateway/crossing_budget.cpp
@@ -28,8 +28,8 @@
     if (bits <= 0 || engine.data_centre_link_mbps <= 0)
         return true;
     constexpr double bits_per_us_and_mbps = 1;
-    const double rate = engine.data_centre_link_mbps * bits_per_us_and_mbps *
-                        used_link_share / std::max(gateways, 1U);
+    const double rate = engine.data_centre_link_mbps * bits_per_us_and_mbps /
+                        std::max(gateways, 1U);
     const auto since = std::min(now - budget.refilled, crossing_saving_time);
     budget.saved_bits = std::min(
         budget.saved_bits + rate * double(since.count()),
--- a/oleanderhinge/gateway/crossing_budget.hpp
+++ b/oleanderhinge/gateway/crossing_budget.hpp
@@ -22,10 +22,6 @@
 namespace oleanderhinge::gateway
 {
 
-// Share of the link that all gateways use together. The rest is reserved for
-// answers that are longer than usual and for gateways that do not know of each
-// other yet.
-inline constexpr double used_link_share = 0.5;
 // What a gateway does not use is saved for this time.
 inline constexpr base::duration crossing_saving_time = std::chrono::seconds(1);
 
