fleet, control: spare servers and substitutes act at once on suspicions

A suspicion lasts 0.3 s at least and mostly longer, as reports come every 1.2 s, so waiting 0.4 s spares one move in twelve. Servers that were added while others were away joined the first part, and replaced a lost one after 7 s only if they had not.

- suspected servers are failed over in the next round; silent and slow ones after 0.4 s as before
- a server without layers replaces one that is suspected, failed over or missing at once; one that returns is a spare

The row "a server is suspected" of handover_test failed without the rule (no order in the first round, chain incomplete).

--- a/oleanderhinge/control/fleet_watch.cpp
+++ b/oleanderhinge/control/fleet_watch.cpp
@@ -265,6 +265,8 @@
         auto& plan = fleet.placements[service.name];
         fleet::note_leaving(
             plan, fleet::leaving(fleet.servers, service.name), now);
+        fleet::note_suspected(
+            plan, fleet::suspected(fleet.servers, service.name));
         auto present = ready;
         if (!settled)
             add_unknown(present, plan, fleet.servers, service.name);
--- a/oleanderhinge/fleet/directory.cpp
+++ b/oleanderhinge/fleet/directory.cpp
@@ -210,6 +210,15 @@
     });
 }
 
+std::vector<wire::endpoint>
+suspected(const directory& known, std::string_view service)
+{
+    return last_processes(known, service, [](const known_server& server) {
+        return server.record.state == wire::reported_state::ready &&
+               is_suspected(server);
+    });
+}
+
 std::vector<wire::endpoint>
 known_lost(const directory& known, std::string_view service)
 {
--- a/oleanderhinge/fleet/directory.hpp
+++ b/oleanderhinge/fleet/directory.hpp
@@ -121,6 +121,10 @@
 std::vector<wire::endpoint>
 leaving(const directory& known, std::string_view service);
 
+// Addresses whose last process is ready by its reports, but suspected.
+std::vector<wire::endpoint>
+suspected(const directory& known, std::string_view service);
+
 // Addresses at which something speaks against the last process: it is
 // suspected, leaves or has left. Silence alone does not count: another member
 // of control may have heard of the server.
--- a/oleanderhinge/fleet/handover_test.cpp
+++ b/oleanderhinge/fleet/handover_test.cpp
@@ -56,6 +56,12 @@
         this->servers.push_back(added);
     }
 
+    void suspect(const std::string& id)
+    {
+        this->remove_server(id);
+        note_suspected(this->plan, {{id, 80}});
+    }
+
     void leave(const std::string& id)
     {
         this->remove_server(id);
@@ -139,6 +145,20 @@
      0,
      0,
      false},
+    {"a server is suspected",
+     [](leaving_fleet& f) { f.suspect("glasgow3"); },
+     1,
+     0,
+     true},
+    {"a new server has just started when one is suspected",
+     [](leaving_fleet& f) {
+         f.start_like("glasgow3");
+         f.pass(seconds(1));
+         f.suspect("glasgow3");
+     },
+     1,
+     0,
+     false},
     {"a new server of another data centre is no replacement",
      [](leaving_fleet& f) {
          f.start_like("edinburgh3");
--- a/oleanderhinge/fleet/internal/failover.cpp
+++ b/oleanderhinge/fleet/internal/failover.cpp
@@ -169,7 +169,8 @@
 {
     return server.layers != base::layer_range{} && !is_serving(server) &&
            (server.last_seen < now || server.slow) &&
-           (server.leaving || now >= server.unavailable_since + failover_after);
+           (server.leaving || server.suspected ||
+            now >= server.unavailable_since + failover_after);
 }
 
 // Smallest memory for requests in a layer of the serving members behind the
--- a/oleanderhinge/fleet/internal/handover.cpp
+++ b/oleanderhinge/fleet/internal/handover.cpp
@@ -66,7 +66,9 @@
     std::vector<std::pair<bool, placed_server*>> lost;
     for (auto* server : members)
         if (server->layers != base::layer_range{} &&
-            (server->leaving || is_missing(*server, now)))
+            (server->leaving || is_missing(*server, now) ||
+             ((server->suspected || server->failed_over) &&
+              server->last_seen < now)))
             lost.emplace_back(has_other_holders(members, *server), server);
     std::stable_sort(
         lost.begin(), lost.end(), [](const auto& left, const auto& right) {
--- a/oleanderhinge/fleet/internal/handover.hpp
+++ b/oleanderhinge/fleet/internal/handover.hpp
@@ -17,8 +17,9 @@
 namespace oleanderhinge::fleet::internal
 {
 
-// Reassigns the layers of members that leave or are missing to present ones
-// without layers; first those that no other member serves.
+// Reassigns the layers of members that leave, have failed over or are missing
+// to present ones without layers; first those that no other member serves. A
+// server that comes back later is without layers.
 void replace_servers(
     const server_group& members,
     const wire::engine_profile& profile,
--- a/oleanderhinge/fleet/placement.cpp
+++ b/oleanderhinge/fleet/placement.cpp
@@ -326,6 +326,15 @@
     }
 }
 
+void note_suspected(
+    placement& plan, const std::vector<wire::endpoint>& suspected)
+{
+    for (auto& [address, server] : plan.servers)
+        server.suspected =
+            std::find(suspected.begin(), suspected.end(), address) !=
+            suspected.end();
+}
+
 void note_refused(placement& plan, const layer_assignment& order)
 {
     const auto found = plan.servers.find(order.address);
--- a/oleanderhinge/fleet/placement.hpp
+++ b/oleanderhinge/fleet/placement.hpp
@@ -44,7 +44,8 @@
 // again after up to 3 s.
 inline constexpr base::duration late_report_window = std::chrono::seconds(4);
 // Other servers take over the layers of a server that has been unavailable for
-// this long. Loading 5 layers takes 1 s; a crashed server is away for 5 s.
+// this long, unless it is suspected or leaves. Loading 5 layers takes 1 s; a
+// crashed server is away for 5 s.
 inline constexpr base::duration failover_after = std::chrono::milliseconds(400);
 // A new server without layers is kept for this long for a server that announces
 // its leave, before it joins the first part of a chain. In a rolling release
@@ -89,6 +90,9 @@
     bool failed_over = false;
     // Its process has announced that it leaves.
     bool leaving = false;
+    // Requests that depend on it made no progress, and it has not reported
+    // since.
+    bool suspected = false;
     // First time at which a ready server was known at the address.
     base::time_point first_seen;
     // Last time at which a ready server was known at the address.
@@ -149,6 +153,12 @@
     const std::vector<wire::endpoint>& leaving,
     base::time_point now);
 
+// Sets which addresses are suspected. Their servers are failed over by the next
+// update: a report that clears the suspicion comes no earlier than
+// `failover_after` in most cases, so that waiting would not avoid many moves.
+void note_suspected(
+    placement& plan, const std::vector<wire::endpoint>& suspected);
+
 // Updates the plan from the ready servers of the service. A plan without
 // assignments adopts the layers that the servers report or, if they report
 // none, divides the model over each data centre. An existing plan reassigns the
