--- a/oleanderhinge/control/fleet_watch.cpp
+++ b/oleanderhinge/control/fleet_watch.cpp
@@ -49,21 +49,43 @@
     return batch;
 }
 
+// Whether a ready server holds some of these layers beside its own planned
+// ones, in place of the server that the plan names.
+bool has_substitute(
+    const std::vector<wire::server_record>& ready,
+    const fleet::placement& plan,
+    const base::layer_range& layers)
+{
+    const auto overlap = [](const auto& left, const auto& right) {
+        return left.first < right.end && right.first < left.end;
+    };
+    return std::any_of(ready.begin(), ready.end(), [&](const auto& record) {
+        const auto found = plan.servers.find(fleet::address_of(record));
+        return found != plan.servers.end() &&
+               record.layers != found->second.layers &&
+               overlap(record.layers, layers) &&
+               !overlap(found->second.layers, layers);
+    });
+}
+
 // Adds the servers of a recorded plan that are not ready, though nothing speaks
-// against them, with the layers that they should hold.
+// against them, with the layers that they should hold. One that substitutes
+// replace stays replaced until it reports.
 void add_unknown(
     std::vector<wire::server_record>& present,
     const fleet::placement& plan,
     const fleet::directory& known,
     const std::string& service)
 {
+    const auto ready = present;
     std::set<wire::endpoint> skipped;
-    for (const auto& record : present)
+    for (const auto& record : ready)
         skipped.insert(fleet::address_of(record));
     for (const auto& address : fleet::known_lost(known, service))
         skipped.insert(address);
     for (const auto& [address, server] : plan.servers) {
-        if (skipped.contains(address) || server.layers == base::layer_range{})
+        if (skipped.contains(address) || server.layers == base::layer_range{} ||
+            has_substitute(ready, plan, server.layers))
             continue;
         wire::server_record record;
         record.service = service;
--- a/oleanderhinge/fleet/internal/failover.cpp
+++ b/oleanderhinge/fleet/internal/failover.cpp
@@ -238,6 +238,9 @@
         if (neighbours &&
             prefers_extension(*neighbours, substitutes, gap, room_mb, before)) {
             apply(*neighbours);
+            // One server does not fill two gaps.
+            std::erase(redundant, neighbours->left);
+            std::erase(redundant, neighbours->right);
             continue;
         }
         for (const auto& item : substitutes)
--- a/oleanderhinge/fleet/placement.cpp
+++ b/oleanderhinge/fleet/placement.cpp
@@ -127,7 +127,8 @@
     std::vector<bool> has_holder(profile.layer_count);
     server_group spares;
     for (auto* server : members) {
-        if (server->layers == base::layer_range{} && !is_missing(*server, now))
+        if (server->layers == base::layer_range{} && !server->leaving &&
+            !is_missing(*server, now))
             spares.push_back(server);
         const auto end =
             std::min(server->layers.end.value(), profile.layer_count);
@@ -205,7 +206,7 @@
     for (const auto& members : internal::replica_groups(plan, profile)) {
         server_group present;
         for (auto* server : members)
-            if (!is_missing(*server, now))
+            if (!is_missing(*server, now) && !server->leaving)
                 present.push_back(server);
         if (present.empty() ||
             !internal::needs_new_division(
--- a/oleanderhinge/gateway/forwarder.cpp
+++ b/oleanderhinge/gateway/forwarder.cpp
@@ -81,7 +81,8 @@
            .leave_before_start =
                [this](auto& request) {
                    return this->leave_before_start(request);
-               }})
+               },
+           .move_early = options.move_streams_early})
     , random(options.seed)
 {
 }
--- a/oleanderhinge/gateway/forwarder.hpp
+++ b/oleanderhinge/gateway/forwarder.hpp
@@ -50,6 +50,8 @@
     std::uint64_t seed = 1;
     // Limit on the time for which a server gets no requests at its own wish.
     base::duration max_backoff = no_backoff_limit;
+    // Streams leave a server when it announces its end, not when it ends.
+    bool move_streams_early = false;
     // For answers that are not passed on yet, over all requests; in bytes.
     std::size_t answer_memory = default_memory_bytes / answer_memory_part;
     // Called when requests that depend on this server make no progress.
--- a/oleanderhinge/gateway/forwarder_fixture_test.hpp
+++ b/oleanderhinge/gateway/forwarder_fixture_test.hpp
@@ -242,6 +242,7 @@
               {.retries = limits.retries,
                .hedges = limits.hedges,
                .seed = 1,
+               .move_streams_early = true,
                .answer_memory = answer_memory_bytes,
                .report_suspect = [](const wire::endpoint&) {},
                .share_evidence =
--- a/oleanderhinge/gateway/gateway_node.cpp
+++ b/oleanderhinge/gateway/gateway_node.cpp
@@ -42,6 +42,7 @@
            .hedges = this->options.hedges,
            .seed = base::entropy_seed(),
            .max_backoff = this->options.max_backoff,
+           .move_streams_early = this->options.move_streams_early,
            .answer_memory = this->options.memory / answer_memory_part,
            .report_suspect =
                [this](const wire::endpoint& server) {
--- a/oleanderhinge/gateway/internal/forwarder_attempts.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_attempts.cpp
@@ -89,10 +89,12 @@
             base::not_run(
                 failure_code::link_lost, "connect: " + refused.message()),
             connection.server());
-    // During the connect, another request may have got a signal, and a drain
-    // may have begun.
+    // During the connect, another request may have got a signal, a drain may
+    // have begun, and a takeover may have used the last attempt.
     const auto now = base::monotonic_now();
     if (!this->may_send(request, server, now) ||
+        (request.takeover &&
+         request.possible_runs >= request.route->attempts) ||
         this->drain_verdict(request, now)) {
         --request.attempts;
         this->stats.withheld.Increment();
--- a/oleanderhinge/gateway/internal/forwarder_hedges.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_hedges.cpp
@@ -203,7 +203,8 @@
     request.hedge = event;
     this->stats.count_hedge(event);
     request.logged_path = counting->to.id.value();
-    std::erase(request.call_connections, counting->connection);
+    if (is_answered(counting))
+        std::erase(request.call_connections, counting->connection);
     if (!other->result) {
         other->cancelled = true;
         this->stats.cancelled_attempts.Increment();
--- a/oleanderhinge/gateway/internal/forwarder_streams.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_streams.cpp
@@ -106,6 +106,11 @@
     request.in_attempt = true;
     auto result = co_await this->stream_once(request);
     request.in_attempt = false;
+    // A takeover may have begun before the attempt had an answer.
+    if ((result.end == attempt_end::failed ||
+         result.end == attempt_end::withheld) &&
+        request.takeover && co_await this->is_replaced(request, false))
+        result = {attempt_end::replaced, {}, {}};
     if (result.end == attempt_end::failed && !request.waits_for.address.empty())
         result.at_fault = request.waits_for;
     // The gateway has left the path, and no server has failed.
@@ -154,11 +159,14 @@
         this->may_repeat(request, why, base::monotonic_now()))
         co_return true;
     const auto service = request.service->name;
-    ++this->waiting_streams[service];
     bool granted = false;
-    while (!granted && co_await this->wait_to_resume(request))
+    bool counted = false;
+    while (!granted && co_await this->wait_to_resume(request)) {
         granted = this->may_repeat(request, why, base::monotonic_now());
-    if (--this->waiting_streams[service] == 0)
+        if (!granted && !std::exchange(counted, true))
+            ++this->waiting_streams[service];
+    }
+    if (counted && --this->waiting_streams[service] == 0)
         this->waiting_streams.erase(service);
     co_return granted;
 }
@@ -249,10 +257,14 @@
 {
     if (request.takeover &&
         request.takeover->state == takeover_state::granted) {
-        const auto granted = std::exchange(request.takeover, nullptr);
-        request.connection = granted->next.connection;
-        request.sent_to = granted->next.sent_to;
-        request.tried.insert(granted->avoided.begin(), granted->avoided.end());
+        // The copy of the request ends here, not with the stream.
+        {
+            const auto granted = std::exchange(request.takeover, nullptr);
+            request.connection = granted->next.connection;
+            request.sent_to = granted->next.sent_to;
+            request.tried.insert(
+                granted->avoided.begin(), granted->avoided.end());
+        }
         this->stats.resumed_streams.Increment();
         co_return co_await this->relay_events(request);
     }
--- a/oleanderhinge/gateway/internal/forwarder_takeover.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_takeover.cpp
@@ -150,7 +150,10 @@
         abandon_takeover(request);
     while (takeover->state == takeover_state::pending &&
            request.takeover == takeover)
-        co_await wait_until(request, this->io, request.deadline);
+        if (steady_now() >= request.deadline)
+            abandon_takeover(request);
+        else
+            co_await wait_until(request, this->io, request.deadline);
     co_return takeover->state == takeover_state::granted;
 }
 
--- a/oleanderhinge/gateway/internal/stall_watch_moves.cpp
+++ b/oleanderhinge/gateway/internal/stall_watch_moves.cpp
@@ -64,8 +64,12 @@
 
 void stall_watch::update_departures(base::time_point now)
 {
-    for (const auto& [id, server] : this->selector.servers.servers)
-        note_standing(this->departed, id, standing_of(this->selector, id), now);
+    for (const auto& [id, server] : this->selector.servers.servers) {
+        auto standing = standing_of(this->selector, id);
+        if (standing == server_standing::leaving && !this->actions.move_early)
+            standing = server_standing::sound;
+        note_standing(this->departed, id, standing, now);
+    }
     std::erase_if(this->departed, [this](const auto& item) {
         return !this->selector.servers.servers.contains(item.first);
     });
@@ -121,7 +125,7 @@
         request->next_start_check = now + start_check_interval;
         if (this->actions.leave_before_start(*request))
             spdlog::info(
-                "event=path_left request={} waited_ms={:.0f} to={}",
+                "event=path_left request={} waited_ms={:.0f} from={}",
                 request->metadata.id,
                 ms_since(request->attempt_started),
                 request->logged_path);
--- a/oleanderhinge/gateway/settings.cpp
+++ b/oleanderhinge/gateway/settings.cpp
@@ -126,6 +126,13 @@
          "1000000",
          "second attempts beside the first in retries.window whatever the "
          "traffic, over all gateways; they also count for retries.slack"},
+        {"servers",
+         "move_streams_early",
+         value_type::boolean,
+         "false",
+         "",
+         "",
+         "streams leave a server when it announces its end, not when it ends"},
         {"servers",
          "max_backoff",
          value_type::duration,
@@ -184,6 +191,7 @@
         chosen.seeds.push_back({seed.address, port});
     chosen.retries = read_retries(checked);
     chosen.hedges = read_hedges(checked);
+    chosen.move_streams_early = checked.boolean("servers.move_streams_early");
     if (checked.has("servers.max_backoff"))
         chosen.max_backoff = checked.duration("servers.max_backoff");
     chosen.times = settings::load_timing(checked);
--- a/oleanderhinge/gateway/settings.hpp
+++ b/oleanderhinge/gateway/settings.hpp
@@ -38,6 +38,8 @@
     retry::shared_budget_options retries;
     retry::shared_budget_options hedges;
     base::duration max_backoff = no_backoff_limit;
+    // Streams leave a server when it announces its end.
+    bool move_streams_early = false;
     // Memory that the process may use, in bytes.
     std::size_t memory = default_memory_bytes;
 };
--- a/oleanderhinge/gateway/stall_watch.hpp
+++ b/oleanderhinge/gateway/stall_watch.hpp
@@ -58,6 +58,8 @@
     // Ends the attempt of a request that has not begun, if another path would
     // begin it sooner.
     std::function<bool(forwarding_request&)> leave_before_start;
+    // Streams leave a server when it announces its end, not when it ends.
+    bool move_early = false;
 };
 
 class stall_watch
