--- a/tests/harness/processes.cpp
+++ b/tests/harness/processes.cpp
@@ -10,9 +10,11 @@
 #include <deque>
 #include <fcntl.h>
 #include <fstream>
+#include <iterator>
 #include <spawn.h>
 #include <sstream>
 #include <stdexcept>
+#include <string_view>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -143,6 +145,25 @@
     return false;
 }
 
+std::size_t processes::peak_memory(const std::string& name) const
+{
+    std::ifstream in(
+        "/proc/" + std::to_string(this->running.at(name)) + "/status");
+    constexpr std::string_view field = "VmHWM:";
+    for (std::string line; std::getline(in, line);)
+        if (line.starts_with(field))
+            return std::stoull(line.substr(field.size())) * 1024;
+    return 0;
+}
+
+std::size_t processes::open_descriptors(const std::string& name) const
+{
+    std::error_code failed;
+    const std::filesystem::directory_iterator open(
+        "/proc/" + std::to_string(this->running.at(name)) + "/fd", failed);
+    return failed ? 0 : std::size_t(std::distance(begin(open), end(open)));
+}
+
 std::string
 processes::write(const std::string& file, const std::string& contents)
 {
--- a/tests/harness/processes.hpp
+++ b/tests/harness/processes.hpp
@@ -6,6 +6,7 @@
 //   run.signal("entry-1", SIGKILL);
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <filesystem>
 #include <map>
@@ -36,6 +37,10 @@
     // Kills the process and waits for its end.
     void kill(const std::string& name);
     bool is_running(const std::string& name);
+    // The largest resident memory so far in bytes, and the open descriptors, as
+    // the kernel counts them. 0 for a process that has ended.
+    std::size_t peak_memory(const std::string& name) const;
+    std::size_t open_descriptors(const std::string& name) const;
 
     // Writes a file in the folder and returns its path.
     std::string write(const std::string& file, const std::string& contents);
