net: one account of what callers make a process hold

Cause: each request had a limit and their sum had none. 60 clients that each announce 4 MiB and stop one byte short take 322 MB of a gateway that may use 56. A request was copied for each attempt, an announced length was reserved at once, and connections were limited to more than the descriptors allow.

Ruled out: a share for each address that refuses (on the platform all callers may come from a few addresses), reading no further (unread bytes count as memory there), a fixed share for each connection (24 KB: no legal body fits).

Change: net/caller_table decides, without I/O or clock, who may hold what, by the rule of answers (moved to net/shared_memory), with a part for small requests; who gives way (no progress for 1 s; address that holds most, then bytes x time); and which connection is taken. net/internal/caller_registry carries it out, request_reader grows bodies as bytes arrive, with time limits by progress. A refusal is 503 not_run with Retry-After, or 413; the rest of its body is dropped and the connection closed. Attempts of the gateway share the body of the request. Descriptors are split between callers, servers and management (net/descriptors; setting gateway.descriptors). Management ports take bodies of 4 KiB; a control node without a disk takes calls of 5 MiB, as one with a disk does, before it redirects them.

--- a/daemons/oleanderhinge_agent.cpp
+++ b/daemons/oleanderhinge_agent.cpp
@@ -31,7 +31,7 @@
     agent::agent beside(io, options, clock, events, registry);
     net::http_server management(
         io,
-        {},
+        net::management_limits(),
         net::management_handler(
             {.ready = [&] { return beside.ready(); },
              .registry = registry,
--- a/oleanderhinge/control/internal/service_fleet.cpp
+++ b/oleanderhinge/control/internal/service_fleet.cpp
@@ -21,14 +21,6 @@
 
 } // namespace
 
-net::http_limits service::impl::admin_limits() const
-{
-    net::http_limits limits;
-    // The largest forwarding table is 4 MiB.
-    limits.body_bytes = std::size_t(5) << 20;
-    return limits;
-}
-
 net::http_handler service::impl::admin_handler()
 {
     auto own = this->api.handler();
--- a/oleanderhinge/control/internal/service_impl.hpp
+++ b/oleanderhinge/control/internal/service_impl.hpp
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "oleanderhinge/control/admin_api.hpp"
+#include "oleanderhinge/control/admin_limits.hpp"
 #include "oleanderhinge/control/config_feed.hpp"
 #include "oleanderhinge/control/fleet_watch.hpp"
 #include "oleanderhinge/control/group.hpp"
@@ -17,6 +18,7 @@
 #include "oleanderhinge/control/status_watch.hpp"
 #include "oleanderhinge/control_state/commands.hpp"
 #include "oleanderhinge/fleet/crash_quarantine.hpp"
+#include "oleanderhinge/net/caller_metrics.hpp"
 #include "oleanderhinge/net/http_server.hpp"
 #include "oleanderhinge/net/management.hpp"
 #include "oleanderhinge/timeline/event.hpp"
@@ -78,10 +80,10 @@
                .wall_ms = options.wall_ms,
                .new_plan_id = options.new_plan_id,
                .subscribers = [this] { return this->subscribers.load(); }})
-        , admin(context, this->admin_limits(), this->admin_handler())
+        , admin(context, admin_limits(), this->admin_handler())
         , management(
               context,
-              {},
+              net::management_limits(),
               net::management_handler(
                   {.ready = [this] { return this->readiness(); },
                    .registry = this->registry,
@@ -108,7 +110,6 @@
     void on_message(net::link_id link, wire::message&& content);
 
     // --- Backend servers (service_fleet.cpp)
-    net::http_limits admin_limits() const;
     net::http_handler admin_handler();
     // Returns the admin endpoint of the leader; the port is 0 if the leader is
     // unknown or is this node.
@@ -207,6 +208,7 @@
     timeline::recorder events;
     prometheus::Registry registry;
     metrics numbers;
+    net::caller_metrics caller_numbers{registry, "oleanderhinge_control"};
     replicated_state state;
     std::atomic<std::size_t> subscribers{0};
     std::atomic<bool> draining{false};
--- a/oleanderhinge/control/service.cpp
+++ b/oleanderhinge/control/service.cpp
@@ -116,6 +116,7 @@
     this->numbers.set_gauges(this->consensus.log->status());
     this->numbers.set_gauges(this->links.counters());
     this->numbers.set_subscribers(this->subscribers);
+    this->caller_numbers.update(this->admin);
 }
 
 service::service(
--- a/oleanderhinge/control/standby.cpp
+++ b/oleanderhinge/control/standby.cpp
@@ -1,5 +1,6 @@
 #include "oleanderhinge/control/standby.hpp"
 
+#include "oleanderhinge/control/admin_limits.hpp"
 #include "oleanderhinge/control/json.hpp"
 
 #include <spdlog/spdlog.h>
@@ -32,14 +33,14 @@
     , events(this->options.link.self.vm, this->clock, kept_events)
     , admin(
           io,
-          {},
+          admin_limits(),
           [this](net::http_request request, net::http_exchange& exchange)
               -> boost::asio::awaitable<void> {
               co_await this->answer(request, exchange);
           })
     , management(
           io,
-          {},
+          net::management_limits(),
           net::management_handler(
               {.ready =
                    [] {
--- a/oleanderhinge/entry/entry_node.cpp
+++ b/oleanderhinge/entry/entry_node.cpp
@@ -1,10 +1,12 @@
 #include "oleanderhinge/entry/entry_node.hpp"
 
 #include "oleanderhinge/base/random.hpp"
+#include "oleanderhinge/net/descriptors.hpp"
 #include "oleanderhinge/net/management.hpp"
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace oleanderhinge::entry
@@ -15,6 +17,21 @@
 
 constexpr auto tick_interval = std::chrono::milliseconds(50);
 constexpr std::size_t kept_events = 16384;
+// Memory of all requests that arrive or are served, in bytes.
+constexpr std::size_t caller_memory = std::size_t(24) << 20;
+// A request is kept as text and parsed.
+constexpr std::size_t parsing_cost = 3;
+
+net::http_limits caller_limits()
+{
+    net::http_limits limits;
+    limits.memory = caller_memory;
+    limits.serving_cost = parsing_cost;
+    limits.max_connections = std::min(
+        limits.max_connections,
+        net::split_descriptors(net::descriptor_limit()).callers);
+    return limits;
+}
 
 } // namespace
 
@@ -24,6 +41,7 @@
     , self(base::entropy_seed())
     , events(this->options.vm, this->clock, kept_events)
     , counters(this->registry)
+    , caller_counters(this->registry, "oleanderhinge_entry")
     , links(
           context,
           this->clock,
@@ -60,13 +78,13 @@
            .token_stall = this->options.times.token_stall})
     , callers(
           context,
-          {},
+          caller_limits(),
           [this](net::http_request request, net::http_exchange& exchange) {
               return this->api.handle(std::move(request), exchange);
           })
     , management(
           context,
-          {},
+          net::management_limits(),
           net::management_handler(
               {.ready = [this] { return this->readiness(); },
                .registry = this->registry,
@@ -270,6 +288,7 @@
     this->counters.servers.Set(double(this->servers.size()));
     this->counters.config_revision.Set(double(this->config.revision().value()));
     this->counters.config_age_seconds.Set(this->config.age_ms(now) / 1000.0);
+    this->caller_counters.update(this->callers);
     const auto link_totals = this->links.counters();
     this->counters.link_bytes_sent.Set(double(link_totals.bytes_sent));
     this->counters.link_bytes_received.Set(double(link_totals.bytes_received));
--- a/oleanderhinge/entry/entry_node.hpp
+++ b/oleanderhinge/entry/entry_node.hpp
@@ -12,6 +12,7 @@
 #include "oleanderhinge/entry/http_api.hpp"
 #include "oleanderhinge/entry/request_service.hpp"
 #include "oleanderhinge/entry/server_discovery.hpp"
+#include "oleanderhinge/net/caller_metrics.hpp"
 #include "oleanderhinge/net/http_server.hpp"
 #include "oleanderhinge/net/management.hpp"
 #include "oleanderhinge/net/process.hpp"
@@ -96,6 +97,7 @@
     timeline::recorder events;
     prometheus::Registry registry;
     metrics counters;
+    net::caller_metrics caller_counters;
     net::link_table links;
     net::udp_endpoint udp;
     router routes;
--- a/oleanderhinge/gateway/forwarder.cpp
+++ b/oleanderhinge/gateway/forwarder.cpp
@@ -59,7 +59,7 @@
     , selector(selector_in)
     , quarantine(quarantine_in)
     , stats(stats_in)
-    , pool(context)
+    , pool(context, options_in.max_connections)
     , options(std::move(options_in))
     , memory{.limit = options.answer_memory}
     , signals(
--- a/oleanderhinge/gateway/forwarder.hpp
+++ b/oleanderhinge/gateway/forwarder.hpp
@@ -49,6 +49,8 @@
     base::duration max_backoff = no_backoff_limit;
     // For answers that are not passed on yet, over all requests; in bytes.
     std::size_t answer_memory = default_memory_bytes / answer_memory_part;
+    // Connections to servers, in use and idle.
+    std::size_t max_connections = no_connection_limit;
     // Called when requests that depend on this server make no progress.
     std::function<void(const wire::endpoint&)> report_suspect;
     // Called with news about crashes, for the other gateways.
@@ -134,7 +136,7 @@
     boost::asio::awaitable<attempt_result> send_request(
         forwarding_request& request,
         const base::backend_server_id& server,
-        net::http_request to_send);
+        backend_request to_send);
     bool may_send(
         const forwarding_request& request,
         const base::backend_server_id& server,
@@ -159,7 +161,7 @@
     std::chrono::milliseconds
     retry_after(const forwarding_request& request, base::time_point now);
 
-    net::http_request make_backend_request(
+    backend_request make_backend_request(
         const forwarding_request& request,
         const fleet::path& parts,
         const base::backend_server_id& server) const;
--- a/oleanderhinge/gateway/forwarding_request.hpp
+++ b/oleanderhinge/gateway/forwarding_request.hpp
@@ -28,11 +28,15 @@
     forwarding_request(
         net::http_request incoming_in, net::http_exchange& exchange_in)
         : incoming(std::move(incoming_in))
+        , body(std::make_shared<const std::string>(
+              std::move(this->incoming.body())))
         , exchange(exchange_in)
     {
     }
 
+    // Its body is in `body`, which all attempts share.
     net::http_request incoming;
+    const std::shared_ptr<const std::string> body;
     net::http_exchange& exchange;
     request_metadata metadata;
     std::shared_ptr<const route_index> index;
--- a/oleanderhinge/gateway/gateway_node.cpp
+++ b/oleanderhinge/gateway/gateway_node.cpp
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace oleanderhinge::gateway
@@ -17,6 +18,8 @@
 // The largest request body that callers of the platform send.
 constexpr std::size_t max_body_bytes = std::size_t(4) << 20;
 constexpr std::size_t max_caller_connections = 2000;
+// One part in so many of the memory is for requests of callers.
+constexpr std::size_t caller_memory_part = 4;
 
 } // namespace
 
@@ -42,6 +45,7 @@
            .seed = base::entropy_seed(),
            .max_backoff = this->options.max_backoff,
            .answer_memory = this->options.memory / answer_memory_part,
+           .max_connections = this->descriptors().servers,
            .report_suspect =
                [this](const wire::endpoint& server) {
                    this->control.report_suspicion(server);
@@ -50,6 +54,7 @@
                [this](const wire::crash_evidence& news) {
                    this->control.send_evidence(news);
                }})
+    , caller_numbers(this->registry, "oleanderhinge_gateway")
     , callers(
           context,
           this->caller_limits(),
@@ -57,7 +62,9 @@
               return this->forward.handle(std::move(request), exchange);
           })
     , management(
-          context, {}, net::management_handler(this->management_options()))
+          context,
+          net::management_limits(),
+          net::management_handler(this->management_options()))
     , timer(context)
     , leave_timer(context)
 {
@@ -153,12 +160,22 @@
             }};
 }
 
+net::descriptor_parts gateway_node::descriptors() const
+{
+    return net::split_descriptors(
+        std::min(this->options.descriptors, net::descriptor_limit()));
+}
+
 net::http_limits gateway_node::caller_limits() const
 {
     net::http_limits limits;
     limits.body_bytes = max_body_bytes;
     limits.idle_timeout = caller_idle_limit;
-    limits.max_connections = max_caller_connections;
+    limits.max_connections =
+        std::min(max_caller_connections, this->descriptors().callers);
+    limits.memory = this->options.memory / caller_memory_part;
+    // The forwarder counts them.
+    limits.counts_answers = false;
     // Relayed answers carry only header fields of the backend server.
     limits.names_itself = false;
     return limits;
@@ -187,6 +204,7 @@
                     double(this->control.known_nodes()));
                 this->stats.control_links.Set(
                     double(this->control.open_links()));
+                this->caller_numbers.update(this->callers);
             }};
 }
 
@@ -238,7 +256,7 @@
     for (const auto& address : this->options.metrics) {
         auto page = std::make_unique<net::http_server>(
             this->io,
-            net::http_limits{},
+            net::management_limits(),
             net::management_handler(this->management_options()));
         BOOST_LEAF_CHECK(page->listen(address));
         this->metrics_pages.push_back(std::move(page));
--- a/oleanderhinge/gateway/gateway_node.hpp
+++ b/oleanderhinge/gateway/gateway_node.hpp
@@ -13,6 +13,8 @@
 #include "oleanderhinge/gateway/control_client.hpp"
 #include "oleanderhinge/gateway/forwarder.hpp"
 #include "oleanderhinge/gateway/settings.hpp"
+#include "oleanderhinge/net/caller_metrics.hpp"
+#include "oleanderhinge/net/descriptors.hpp"
 #include "oleanderhinge/net/management.hpp"
 #include "oleanderhinge/net/process.hpp"
 #include "oleanderhinge/timeline/event.hpp"
@@ -52,6 +54,7 @@
     net::link_events link_events();
     control_client_options control_options() const;
     control_events make_control_events();
+    net::descriptor_parts descriptors() const;
     net::http_limits caller_limits() const;
     net::management_options management_options();
     void on_servers(const wire::server_batch& batch);
@@ -73,6 +76,7 @@
     net::link_table links;
     control_client control;
     forwarder forward;
+    net::caller_metrics caller_numbers;
     net::http_server callers;
     wire::endpoint listening;
     net::http_server management;
--- a/oleanderhinge/gateway/internal/forwarder_attempts.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_attempts.cpp
@@ -27,12 +27,12 @@
 
 } // namespace
 
-net::http_request forwarder::make_backend_request(
+backend_request forwarder::make_backend_request(
     const forwarding_request& request,
     const fleet::path& parts,
     const base::backend_server_id& server) const
 {
-    net::http_request to_send = request.incoming;
+    backend_request to_send{request.incoming.base(), request.body};
     remove_connection_fields(to_send.base());
     to_send.version(11);
     outgoing_metadata metadata;
@@ -76,7 +76,7 @@
 asio::awaitable<forwarder::attempt_result> forwarder::send_request(
     forwarding_request& request,
     const base::backend_server_id& server,
-    net::http_request to_send)
+    backend_request to_send)
 {
     request.sent_to = incarnation_of(this->selector, server);
     ++request.attempts;
--- a/oleanderhinge/gateway/internal/forwarder_crashes.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_crashes.cpp
@@ -46,7 +46,7 @@
 {
     if (!request.repetition_key) {
         std::string text;
-        const auto body = base::sha256(request.incoming.body());
+        const auto body = base::sha256(*request.body);
         for (const auto part :
              {std::string_view(request.customer.value()),
               std::string_view(request.incoming.method_string()),
--- a/oleanderhinge/gateway/settings.cpp
+++ b/oleanderhinge/gateway/settings.cpp
@@ -52,7 +52,18 @@
          "1",
          "1000000",
          "memory that the process may use, in MB; a quarter of it is for "
-         "answers that are not passed on yet"},
+         "answers that are not passed on yet, a quarter for requests of "
+         "callers"},
+        {"gateway",
+         "descriptors",
+         value_type::integer,
+         "65536",
+         "64",
+         "10000000",
+         "open descriptors that the process may have, if the system allows as "
+         "many; two fifths are for connections of callers, as many for those "
+         "to "
+         "servers, a twentieth for each management endpoint"},
         {"control",
          "seeds",
          value_type::endpoint_list,
@@ -151,6 +162,7 @@
     chosen.leave_time = checked.duration("gateway.leave_time");
     constexpr double megabyte = 1e6;
     chosen.memory = std::size_t(checked.number("gateway.memory") * megabyte);
+    chosen.descriptors = std::size_t(checked.integer("gateway.descriptors"));
     chosen.management = checked.endpoint("management.listen");
     if (checked.has("management.metrics"))
         chosen.metrics = checked.endpoint_list("management.metrics");
--- a/oleanderhinge/gateway/settings.hpp
+++ b/oleanderhinge/gateway/settings.hpp
@@ -39,6 +39,8 @@
     base::duration max_backoff = no_backoff_limit;
     // Memory that the process may use, in bytes.
     std::size_t memory = default_memory_bytes;
+    // Open descriptors that the process may have.
+    std::size_t descriptors = 65536;
 };
 
 // Fails with `out_of_range` if a relation between settings is broken.
--- a/oleanderhinge/gateway/upstream.cpp
+++ b/oleanderhinge/gateway/upstream.cpp
@@ -61,7 +61,7 @@
 }
 
 asio::awaitable<error_code>
-upstream_connection::send(net::http_request request, steady_time limit)
+upstream_connection::send(backend_request request, steady_time limit)
 {
     if (this->cancelled)
         co_return asio::error::operation_aborted;
@@ -199,8 +199,11 @@
            this->answer->keep_alive() && this->buffer.size() == 0;
 }
 
-upstream_pool::upstream_pool(asio::io_context& context)
+upstream_pool::upstream_pool(
+    asio::io_context& context, std::size_t connection_limit)
     : io(context)
+    , max_connections(connection_limit)
+    , counted(std::make_shared<const char>('\0'))
 {
 }
 
@@ -216,7 +219,11 @@
             net::is_quiet(candidate.connection->stream.socket()))
             return candidate.connection;
     }
-    return std::make_shared<upstream_connection>(this->io, server, true);
+    if (this->open_count() >= this->max_connections)
+        this->drop_one();
+    auto made = std::make_shared<upstream_connection>(this->io, server, true);
+    made->counted = this->counted;
+    return made;
 }
 
 void upstream_pool::keep(upstream_pointer connection)
@@ -229,7 +236,8 @@
     const auto now = std::chrono::steady_clock::now();
     auto& kept = this->idle[connection->peer];
     drop_old(kept, now);
-    if (kept.size() < max_idle_connections)
+    if (kept.size() < max_idle_connections &&
+        this->open_count() < this->max_connections)
         kept.push_back({std::move(connection), now});
 }
 
@@ -241,6 +249,23 @@
         this->idle, [](const auto& item) { return item.second.empty(); });
 }
 
+std::size_t upstream_pool::open_count() const
+{
+    return std::size_t(this->counted.use_count()) - 1;
+}
+
+void upstream_pool::drop_one()
+{
+    auto oldest = this->idle.end();
+    for (auto item = this->idle.begin(); item != this->idle.end(); ++item)
+        if (!item->second.empty() &&
+            (oldest == this->idle.end() ||
+             item->second.front().since < oldest->second.front().since))
+            oldest = item;
+    if (oldest != this->idle.end())
+        oldest->second.erase(oldest->second.begin());
+}
+
 std::size_t upstream_pool::idle_count() const
 {
     std::size_t count = 0;
--- a/oleanderhinge/gateway/upstream.hpp
+++ b/oleanderhinge/gateway/upstream.hpp
@@ -15,6 +15,7 @@
 #include "oleanderhinge/gateway/protocol_adapter.hpp"
 #include "oleanderhinge/gateway/steady_time.hpp"
 #include "oleanderhinge/net/http_client.hpp"
+#include "oleanderhinge/net/shared_body.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -26,6 +27,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -43,6 +45,11 @@
 inline constexpr auto max_idle_time = std::chrono::seconds(4);
 // Limit on idle connections to one server.
 inline constexpr std::size_t max_idle_connections = 64;
+inline constexpr std::size_t no_connection_limit =
+    std::numeric_limits<std::size_t>::max();
+
+// Shares the body of the caller's request.
+using backend_request = boost::beast::http::request<net::shared_body>;
 
 // Must be owned by an `upstream_pointer` when it sends.
 class upstream_connection
@@ -61,7 +68,7 @@
     // server may refuse a long body before it has read it. The rest is written
     // while the answer is read, until `limit` or `cancel`.
     boost::asio::awaitable<boost::system::error_code>
-    send(net::http_request request, steady_time limit);
+    send(backend_request request, steady_time limit);
     // Reads status and fields of the next answer; skips informational ones, at
     // most `net::max_informational_heads`.
     boost::asio::awaitable<boost::system::error_code>
@@ -107,7 +114,7 @@
     bool is_new;
     bool cancelled = false;
     // The request that is being written.
-    std::optional<net::http_request> outgoing;
+    std::optional<backend_request> outgoing;
     // Unset while a request is being written.
     std::optional<boost::system::error_code> written;
     // Cancelled to resume `send` when the request has been written or the
@@ -120,6 +127,8 @@
     // The parser adds the fields of a trailer to its own.
     http_fields head;
 
+    std::shared_ptr<const char> counted;
+
     friend class upstream_pool;
 };
 
@@ -128,7 +137,11 @@
 class upstream_pool
 {
 public:
-    explicit upstream_pool(boost::asio::io_context& io);
+    // Keeps idle connections only as far as there are no more than
+    // `max_connections` with those in use.
+    explicit upstream_pool(
+        boost::asio::io_context& io,
+        std::size_t max_connections = no_connection_limit);
 
     // An idle connection if reuse is allowed and one is open, else a new one
     // that is not connected yet.
@@ -148,10 +161,17 @@
         steady_time since;
     };
 
+    // Connections that are open, idle or in use.
+    std::size_t open_count() const;
+    // Closes the connection that has been idle for longest.
+    void drop_one();
     static void drop_old(std::vector<kept_connection>& kept, steady_time now);
 
     boost::asio::io_context& io;
+    const std::size_t max_connections;
     std::map<wire::endpoint, std::vector<kept_connection>> idle;
+    // Each connection has a copy, so that the owners are counted.
+    const std::shared_ptr<const char> counted;
 };
 
 } // namespace oleanderhinge::gateway
--- a/oleanderhinge/net/http_server.cpp
+++ b/oleanderhinge/net/http_server.cpp
@@ -1,17 +1,16 @@
 #include "oleanderhinge/net/http_server.hpp"
 
 #include "oleanderhinge/net/framing_limits.hpp"
+#include "oleanderhinge/net/internal/caller_registry.hpp"
 #include "oleanderhinge/net/internal/listen.hpp"
+#include "oleanderhinge/net/internal/request_reader.hpp"
 #include "oleanderhinge/net/internal/stream_exchange.hpp"
-#include "oleanderhinge/net/request_head.hpp"
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/json.hpp>
@@ -19,9 +18,7 @@
 
 #include <atomic>
 #include <bit>
-#include <mutex>
 #include <optional>
-#include <unordered_map>
 #include <utility>
 
 namespace oleanderhinge::net
@@ -31,36 +28,27 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 using asio::ip::tcp;
+using internal::caller_connection;
 using internal::stream_exchange;
 
 namespace
 {
 
-// Completes with the error code instead of throwing.
-constexpr auto as_pair = asio::as_tuple(asio::use_awaitable);
-
-// Removes the empty lines that a client may send before a request (RFC 9112,
-// section 2.2). Returns their size in bytes.
-std::size_t remove_empty_lines(beast::flat_buffer& buffer)
+// The header counts whole seconds; the exact wait is in the body.
+std::vector<wire::header> retry_after_of(const base::verdict& failure)
 {
-    const auto bytes = buffer.data();
-    const std::string_view unread(
-        static_cast<const char*>(bytes.data()), bytes.size());
-    std::size_t size = 0;
-    while (unread.substr(size).starts_with("\r\n") ||
-           unread.substr(size).starts_with('\n'))
-        size += unread[size] == '\r' ? 2 : 1;
-    buffer.consume(size);
-    return size;
+    if (failure.retry_after.count() == 0)
+        return {};
+    const auto seconds = (failure.retry_after.count() + 999) / 1000;
+    return {{"Retry-After", std::to_string(seconds)}};
 }
 
-// Whether the buffer holds the beginning of a request. Expects no empty lines
-// before it; one may lack its end.
-bool holds_request(const beast::flat_buffer& buffer)
+// The address of a client that has left is empty.
+std::string address_of(const tcp::socket& socket)
 {
-    const auto bytes = buffer.data();
-    return bytes.size() > 1 || (bytes.size() == 1 && *static_cast<const char*>(
-                                                         bytes.data()) != '\r');
+    boost::system::error_code failed;
+    const auto peer = socket.remote_endpoint(failed);
+    return failed ? std::string() : peer.address().to_string();
 }
 
 } // namespace
@@ -72,6 +60,8 @@
         , accept_timer(this->acceptor.get_executor())
         , limits(bounds)
         , handler(std::move(callback))
+        , callers(std::make_shared<internal::caller_registry>(
+              bounds.max_connections, bounds.memory))
     {
     }
 
@@ -85,8 +75,8 @@
                     return;
                 if (failed)
                     return self->accept_later();
-                if (self->open < self->limits.max_connections)
-                    self->serve(std::move(socket));
+                if (const auto id = self->callers->admit(address_of(socket)))
+                    self->serve(*id, std::move(socket));
                 self->accept();
             });
     }
@@ -101,100 +91,73 @@
             });
     }
 
-    void serve(tcp::socket socket)
+    void serve(caller_id id, tcp::socket socket)
     {
         const auto executor = socket.get_executor();
         asio::co_spawn(
             executor,
-            run(this->shared_from_this(), std::move(socket)),
+            run(this->shared_from_this(), id, std::move(socket)),
             asio::detached);
     }
 
     static asio::awaitable<void>
-    run(std::shared_ptr<impl> self, tcp::socket socket)
+    run(std::shared_ptr<impl> self, caller_id id, tcp::socket socket)
     {
         beast::tcp_stream stream(std::move(socket));
-        const auto id = self->register_stream(stream);
+        internal::caller_place place(self->callers, id, stream);
         beast::flat_buffer buffer(
             self->limits.header_bytes + max_unparsed_bytes);
+        caller_connection connection{stream, buffer, place, self->limits};
         boost::system::error_code ignored;
         stream.socket().set_option(tcp::no_delay(true), ignored);
-        while (co_await self->exchange(id, stream, buffer)) {
+        place.enter(caller_stage::new_connection);
+        while (co_await self->exchange(connection)) {
+            place.enter(caller_stage::idle);
+            if (buffer.size() == 0)
+                buffer.shrink_to_fit();
+            place.hold(buffer.capacity());
         }
-        self->unregister(id);
         stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     }
 
-    // Reads until a request has begun. Returns false if the client leaves, is
-    // idle for too long or sends too many empty lines, or if a stop finds no
-    // request.
-    asio::awaitable<bool> await_request(
-        std::uint64_t id, beast::tcp_stream& stream, beast::flat_buffer& buffer)
+    // Serves one request; returns whether the connection can be kept.
+    asio::awaitable<bool> exchange(caller_connection& connection)
     {
-        // Empty lines do not prolong it.
-        stream.expires_after(this->limits.idle_timeout);
-        auto skipped = remove_empty_lines(buffer);
-        while (!holds_request(buffer)) {
-            if (skipped > this->limits.header_bytes ||
-                (this->draining && !has_bytes(stream)))
-                co_return false;
-            this->set_idle(id, true);
-            const auto [failed, size] =
-                co_await stream.async_read_some(buffer.prepare(4096), as_pair);
-            this->set_idle(id, false);
-            if (failed)
-                co_return false;
-            buffer.commit(size);
-            skipped += remove_empty_lines(buffer);
+        if (!co_await internal::await_request(connection, this->draining))
+            co_return false;
+        auto arrived = co_await internal::read_request(connection);
+        if (arrived.request) {
+            const auto size = arrived.request->body().capacity();
+            const auto held = size * this->limits.serving_cost;
+            if (connection.place.hold_to_serve(held))
+                co_return co_await this->serve_request(
+                    connection, std::move(*arrived.request), held);
+            arrived = {std::nullopt, internal::no_memory()};
         }
-        co_return true;
-    }
-
-    // Empty if there is no request to handle; one that is malformed has been
-    // answered.
-    asio::awaitable<std::optional<http_request>>
-    read_request(beast::tcp_stream& stream, beast::flat_buffer& buffer)
-    {
-        http::request_parser<http::string_body> parser;
-        parser.header_limit(std::uint32_t(this->limits.header_bytes));
-        parser.body_limit(this->limits.body_bytes);
-        stream.expires_after(this->limits.read_timeout);
-        const auto [failed, size] =
-            co_await http::async_read(stream, buffer, parser, as_pair);
-        if (failed) {
-            co_await this->refuse_malformed(stream, failed);
-            co_return std::nullopt;
+        if (arrived.refusal) {
+            co_await this->refuse(connection, *arrived.refusal);
+            if (!this->draining)
+                co_await internal::drop_rest(connection);
         }
-        const auto framing = check_framing(parser.get().base());
-        if (framing == request_framing::valid)
-            co_return parser.release();
-        const bool ambiguous = framing == request_framing::ambiguous;
-        const std::string detail =
-            ambiguous ? "ambiguous framing" : "unsupported transfer coding";
-        co_await this->refuse(stream, ambiguous ? 400 : 501, detail);
-        co_return std::nullopt;
+        co_return false;
     }
 
-    // Serves one request; returns whether the connection can be kept.
-    asio::awaitable<bool> exchange(
-        std::uint64_t id, beast::tcp_stream& stream, beast::flat_buffer& buffer)
+    asio::awaitable<bool> serve_request(
+        caller_connection& connection, http_request request, std::size_t held)
     {
-        if (!co_await this->await_request(id, stream, buffer))
-            co_return false;
-        auto request = co_await this->read_request(stream, buffer);
-        if (!request)
-            co_return false;
         stream_exchange exchange(
-            stream,
+            connection.stream,
             this->limits,
             this->closing,
-            request->method(),
-            request->version(),
-            request->keep_alive());
+            request.method(),
+            request.version(),
+            request.keep_alive());
+        exchange.set_place(connection.place, held);
         ++this->in_progress;
-        stream.expires_never();
+        connection.place.enter(caller_stage::serving);
+        connection.stream.expires_never();
         try {
-            co_await this->handler(std::move(*request), exchange);
+            co_await this->handler(std::move(request), exchange);
         } catch (const std::exception& failure) {
             this->note_handler_failure(failure);
         }
@@ -207,39 +170,26 @@
         boost::system::error_code ignored;
         // Not shut down first, which would look like the end of the stream.
         if (exchange.is_unended_stream())
-            stream.socket().close(ignored);
+            connection.stream.socket().close(ignored);
         co_return exchange.reusable();
     }
 
-    asio::awaitable<void> refuse_malformed(
-        beast::tcp_stream& stream, boost::system::error_code failed)
-    {
-        if (failed == http::error::end_of_stream ||
-            failed.category() !=
-                boost::system::error_code(http::error::bad_method).category())
-            co_return;
-        const bool large = failed == http::error::body_limit ||
-                           failed == http::error::header_limit ||
-                           failed == http::error::buffer_overflow;
-        const auto detail = "malformed request: " + failed.message();
-        co_await this->refuse(stream, large ? 413 : 400, detail);
-    }
-
     // Answers a request that is not handled; the connection closes.
-    asio::awaitable<void>
-    refuse(beast::tcp_stream& stream, unsigned status, std::string detail)
+    asio::awaitable<void> refuse(
+        caller_connection& connection, const internal::request_refusal& refusal)
     {
         stream_exchange exchange(
-            stream,
+            connection.stream,
             this->limits,
             this->closing,
             http::verb::unknown,
             11,
             false);
-        const auto failure = base::not_run(
-            base::failure_code::invalid_request, std::move(detail));
         co_await exchange.respond(
-            status, "application/problem+json", problem_json(failure), {});
+            refusal.status,
+            "application/problem+json",
+            problem_json(refusal.why),
+            retry_after_of(refusal.why));
     }
 
     // The volume of the log stays bounded if every request fails.
@@ -253,52 +203,6 @@
                 failure.what());
     }
 
-    std::uint64_t register_stream(beast::tcp_stream& stream)
-    {
-        const std::lock_guard lock(this->mutex);
-        ++this->open;
-        this->streams.emplace(this->next_id, connection{&stream});
-        return this->next_id++;
-    }
-
-    void set_idle(std::uint64_t id, bool idle)
-    {
-        const std::lock_guard lock(this->mutex);
-        this->streams.at(id).idle = idle;
-    }
-
-    static bool has_bytes(beast::tcp_stream& stream)
-    {
-        boost::system::error_code failed;
-        return stream.socket().available(failed) > 0 && !failed;
-    }
-
-    // Ends the present operation of the connections, or of the idle ones on
-    // which no request has arrived.
-    void cancel(bool only_idle)
-    {
-        const std::lock_guard lock(this->mutex);
-        for (const auto& [id, kept] : this->streams)
-            asio::post(
-                kept.stream->get_executor(),
-                [self = this->shared_from_this(), id = id, only_idle] {
-                    const std::lock_guard inner(self->mutex);
-                    const auto found = self->streams.find(id);
-                    if (found == self->streams.end())
-                        return;
-                    auto& [stream, idle] = found->second;
-                    if (!only_idle || (idle && !has_bytes(*stream)))
-                        stream->cancel();
-                });
-    }
-
-    void unregister(std::uint64_t id)
-    {
-        const std::lock_guard lock(this->mutex);
-        --this->open;
-        this->streams.erase(id);
-    }
-
     asio::io_context& io;
     tcp::acceptor acceptor;
     asio::steady_timer accept_timer;
@@ -306,17 +210,9 @@
     const http_handler handler;
     std::atomic<bool> draining{false};
     std::atomic<bool> closing{false};
-    std::atomic<std::size_t> open{0};
     std::atomic<std::size_t> in_progress{0};
     std::atomic<std::uint64_t> handler_failures{0};
-    std::mutex mutex;
-    std::uint64_t next_id = 1;
-    struct connection {
-        beast::tcp_stream* stream = nullptr;
-        // Waits for the first byte of a request.
-        bool idle = false;
-    };
-    std::unordered_map<std::uint64_t, connection> streams;
+    const std::shared_ptr<internal::caller_registry> callers;
 };
 
 http_server::http_server(
@@ -346,7 +242,7 @@
         boost::system::error_code ignored;
         state->acceptor.close(ignored);
     });
-    this->state->cancel(true);
+    this->state->callers->cancel(true);
 }
 
 void http_server::stop_keeping()
@@ -357,7 +253,7 @@
 void http_server::shutdown()
 {
     this->drain();
-    this->state->cancel(false);
+    this->state->callers->cancel(false);
 }
 
 std::size_t http_server::active() const
@@ -367,7 +263,17 @@
 
 std::size_t http_server::connections() const
 {
-    return this->state->open;
+    return this->state->callers->size();
+}
+
+std::size_t http_server::held_bytes() const
+{
+    return this->state->callers->held_bytes();
+}
+
+caller_counters http_server::limited() const
+{
+    return this->state->callers->counters();
 }
 
 std::string problem_json(const base::verdict& failure)
@@ -388,17 +294,11 @@
 asio::awaitable<bool>
 respond_problem(http_exchange& exchange, const base::verdict& failure)
 {
-    std::vector<wire::header> headers;
-    if (failure.retry_after.count() > 0) {
-        // The header counts whole seconds; the exact wait is in the body.
-        const auto seconds = (failure.retry_after.count() + 999) / 1000;
-        headers.push_back({"Retry-After", std::to_string(seconds)});
-    }
     co_return co_await exchange.respond(
         base::http_status(failure),
         "application/problem+json",
         problem_json(failure),
-        std::move(headers));
+        retry_after_of(failure));
 }
 
 } // namespace oleanderhinge::net
--- a/oleanderhinge/net/http_server.hpp
+++ b/oleanderhinge/net/http_server.hpp
@@ -1,8 +1,9 @@
 // An HTTP/1.1 server over Boost.Beast for callers, operators and metrics.
 //
 // The handler is a coroutine that gets the request and an exchange to answer
-// it with, whole or as a stream of chunks. Sizes and times are bounded, so a
-// slow or hostile client holds only its own connection.
+// it with, whole or as a stream of chunks. Sizes and times are bounded, also
+// over all connections, so that slow or hostile clients hold only a part of the
+// process's memory and descriptors (caller_table.hpp).
 //
 // Example:
 //   http_server server{io, limits, [](http_request r, http_exchange& e)
@@ -12,6 +13,7 @@
 
 #include "oleanderhinge/base/error.hpp"
 #include "oleanderhinge/base/verdict.hpp"
+#include "oleanderhinge/net/caller_table.hpp"
 #include "oleanderhinge/wire/messages.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -36,13 +38,23 @@
 struct http_limits {
     std::size_t header_bytes = 16 * 1024;
     std::size_t body_bytes = 1024 * 1024;
-    // For reading one whole request after its first byte.
+    // For reading a head after its first byte, and the longest time without
+    // progress in a body.
     std::chrono::milliseconds read_timeout{10000};
-    // For one write to a client that reads slowly.
+    // For one write of a stream, and the longest time without progress in a
+    // whole answer.
     std::chrono::milliseconds write_timeout{10000};
     // For the next request on a kept connection.
     std::chrono::milliseconds idle_timeout{75000};
     std::size_t max_connections = 10000;
+    // Memory of all requests that arrive or are served, and of whole answers,
+    // in bytes.
+    std::size_t memory = std::size_t(16) << 20;
+    // Memory that a request is counted with while it is served, in bytes for
+    // each byte of its body.
+    std::size_t serving_cost = 1;
+    // Whether whole answers count; not if the handler counts them.
+    bool counts_answers = true;
     // Whether answers carry a Server field of this program.
     bool names_itself = true;
 };
@@ -101,6 +113,10 @@
     // Exchanges whose handler has not finished.
     std::size_t active() const;
     std::size_t connections() const;
+    // Memory that the connections hold, in bytes.
+    std::size_t held_bytes() const;
+    // Connections that were closed or refused for lack of memory or places.
+    caller_counters limited() const;
 
 private:
     struct impl;
--- a/oleanderhinge/net/internal/stream_exchange.cpp
+++ b/oleanderhinge/net/internal/stream_exchange.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace oleanderhinge::net::internal
@@ -72,6 +73,37 @@
     this->stream.socket().set_option(tcp::socket::linger(reset, 0), ignored);
 }
 
+void stream_exchange::set_place(caller_place& counted, std::size_t held)
+{
+    this->place = &counted;
+    this->request_bytes = held;
+}
+
+// The time for the answer begins anew with each part of it that the client
+// takes, as far as that is progress.
+asio::awaitable<bool>
+stream_exchange::write_whole(http::response<http::string_body> answer)
+{
+    http::response_serializer<http::string_body> serializer(answer);
+    if (this->place != nullptr)
+        this->place->enter(caller_stage::sending);
+    while (!serializer.is_done()) {
+        auto limit = std::chrono::duration_cast<base::duration>(
+            this->limits.write_timeout);
+        if (this->place != nullptr)
+            limit -= this->place->silence();
+        this->stream.expires_after(
+            std::max<base::duration>(limit, std::chrono::milliseconds(1)));
+        const auto [failed, size] =
+            co_await http::async_write_some(this->stream, serializer, as_pair);
+        if (!this->ok(failed))
+            co_return false;
+        if (this->place != nullptr)
+            this->place->note_bytes(size);
+    }
+    co_return true;
+}
+
 bool stream_exchange::ok(boost::system::error_code failed)
 {
     if (failed)
@@ -85,6 +117,15 @@
     std::string body,
     std::vector<wire::header> headers)
 {
+    const auto needed = this->request_bytes + body.capacity();
+    if (this->limits.counts_answers && this->place != nullptr &&
+        !this->place->hold_to_serve(needed)) {
+        status = 503;
+        body.clear();
+        body.shrink_to_fit();
+        headers.clear();
+        this->keep_alive = false;
+    }
     http::response<http::string_body> answer(
         http::status(status), this->version);
     this->set_headers(answer, content_type, headers);
@@ -98,9 +139,7 @@
     }
     answer.body() = std::move(body);
     answer.prepare_payload();
-    const auto [failed, size] =
-        co_await http::async_write(this->stream, answer, as_pair);
-    co_return this->ok(failed);
+    co_return co_await this->write_whole(std::move(answer));
 }
 
 asio::awaitable<bool> stream_exchange::begin_stream(
--- a/oleanderhinge/net/internal/stream_exchange.hpp
+++ b/oleanderhinge/net/internal/stream_exchange.hpp
@@ -7,8 +7,11 @@
 #pragma once
 
 #include "oleanderhinge/net/http_server.hpp"
+#include "oleanderhinge/net/internal/caller_registry.hpp"
 
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/verb.hpp>
 
 #include <atomic>
@@ -41,6 +44,11 @@
     bool client_gone() override;
     void watch_client(std::function<void()> callback) override;
 
+    // The place of the connection, which holds so many bytes for the request.
+    // Where whole answers count, one for which there is no memory is replaced
+    // by an empty 503.
+    void set_place(caller_place& place, std::size_t held);
+
     // A stream without its end must not look complete, so the connection is
     // closed then.
     bool reusable() const
@@ -65,6 +73,8 @@
     }
     // A stream to a caller of HTTP/1.0 has none and ends with its connection.
     bool has_chunks() const { return this->version >= 11; }
+    boost::asio::awaitable<bool> write_whole(
+        boost::beast::http::response<boost::beast::http::string_body> answer);
     // A reset shows the caller that a stream without chunks broke off.
     void reset_on_close(bool reset);
     bool ok(boost::system::error_code failed);
@@ -76,6 +86,8 @@
     const boost::beast::http::verb method;
     const unsigned version;
     bool keep_alive;
+    caller_place* place = nullptr;
+    std::size_t request_bytes = 0;
     std::shared_ptr<std::function<void()>> leave;
     bool answered = false;
     bool streaming = false;
--- a/oleanderhinge/net/management.cpp
+++ b/oleanderhinge/net/management.cpp
@@ -1,5 +1,7 @@
 #include "oleanderhinge/net/management.hpp"
 
+#include "oleanderhinge/net/descriptors.hpp"
+
 #include <prometheus/text_serializer.h>
 
 #include <charconv>
@@ -15,6 +17,10 @@
 {
 
 constexpr std::size_t max_events = 10000;
+// No page takes a body.
+constexpr std::size_t max_body_bytes = 4096;
+// For two pages of events.
+constexpr std::size_t page_memory = std::size_t(8) << 20;
 
 std::string metrics_text(const management_options& options)
 {
@@ -60,6 +66,15 @@
 
 } // namespace
 
+http_limits management_limits()
+{
+    http_limits limits;
+    limits.body_bytes = max_body_bytes;
+    limits.memory = page_memory;
+    limits.max_connections = split_descriptors(descriptor_limit()).management;
+    return limits;
+}
+
 http_handler management_handler(management_options options)
 {
     const auto held = std::make_shared<management_options>(std::move(options));
--- a/oleanderhinge/net/management.hpp
+++ b/oleanderhinge/net/management.hpp
@@ -2,7 +2,7 @@
 //
 // Example:
 //   prometheus::Registry registry;
-//   http_server server{io, {}, management_handler({
+//   http_server server{io, management_limits(), management_handler({
 //       .ready = [&] { return true; }, .registry = registry,
 //       .events = recorder, .before_scrape = [&] { ... }})};
 #pragma once
@@ -32,6 +32,9 @@
     std::function<void()> before_scrape;
 };
 
+// Limits that leave callers of other servers their memory and descriptors.
+http_limits management_limits();
+
 // Serves
 //   GET /healthz         200 while the process runs
 //   GET /readyz          200 or 503 with the reason
--- a/oleanderhinge/net/request_length.hpp
+++ b/oleanderhinge/net/request_length.hpp
@@ -6,14 +6,19 @@
 #pragma once
 
 #include <boost/beast/http/message.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 namespace oleanderhinge::net
 {
 
 // Sets the field of the length, for any method. Boost.Beast's `prepare_payload`
 // throws if TRACE has a body.
-void set_length(
-    boost::beast::http::request<boost::beast::http::string_body>& request);
+template <class Body>
+void set_length(boost::beast::http::request<Body>& request)
+{
+    if (const auto size = Body::size(request.body()); size > 0)
+        request.content_length(size);
+    else
+        request.prepare_payload();
+}
 
 } // namespace oleanderhinge::net
--- a/tests/deploy_test.cpp
+++ b/tests/deploy_test.cpp
@@ -39,6 +39,7 @@
         {"bounds.budgetWindowS", "10"},
         {"bounds.graceS", "8"},
         {"limits.memoryMb", "112"},
+        {"limits.fileDescriptors", "2870"},
         {"limits.linkMbps", "100.0"}};
     for (const auto& [key, value] : others)
         values[key] = value;
@@ -132,6 +133,7 @@
          {"bounds.graceS", "4.5"},
          {"limits.memoryMb", "37.333333"}});
     EXPECT_EQ(chosen.memory, 37333333U);
+    EXPECT_EQ(chosen.descriptors, 2870U);
     EXPECT_DOUBLE_EQ(chosen.retries.slack, 59.69696969696969);
     EXPECT_EQ(chosen.retries.window, std::chrono::milliseconds(2500));
     EXPECT_LT(chosen.times.drain_limit, std::chrono::milliseconds(4500));
@@ -148,7 +150,8 @@
          "bounds.budgetWindowS",
          "bounds.retryBudgetRatio",
          "bounds.graceS",
-         "limits.memoryMb"});
+         "limits.memoryMb",
+         "limits.fileDescriptors"});
     EXPECT_EQ(gateway.seeds.size(), 3U);
     const auto control = checked<control::control_settings>(
         "control.ini",
