Merge one account of what callers make a process hold

Conflicts: limits of the standby's servers; the copy of a request that a takeover makes shares the request's body, which the merge alone would have sent empty (a line in stream_takeover_test guards it).

--- a/oleanderhinge/control/service.cpp
+++ b/oleanderhinge/control/service.cpp
@@ -129,6 +129,7 @@
         this->options.self_managed ? this->needed() : 0);
     this->numbers.set_gauges(this->links.counters());
     this->numbers.set_subscribers(this->subscribers);
+    this->caller_numbers.update(this->admin);
 }
 
 service::service(
--- a/oleanderhinge/control/standby.cpp
+++ b/oleanderhinge/control/standby.cpp
@@ -1,5 +1,6 @@
 #include "oleanderhinge/control/standby.hpp"
 
+#include "oleanderhinge/control/admin_limits.hpp"
 #include "oleanderhinge/control/json.hpp"
 
 #include <boost/asio/post.hpp>
@@ -32,14 +33,14 @@
     , links(context, this->clock, this->options.link, this->link_handlers())
     , admin(
           context,
-          {},
+          admin_limits(),
           [this](net::http_request request, net::http_exchange& exchange)
               -> boost::asio::awaitable<void> {
               co_await this->answer(request, exchange);
           })
     , management(
           context,
-          {},
+          net::management_limits(),
           net::management_handler(
               {.ready =
                    [] {
--- a/oleanderhinge/gateway/forwarder.hpp
+++ b/oleanderhinge/gateway/forwarder.hpp
@@ -54,6 +54,8 @@
     bool move_streams_early = false;
     // For answers that are not passed on yet, over all requests; in bytes.
     std::size_t answer_memory = default_memory_bytes / answer_memory_part;
+    // Connections to servers, in use and idle.
+    std::size_t max_connections = no_connection_limit;
     // Called when requests that depend on this server make no progress.
     std::function<void(const wire::endpoint&)> report_suspect;
     // Called with news about crashes, for the other gateways.
@@ -183,7 +185,7 @@
         forwarding_request& request,
         upstream_connection& connection,
         const base::backend_server_id& server,
-        net::http_request to_send);
+        backend_request to_send);
     bool may_send(
         const forwarding_request& request,
         const base::backend_server_id& server,
@@ -221,7 +223,7 @@
     std::chrono::milliseconds
     retry_after(const forwarding_request& request, base::time_point now);
 
-    net::http_request make_backend_request(
+    backend_request make_backend_request(
         const forwarding_request& request,
         const fleet::path& parts,
         const base::backend_server_id& server) const;
--- a/oleanderhinge/gateway/internal/takeover.cpp
+++ b/oleanderhinge/gateway/internal/takeover.cpp
@@ -10,7 +10,7 @@
     fleet::path parts,
     takeover_cause why,
     std::set<wire::endpoint> avoided_in)
-    : next(present.incoming, present.exchange)
+    : next(present, present.exchange)
     , cause(why)
     , avoided(std::move(avoided_in))
 {
--- a/oleanderhinge/gateway/settings.hpp
+++ b/oleanderhinge/gateway/settings.hpp
@@ -42,6 +42,8 @@
     bool move_streams_early = false;
     // Memory that the process may use, in bytes.
     std::size_t memory = default_memory_bytes;
+    // Open descriptors that the process may have.
+    std::size_t descriptors = 65536;
 };
 
 // Fails with `out_of_range` if a relation between settings is broken.
--- a/oleanderhinge/gateway/stream_takeover_test.cpp
+++ b/oleanderhinge/gateway/stream_takeover_test.cpp
@@ -94,6 +94,7 @@
 {
     this->expect_stream(stream, three_events);
     EXPECT_EQ(this->second.seen.front()["After"], "1");
+    EXPECT_EQ(this->second.seen.front().body(), this->request_body);
     EXPECT_EQ(this->stats.resumed_streams.Value(), 1);
 }
 
