--- a/oleanderhinge/control/internal/service_group.cpp
+++ b/oleanderhinge/control/internal/service_group.cpp
@@ -133,7 +133,7 @@
         const bool is_member = std::any_of(
             status.members.begin(),
             status.members.end(),
-            [&peer](const auto& item) { return item.vm == peer.vm; });
+            [&vm = peer.vm](const auto& item) { return item.vm == vm; });
         // Only among members does a broken link delay elections.
         this->links.set_busy(link, is_member);
         if (!is_member)
