--- a/oleanderhinge/gateway/path_change.cpp
+++ b/oleanderhinge/gateway/path_change.cpp
@@ -81,7 +81,8 @@
         known.erase(server);
         return;
     }
-    const auto [found, added] = known.try_emplace(server, standing, now);
+    const auto [found, added] =
+        known.try_emplace(server, departure{standing, now});
     if (!added && found->second.standing != standing)
         found->second = {standing, now};
 }
