net: no caller is closed for a request that is refused anyway

Cause, found by a review: callers without progress were closed one after the other until a request fitted, also if closing all of them was not enough, so that a refused upload took slow callers with it. The memory of a refused body stayed on the account for a second after it was gone. Ruled out: closing none at all, as stopped callers would then keep the memory. Change: the sum of what may be closed is compared first; the account follows the refused body at once.

--- a/oleanderhinge/net/caller_table.cpp
+++ b/oleanderhinge/net/caller_table.cpp
@@ -99,12 +99,24 @@
     return bytes <= held || memory.used - held + bytes <= memory.limit;
 }
 
-// Closes callers without progress until `fits`.
+// Closes callers without progress until `has_room`, and none if closing all of
+// them would not be enough.
 template <class Fits>
 caller_decision make_room(
     caller_table& table, caller_id id, base::time_point now, Fits has_room)
 {
     caller_decision decision;
+    std::size_t closable = 0;
+    for (const auto& [other, item] : table.callers)
+        if (other != id && may_close_for_memory(item, now))
+            closable += item.held;
+    table.memory.used -= closable;
+    const bool enough = has_room();
+    table.memory.used += closable;
+    if (!enough) {
+        ++table.counters.refused_memory;
+        return decision;
+    }
     while (!(decision.granted = has_room())) {
         const auto other = caller_to_close_for_memory(table, id, now);
         if (!other)
--- a/oleanderhinge/net/http_server.cpp
+++ b/oleanderhinge/net/http_server.cpp
@@ -135,6 +135,8 @@
             arrived = {std::nullopt, internal::no_memory()};
         }
         if (arrived.refusal) {
+            // The body is gone.
+            connection.place.hold(connection.buffer.capacity());
             co_await this->refuse(connection, *arrived.refusal);
             if (!this->draining)
                 co_await internal::drop_rest(connection);
