--- a/oleanderhinge/control/fleet_watch.cpp
+++ b/oleanderhinge/control/fleet_watch.cpp
@@ -68,8 +68,8 @@
     });
 }
 
-// Adds the servers of a recorded plan that are not ready, though nothing speaks
-// against them, with the layers that they should hold. One that substitutes
+// Adds the servers of a recorded plan that are not ready, but not known to be
+// lost either, with the layers that they should hold. One that substitutes
 // replace stays replaced until it reports.
 void add_unknown(
     std::vector<wire::server_record>& present,
--- a/oleanderhinge/control/fleet_watch_test.cpp
+++ b/oleanderhinge/control/fleet_watch_test.cpp
@@ -167,7 +167,7 @@
         EXPECT_EQ(count, 1) << id.value();
 }
 
-// A chain of twelve servers, and members that hear of them in different ways.
+// A chain of twelve servers, and a member that gets some of their reports.
 struct planned_member {
     planned_member()
     {
--- a/oleanderhinge/control/group_test.cpp
+++ b/oleanderhinge/control/group_test.cpp
@@ -290,9 +290,9 @@
     }
 }
 
-// Guards against a reserve that follows a list of nodes which are long gone,
-// that two reserves keep telling each other, and against a node that disturbs
-// the members with elections after they have removed it.
+// Guards against a reserve that follows an outdated list of nodes, which two
+// reserves keep sending to each other, and against a node that disturbs the
+// members with elections after they have removed it.
 TEST(group, a_reserve_follows_the_lists_of_members)
 {
     const std::vector<wire::endpoint> members{{"b", 1}, {"c", 1}};
