gateway: log what a planned stop accepts and cuts off

Callers saw streams that ended without a whole answer around a SIGTERM or a change of the table; the logs did not say why the stopping gateway had taken them, and had no line at all for a request that the end of the process broke off, since event=answer is written after it.

Hypotheses that the record left open: (1) a gateway that stops takes requests that it cannot finish; (2) a second signal ends the drain early; (3) the kill of the platform comes before the end of the drain, as a slow machine handles the signal late; (4) a change of the table ends requests.

Change: event=drain_decision (time left, time expected) for each request during a drain, event=answer_cut for each answer that its end breaks off, and the longest answer that the caller states (answer_tokens) in event=answer.

Run: platform_test, gateway_test drain, request_times and forwarder suites.

--- a/oleanderhinge/gateway/forwarder.cpp
+++ b/oleanderhinge/gateway/forwarder.cpp
@@ -339,7 +339,7 @@
     spdlog::info(
         "event=answer request={} route={} customer={} version={} outcome={} "
         "attempts={} hedge={} to={} framing={} body_bytes={} events={} "
-        "last_event={} "
+        "last_event={} answer_tokens={} "
         "took_ms={:.0f}",
         request.metadata.id,
         request.route == nullptr ? "" : request.route->name,
@@ -353,6 +353,7 @@
         request.body_bytes,
         request.events.event_count,
         request.events.last_id,
+        request.metadata.answer_tokens.value_or(0),
         ms_since(request.arrived));
 }
 
--- a/oleanderhinge/gateway/forwarder.hpp
+++ b/oleanderhinge/gateway/forwarder.hpp
@@ -114,6 +114,10 @@
     boost::asio::awaitable<void> await_table(forwarding_request& request);
     std::optional<base::verdict> drain_verdict(
         const forwarding_request& request, base::time_point now) const;
+    base::duration time_to_answer(
+        const forwarding_request& request, base::time_point now) const;
+    void log_drain_decision(const forwarding_request& request);
+    void log_cut_answers();
     void note_end(const forwarding_request& request, base::time_point started);
     void end_unanswered();
     boost::asio::awaitable<void> serve_call(forwarding_request& request);
--- a/oleanderhinge/gateway/internal/forwarder_calls.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_calls.cpp
@@ -24,6 +24,7 @@
     if (hedged)
         retry::note_request(
             this->hedge_limit_of(request), base::monotonic_now());
+    this->log_drain_decision(request);
     while (true) {
         if (const auto why = this->attempt_verdict(request))
             co_return co_await this->fail_request(request, *why);
--- a/oleanderhinge/gateway/internal/forwarder_drain.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_drain.cpp
@@ -1,5 +1,7 @@
 #include "oleanderhinge/gateway/internal/attempt.hpp"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 
 namespace oleanderhinge::gateway
@@ -40,6 +42,54 @@
 {
     this->begin_drain(base::monotonic_now());
     this->end_unanswered();
+    this->log_cut_answers();
+}
+
+// The process ends before these requests reach `log_answer`.
+void forwarder::log_cut_answers()
+{
+    for (const auto& request : this->running)
+        if (request->head_sent)
+            spdlog::warn(
+                "event=answer_cut request={} route={} attempts={} to={} "
+                "events={} answer_tokens={} took_ms={:.0f}",
+                request->metadata.id,
+                request->route->name,
+                request->attempts,
+                request->logged_path,
+                request->events.event_count,
+                request->metadata.answer_tokens.value_or(0),
+                ms_since(request->arrived));
+}
+
+// What decides whether a request that arrives during a drain is accepted.
+void forwarder::log_drain_decision(const forwarding_request& request)
+{
+    const auto now = base::monotonic_now();
+    if (!this->drain_end || !this->log.try_take(now))
+        return;
+    const auto ms = [](base::duration time) {
+        return std::chrono::duration_cast<milliseconds>(time).count();
+    };
+    spdlog::info(
+        "event=drain_decision request={} route={} accepted={} left_ms={} "
+        "expected_ms={} answer_tokens={}",
+        request.metadata.id,
+        request.route->name,
+        !this->drain_verdict(request, now),
+        ms(*this->drain_end - now),
+        ms(this->time_to_answer(request, now)),
+        request.metadata.answer_tokens.value_or(0));
+}
+
+base::duration forwarder::time_to_answer(
+    const forwarding_request& request, base::time_point now) const
+{
+    const auto presumed = presumed_duration(*request.route, *request.service);
+    const auto found = this->durations.find(request.service->name);
+    return found == this->durations.end()
+               ? presumed
+               : expected_duration(found->second, presumed, now);
 }
 
 // Ends the attempts of requests whose callers have nothing yet, as at their
@@ -66,12 +116,8 @@
     const bool time_left = now < deadline;
     if (time_left && deadline <= *this->drain_end)
         return {};
-    const auto presumed = presumed_duration(*request.route, *request.service);
-    const auto found = this->durations.find(request.service->name);
-    const auto expected = found == this->durations.end()
-                              ? presumed
-                              : expected_duration(found->second, presumed, now);
-    if (time_left && now + expected < *this->drain_end)
+    if (time_left &&
+        now + this->time_to_answer(request, now) < *this->drain_end)
         return {};
     return base::not_run(
         failure_code::server_leaving,
--- a/oleanderhinge/gateway/internal/forwarder_streams.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_streams.cpp
@@ -45,6 +45,7 @@
 
 asio::awaitable<void> forwarder::serve_stream(forwarding_request& request)
 {
+    this->log_drain_decision(request);
     while (true) {
         if (const auto why = this->attempt_verdict(request))
             co_return co_await this->fail_request(request, *why);
--- a/oleanderhinge/gateway/protocol_adapter.hpp
+++ b/oleanderhinge/gateway/protocol_adapter.hpp
@@ -41,6 +41,8 @@
     std::string key;
     // Id of the last event that the caller has received; empty: none.
     std::string last_event;
+    // The most tokens that the answer may have; empty: not stated.
+    std::optional<std::uint32_t> answer_tokens;
     // Parts of the prompt; without shared parts if none are stated.
     fleet::prompt prompt;
 };
