gateway: a stop takes no stream whose longest answer would outlast it

What callers saw: streams of a gateway that stops end 6.3 to 6.8 s after the request came, inside the answer, in calm planned work. Cause: a stopping gateway judged a new stream by what earlier ones of its service took: a longest time that halves in 15 s, and the last one. Answers of one service differ by more than tenfold, so a gateway that has seen few of them, or short ones lately, expects 2.7 s of one that takes 9. Class of fault: a bound that must hold for one request is taken from an estimate over others. Change: the most tokens that the caller states, at the present speed of the chosen path, bound the expectation from below, and half as much again is allowed for servers that slow down meanwhile. The refusal's Retry-After is 0.01 s: another gateway has the table and room, and nothing is gained by a wait.

--- a/oleanderhinge/gateway/drain_test.cpp
+++ b/oleanderhinge/gateway/drain_test.cpp
@@ -133,6 +133,49 @@
     }
 }
 
+// The answers so far were short, and this one may be long. Guards against a
+// stream that is accepted by the time of earlier ones and cut off midway, and
+// against a caller that waits before another gateway serves it.
+TEST_F(drain, a_stream_that_may_outlast_it_is_refused_whatever_the_others_took)
+{
+    struct row {
+        const char* what;
+        std::optional<std::uint32_t> tokens;
+        double slowness;
+        bool served;
+    };
+    const std::vector<row> rows{
+        {"length not stated", std::nullopt, 1, true},
+        {"a short answer", 100, 1, true},
+        {"a long answer", 6000, 1, false},
+        {"a usual answer on a slow path", 600, 10, false},
+        {"more tokens than a time can hold", 4294967295, 1000, false},
+    };
+    this->first.behave = stream;
+    this->second.behave = stream;
+    for (const auto& row : rows) {
+        this->begin_drain(early);
+        this->answer_tokens.reset();
+        ASSERT_EQ(this->ask("/talk/x").answer.status, 200U) << row.what;
+        for (const auto* id : {"firstchat", "secondchat"})
+            fleet::note_load(
+                this->selector.servers,
+                base::backend_server_id{id},
+                {.slowness = row.slowness,
+                 .layers = {base::layer_index{0}, base::layer_index{4}}});
+        ++this->selector.generation;
+        this->first.seen.clear();
+        this->second.seen.clear();
+        this->begin_drain(late);
+        this->answer_tokens = row.tokens;
+        const auto outcome = this->ask("/talk/x");
+        EXPECT_EQ(outcome.answer.status, row.served ? 200U : 503U) << row.what;
+        EXPECT_EQ(this->runs(), row.served ? 1U : 0U) << row.what;
+        EXPECT_EQ(this->retry_after(outcome), row.served ? "" : "0.01")
+            << row.what;
+    }
+}
+
 // Guards against the times of one service that decide for another one, and
 // against refusals, late in a drain, of requests that end fast.
 TEST_F(drain, the_times_of_a_service_decide_for_it_alone)
--- a/oleanderhinge/gateway/forwarder_fixture_test.hpp
+++ b/oleanderhinge/gateway/forwarder_fixture_test.hpp
@@ -45,6 +45,9 @@
         metadata.prompt.own = part_of(metadata.id);
         if (!fields["Part"].empty())
             metadata.prompt.shared = {part_of(std::string(fields["Part"]))};
+        if (!fields["Tokens"].empty())
+            metadata.answer_tokens =
+                std::uint32_t(std::stoul(std::string(fields["Tokens"])));
         if (!fields["Patience"].empty())
             metadata.caller_timeout = std::chrono::milliseconds(
                 std::stoi(std::string(fields["Patience"])));
@@ -351,6 +354,9 @@
                     this->request_body};
                 if (!this->part.empty())
                     call.headers.push_back({"Part", this->part});
+                if (this->answer_tokens)
+                    call.headers.push_back(
+                        {"Tokens", std::to_string(*this->answer_tokens)});
                 if (this->patience.count() != 0)
                     call.headers.push_back(
                         {"Patience", std::to_string(this->patience.count())});
@@ -494,6 +500,8 @@
     std::string request_body = "body";
     // The caller's time; zero: two seconds.
     std::chrono::milliseconds patience{0};
+    // The longest answer that the caller states.
+    std::optional<std::uint32_t> answer_tokens;
     int state_queries = 0;
     std::string part;
     std::vector<wire::crash_evidence> shared_evidence;
--- a/oleanderhinge/gateway/forwarding_request.hpp
+++ b/oleanderhinge/gateway/forwarding_request.hpp
@@ -83,6 +83,8 @@
     std::uint32_t running_calls = 0;
     // Path of the present attempt; empty for plain services.
     fleet::path parts;
+    // Expected time of one token on the path that was chosen last; 0: none was.
+    double token_ms = 0;
     // The process that the present attempt was sent to.
     server_incarnation sent_to;
     steady_time attempt_started;
--- a/oleanderhinge/gateway/internal/forwarder_drain.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_drain.cpp
@@ -21,6 +21,11 @@
 constexpr auto max_table_wait = milliseconds(2000);
 // Limits the memory of waiting requests, each of which may hold a body.
 constexpr std::size_t max_table_waiters = 200;
+// Allowance for answers that take longer than expected: servers slow down while
+// an answer runs, mostly when other nodes stop too, and get its callers.
+constexpr double slowdown_allowance = 1.5;
+// Another gateway serves the caller at once.
+constexpr auto drain_retry_after = milliseconds(10);
 
 base::time_point to_time_point(steady_time time)
 {
@@ -87,9 +92,15 @@
 {
     const auto presumed = presumed_duration(*request.route, *request.service);
     const auto found = this->durations.find(request.service->name);
-    return found == this->durations.end()
-               ? presumed
-               : expected_duration(found->second, presumed, now);
+    auto expected = found == this->durations.end()
+                        ? presumed
+                        : expected_duration(found->second, presumed, now);
+    if (request.metadata.answer_tokens)
+        expected = std::max(
+            expected,
+            longest_answer(*request.metadata.answer_tokens, request.token_ms));
+    return std::chrono::duration_cast<base::duration>(
+        expected * slowdown_allowance);
 }
 
 // Ends the attempts of requests whose callers have nothing yet, as at their
@@ -121,7 +132,8 @@
         return {};
     return base::not_run(
         failure_code::server_leaving,
-        "this node stops before the request would end");
+        "this node stops before the request would end",
+        drain_retry_after);
 }
 
 void forwarder::note_end(
--- a/oleanderhinge/gateway/internal/forwarder_streams.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_streams.cpp
@@ -45,7 +45,6 @@
 
 asio::awaitable<void> forwarder::serve_stream(forwarding_request& request)
 {
-    this->log_drain_decision(request);
     while (true) {
         if (const auto why = this->attempt_verdict(request))
             co_return co_await this->fail_request(request, *why);
@@ -71,6 +70,11 @@
                 "all paths are full or wait too long");
             co_return co_await this->fail_request(request, why);
         }
+        request.token_ms = found.token_ms;
+        this->log_drain_decision(request);
+        if (const auto why =
+                this->drain_verdict(request, base::monotonic_now()))
+            co_return co_await this->fail_request(request, *why);
         auto result =
             co_await this->attempt_stream(request, std::move(found.parts));
         while (result.end == attempt_end::replaced)
--- a/oleanderhinge/gateway/request_times.cpp
+++ b/oleanderhinge/gateway/request_times.cpp
@@ -20,6 +20,14 @@
     return base::duration(std::int64_t(double(times.longest.count()) * factor));
 }
 
+// At most `max_presumed_ms`, also for a value that is no number.
+base::duration from_ms(double ms)
+{
+    if (!(ms < max_presumed_ms))
+        ms = max_presumed_ms;
+    return std::chrono::milliseconds(std::int64_t(ms));
+}
+
 } // namespace
 
 void note_request_started(request_times& times, base::time_point started)
@@ -67,11 +75,12 @@
         ms += engine.usual_answer_tokens *
               (engine.step_ms + engine.step_ms_per_request);
     }
-    if (!(ms < max_presumed_ms))
-        ms = max_presumed_ms;
-    return std::max(
-        least_presumed_duration,
-        base::duration(std::chrono::milliseconds(std::int64_t(ms))));
+    return std::max(least_presumed_duration, from_ms(ms));
+}
+
+base::duration longest_answer(std::uint32_t tokens, double token_ms)
+{
+    return from_ms(tokens * token_ms);
 }
 
 } // namespace oleanderhinge::gateway
--- a/oleanderhinge/gateway/request_times.hpp
+++ b/oleanderhinge/gateway/request_times.hpp
@@ -14,6 +14,7 @@
 #include "oleanderhinge/base/time.hpp"
 #include "oleanderhinge/wire/forwarding.hpp"
 
+#include <cstdint>
 #include <optional>
 #include <set>
 
@@ -61,4 +62,7 @@
     const wire::forwarding_route& route,
     const wire::forwarding_service& service);
 
+// The time of an answer of this many tokens; an hour at most.
+base::duration longest_answer(std::uint32_t tokens, double token_ms);
+
 } // namespace oleanderhinge::gateway
--- a/oleanderhinge/gateway/server_choice.cpp
+++ b/oleanderhinge/gateway/server_choice.cpp
@@ -457,7 +457,10 @@
             now))
         return {{}, true, {}};
     return {
-        drawn_path, false, first_event_wait(selector, drawn_path.front(), now)};
+        drawn_path,
+        false,
+        first_event_wait(selector, drawn_path.front(), now),
+        candidates[index].token_ms};
 }
 
 server_standing
--- a/oleanderhinge/gateway/server_choice.hpp
+++ b/oleanderhinge/gateway/server_choice.hpp
@@ -212,6 +212,8 @@
     bool overloaded = false;
     // Wait for a first event to expect on the path.
     base::duration expected_wait{0};
+    // Expected time of one token; see `server_selector::candidate`.
+    double token_ms = 0;
 };
 
 // Draws a path over all layers by weight, without the servers in `tried`. Paths
