net: a repeated SIGTERM leaves the drain its time

What callers see: a process that already drains and gets SIGTERM again, as overlapping rolling stops send it, closes at once; streams are cut and calls in progress get 504. Cause: a second signal of either kind was taken for an operator's wish to end the process now. Class of fault: one signal with two meanings. Change: SIGTERM starts a drain and does nothing in one; SIGINT, as from a terminal, still ends it at once. Ruled out: to ignore both (a developer at a terminal then waits for the drain). process.a_repeated_stop_leaves_the_drain_its_time failed before: exit code 3 where 0 is expected.

--- a/oleanderhinge/gateway/drain_test.cpp
+++ b/oleanderhinge/gateway/drain_test.cpp
@@ -326,7 +326,7 @@
         "id: 1\ndata: a\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n");
 }
 
-// A second signal, or a pause of the process, ends the drain without a further
+// SIGINT, or a pause of the process, ends the drain without a further
 // tick. Guards against requests that are cut off without an answer by it.
 TEST_F(drain, requests_get_an_answer_if_it_ends_at_once)
 {
--- a/oleanderhinge/net/process.cpp
+++ b/oleanderhinge/net/process.cpp
@@ -42,17 +42,24 @@
 private:
     void wait_for_signal()
     {
-        this->signals.async_wait([this](boost::system::error_code failed, int) {
-            if (failed)
-                return;
-            if (this->draining)
-                return this->end();
-            this->draining = true;
-            this->deadline = base::monotonic_now() + this->options.drain_limit;
-            this->options.begin_drain();
-            this->wait_for_signal();
-            this->poll();
-        });
+        this->signals.async_wait(
+            [this](boost::system::error_code failed, int received) {
+                if (failed)
+                    return;
+                if (this->draining) {
+                    if (received == SIGINT)
+                        return this->end();
+                    // Whoever stops many processes may repeat it.
+                    spdlog::info("event=signal_repeated signal={}", received);
+                    return this->wait_for_signal();
+                }
+                this->draining = true;
+                this->deadline =
+                    base::monotonic_now() + this->options.drain_limit;
+                this->options.begin_drain();
+                this->wait_for_signal();
+                this->poll();
+            });
     }
 
     void wait_for_hangup()
--- a/oleanderhinge/net/process.hpp
+++ b/oleanderhinge/net/process.hpp
@@ -37,9 +37,10 @@
 // all daemons, so that the lines of several processes can be merged.
 void set_log_format();
 
-// Runs `io` until the process has been told to end. The first signal starts
-// the drain; a second one or the limit ends it at once. Returns the exit code:
-// 0 after a complete drain, 3 if work was cut off. SIGHUP never ends it.
+// Runs `io` until the process ends. The first SIGTERM or SIGINT starts the
+// drain. The limit or SIGINT, as from a terminal, ends it at once; a repeated
+// SIGTERM does not. Returns the exit code: 0 after a complete drain, 3 if work
+// was cut off. SIGHUP never ends it.
 int run_process(boost::asio::io_context& io, const process_options& options);
 
 } // namespace oleanderhinge::net
--- a/oleanderhinge/net/process_test.cpp
+++ b/oleanderhinge/net/process_test.cpp
@@ -33,5 +33,27 @@
     EXPECT_EQ(reloads, 2);
 }
 
+// Guards against a drain that a second SIGTERM, as overlapping rolling stops
+// send it, cuts short with requests in progress.
+TEST(process, a_repeated_stop_leaves_the_drain_its_time)
+{
+    struct row {
+        int again;
+        int exit_code;
+    };
+    constexpr int cut_off = 3;
+    for (const auto& row : {row{SIGTERM, 0}, row{SIGINT, cut_off}}) {
+        boost::asio::io_context io;
+        int polls = 0;
+        process_options options;
+        options.threads = 1;
+        options.begin_drain = [&] { std::raise(row.again); };
+        options.drained = [&] { return ++polls > 3; };
+        options.stop = [] {};
+        boost::asio::post(io, [] { std::raise(SIGTERM); });
+        EXPECT_EQ(run_process(io, options), row.exit_code) << row.again;
+    }
+}
+
 } // namespace
 } // namespace oleanderhinge::net
