net: signals during the start of a process are handled after it

What operators see: a process that gets SIGHUP or SIGTERM in its first milliseconds ends by the signal; a reload is lost. Cause: handlers were installed in run_process, after settings were read and listeners opened. Change: main first holds the three signals; run_process lets them through once its handlers stand. A signal before main still ends the process. Ruled out: to ignore them meanwhile, which loses a reload. process.signals_during_the_start_are_handled_after_it needs the new function, so it could not run before; without hold_signals the raise ends the test program.

--- a/daemons/oleanderhinge_agent.cpp
+++ b/daemons/oleanderhinge_agent.cpp
@@ -79,6 +79,7 @@
 
 int main(int argc, char** argv)
 {
+    net::hold_signals();
     std::string path;
     bool check_only = false;
     CLI::App app("Agent beside a backend server", "oleanderhinge-agent");
--- a/daemons/oleanderhinge_entry.cpp
+++ b/daemons/oleanderhinge_entry.cpp
@@ -41,6 +41,7 @@
 
 int main(int argc, char** argv)
 {
+    net::hold_signals();
     CLI::App app{"Entry node of oleanderhinge: serves callers."};
     app.set_version_flag("--version", OLEANDERHINGE_VERSION);
     std::string file;
--- a/oleanderhinge/control/program.cpp
+++ b/oleanderhinge/control/program.cpp
@@ -242,6 +242,7 @@
 
 int run_program(int argc, const char* const* argv, const extension& added)
 {
+    net::hold_signals();
     CLI::App app{"Control node of oleanderhinge: configuration, plans and "
                  "claims."};
     std::string path;
--- a/oleanderhinge/net/process.cpp
+++ b/oleanderhinge/net/process.cpp
@@ -111,8 +111,23 @@
     bool ended = false;
 };
 
+sigset_t handled_signals()
+{
+    sigset_t handled;
+    sigemptyset(&handled);
+    for (const int number : {SIGTERM, SIGINT, SIGHUP})
+        sigaddset(&handled, number);
+    return handled;
+}
+
 } // namespace
 
+void hold_signals()
+{
+    const auto held = handled_signals();
+    pthread_sigmask(SIG_BLOCK, &held, nullptr);
+}
+
 void set_log_format()
 {
     spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%f%z %l %v");
@@ -122,6 +137,8 @@
 {
     const auto work = asio::make_work_guard(io);
     shutdown_sequence sequence(io, options);
+    const auto held = handled_signals();
+    pthread_sigmask(SIG_UNBLOCK, &held, nullptr);
     std::vector<std::jthread> threads;
     for (unsigned i = 1; i < std::max(1U, options.threads); ++i)
         threads.emplace_back([&io] { io.run(); });
--- a/oleanderhinge/net/process.hpp
+++ b/oleanderhinge/net/process.hpp
@@ -33,6 +33,11 @@
     std::function<void()> reload = {};
 };
 
+// Holds SIGTERM, SIGINT and SIGHUP back until `run_process` handles them. To be
+// called first in `main`: while settings are read and listeners opened, such a
+// signal would end the process, and the change that SIGHUP names would be lost.
+void hold_signals();
+
 // Log lines on standard output: time, level and the line, in the same form for
 // all daemons, so that the lines of several processes can be merged.
 void set_log_format();
--- a/oleanderhinge/net/process_test.cpp
+++ b/oleanderhinge/net/process_test.cpp
@@ -33,6 +33,26 @@
     EXPECT_EQ(reloads, 2);
 }
 
+// Guards against a process that ends by itself, or misses a change of its
+// settings, because a signal comes while it starts.
+TEST(process, signals_during_the_start_are_handled_after_it)
+{
+    hold_signals();
+    std::raise(SIGHUP);
+    std::raise(SIGTERM);
+    boost::asio::io_context io;
+    int reloads = 0;
+    int drains = 0;
+    process_options options;
+    options.threads = 1;
+    options.begin_drain = [&] { ++drains; };
+    options.drained = [&] { return reloads == 1; };
+    options.stop = [] {};
+    options.reload = [&] { ++reloads; };
+    EXPECT_EQ(run_process(io, options), 0);
+    EXPECT_EQ(drains, 1);
+}
+
 // Guards against a drain that a second SIGTERM, as overlapping rolling stops
 // send it, cuts short with requests in progress.
 TEST(process, a_repeated_stop_leaves_the_drain_its_time)
