gateway: the test of a drain that ends at once sends SIGINT

Cause: gateway_node.a_process_that_ends_answers_what_it_ has_accepted ended its drain by a second SIGTERM, which does nothing since 'a repeated SIGTERM leaves the drain its time'; the request was then answered by its wait for a table, and the check no longer guarded end_drain. Change: SIGINT, as strict as before.

--- a/oleanderhinge/gateway/gateway_node_test.cpp
+++ b/oleanderhinge/gateway/gateway_node_test.cpp
@@ -18,8 +18,8 @@
 using namespace std::chrono_literals;
 using namespace test;
 
-// Guards against a request that is cut off without an answer by a second
-// signal, or by a drain that ends before its last tick.
+// Guards against a request that is cut off without an answer by SIGINT in a
+// drain, or by a drain that ends before its last tick.
 TEST(gateway_node, a_process_that_ends_answers_what_it_has_accepted)
 {
     asio::io_context io;
@@ -30,7 +30,7 @@
     protocol.read_request =
         [&io, read = protocol.read_request](const http_fields& fields) {
             asio::post(io, [] { std::raise(SIGTERM); });
-            asio::post(io, [] { std::raise(SIGTERM); });
+            asio::post(io, [] { std::raise(SIGINT); });
             return read(fields);
         };
     gateway_node node(io, settings, protocol);
