gateway: a drain gives up no attempt that it would not repeat

What callers saw: 502 server_leaving, may have run, for a stream that its server had begun to work on when the gateway was told to stop. Cause: reserve_attempt, which decides whether a stream leaves its path, did not ask whether the drain allows another attempt. Class of fault: work is given up before what replaces it is granted. Change: no attempt is reserved that the drain would refuse. Ruled out: to let the drain pass such an attempt, which would be cut. drain.a_stream_that_waits_keeps_its_attempt failed before (502, one path left).

--- a/oleanderhinge/gateway/drain_test.cpp
+++ b/oleanderhinge/gateway/drain_test.cpp
@@ -176,6 +176,39 @@
     }
 }
 
+// The stop begins while a stream waits for its first event. Guards against an
+// attempt that is given up for another one, which the drain then refuses.
+TEST_F(drain, a_stream_that_waits_keeps_its_attempt)
+{
+    auto table = this->index->table();
+    for (auto& route : table.routes)
+        route.target_latency_ms = 200;
+    this->index = std::make_shared<route_index>(table);
+    this->forward.set_table(this->index);
+    this->second.behave = stream;
+    this->first.behave = stream;
+    ASSERT_EQ(this->ask("/talk/x").answer.status, 200U);
+    this->first.seen.clear();
+    this->second.seen.clear();
+    this->prefer_first_path();
+    ++this->selector.generation;
+    this->answer_tokens = 4000;
+    this->first.behave =
+        [this](
+            const net::http_request& request,
+            net::http_exchange& exchange) -> asio::awaitable<void> {
+        if (request.target() == "/state")
+            co_return (void) co_await exchange.respond(200, "", "", {});
+        this->begin_drain(late);
+        asio::steady_timer timer(this->io, 1500ms);
+        co_await timer.async_wait(asio::use_awaitable);
+        co_await stream(request, exchange);
+    };
+    this->start_stall_checks();
+    EXPECT_EQ(this->ask("/talk/x").answer.status, 200U);
+    EXPECT_EQ(this->stats.left_paths.Value(), 0);
+}
+
 // Guards against the times of one service that decide for another one, and
 // against refusals, late in a drain, of requests that end fast.
 TEST_F(drain, the_times_of_a_service_decide_for_it_alone)
--- a/oleanderhinge/gateway/internal/forwarder_streams.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_streams.cpp
@@ -203,6 +203,8 @@
         (!request.head_sent && this->has_waiting_streams(request)))
         return {};
     const auto now = base::monotonic_now();
+    if (this->drain_verdict(request, now))
+        return {};
     auto excluded = request.tried;
     excluded.insert(avoided.begin(), avoided.end());
     auto found = choose_path(
