gateway: the wait for the first event counts in a drain

What callers see: with little time left, a stream is taken whose tokens alone would end in time, and is cut. Cause: the expectation by the longest answer left out the wait for the first event, which choose_path knows. Change: it is added before the allowance. Ruled out: a larger allowance, which refuses more where nothing waits. Three rows of drain.a_stream_that_may_outlast_it_is_refused_whatever_the_others_took: 'one that does not with it' failed before; 'unless servers slow down' guards the allowance.

--- a/oleanderhinge/gateway/drain_test.cpp
+++ b/oleanderhinge/gateway/drain_test.cpp
@@ -142,14 +142,19 @@
         const char* what;
         std::optional<std::uint32_t> tokens;
         double slowness;
+        // That others have for their first event.
+        base::duration wait;
         bool served;
     };
     const std::vector<row> rows{
-        {"length not stated", std::nullopt, 1, true},
-        {"a short answer", 100, 1, true},
-        {"a long answer", 6000, 1, false},
-        {"a usual answer on a slow path", 600, 10, false},
-        {"more tokens than a time can hold", 4294967295, 1000, false},
+        {"length not stated", std::nullopt, 1, 0s, true},
+        {"a short answer", 100, 1, 0s, true},
+        {"a long answer", 6000, 1, 0s, false},
+        {"a usual answer on a slow path", 600, 10, 0s, false},
+        {"more tokens than a time can hold", 4294967295, 1000, 0s, false},
+        {"one that ends in time unless servers slow down", 3600, 1, 0s, false},
+        {"one that ends in time without a wait", 2600, 1, 0s, true},
+        {"one that does not with it", 2600, 1, 1s, false},
     };
     this->first.behave = stream;
     this->second.behave = stream;
@@ -164,6 +169,8 @@
                 {.slowness = row.slowness,
                  .layers = {base::layer_index{0}, base::layer_index{4}}});
         ++this->selector.generation;
+        for (const auto* server : {&this->first, &this->second})
+            this->selector.first_event_waits[server->address] = row.wait;
         this->first.seen.clear();
         this->second.seen.clear();
         this->begin_drain(late);
--- a/oleanderhinge/gateway/forwarding_request.hpp
+++ b/oleanderhinge/gateway/forwarding_request.hpp
@@ -85,6 +85,8 @@
     fleet::path parts;
     // Expected time of one token on the path that was chosen last; 0: none was.
     double token_ms = 0;
+    // Wait for its first event to expect there.
+    base::duration expected_wait{0};
     // The process that the present attempt was sent to.
     server_incarnation sent_to;
     steady_time attempt_started;
--- a/oleanderhinge/gateway/internal/forwarder_drain.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_drain.cpp
@@ -98,7 +98,9 @@
     if (request.metadata.answer_tokens)
         expected = std::max(
             expected,
-            longest_answer(*request.metadata.answer_tokens, request.token_ms));
+            request.expected_wait +
+                longest_answer(
+                    *request.metadata.answer_tokens, request.token_ms));
     return std::chrono::duration_cast<base::duration>(
         expected * slowdown_allowance);
 }
--- a/oleanderhinge/gateway/internal/forwarder_streams.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_streams.cpp
@@ -71,6 +71,7 @@
             co_return co_await this->fail_request(request, why);
         }
         request.token_ms = found.token_ms;
+        request.expected_wait = found.expected_wait;
         this->log_drain_decision(request);
         if (const auto why =
                 this->drain_verdict(request, base::monotonic_now()))
