fleet, wire: a table of the limits that servers state

A server in need names the requests a second that it takes from all gateways together; nothing reads it. For the state that gateways share: messages for statements, demand and permits, and fleet::limit_table, a copy that converges: the statement of the latest answer holds, for one process of a server. Ruled out: one figure for a service, as each server states its own. Nothing uses it yet, so that there is nothing to measure.

--- /dev/null
+++ b/oleanderhinge/fleet/server_limits.hpp
@@ -0,0 +1,74 @@
+// Limits that backend servers state in their answers: the requests a second
+// that a server takes from all gateways together.
+//
+// Each gateway notes what the answers that it gets say and tells control what
+// has changed; the leader tells the other gateways. The statements have the
+// time of the answer, so that all copies converge: the latest one holds. A
+// statement holds for one process (id and start time).
+//
+// Example:
+//   if (note(limits, {id, started_ms, 3.2, 0}, now)) send_to_control(...);
+//   if (limit_of(limits, id, started_ms, now)) ...
+#pragma once
+
+#include "oleanderhinge/base/ids.hpp"
+#include "oleanderhinge/base/time.hpp"
+#include "oleanderhinge/wire/messages.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string_view>
+
+namespace oleanderhinge::fleet
+{
+
+// A permit that is not used in this time is lost.
+inline constexpr base::duration permit_lifetime = std::chrono::seconds(1);
+// A statement that no answer has confirmed for this time is forgotten.
+inline constexpr base::duration statement_lifetime = std::chrono::seconds(30);
+// The lowest limit that is kept, in requests a second. A server that takes none
+// at all would get no request whose answer could end the limit.
+inline constexpr double least_limit = 0.1;
+
+struct limit_statement {
+    std::uint64_t started_ms = 0;
+    // Empty: the server states none any more.
+    std::optional<double> per_second;
+    base::time_point stated;
+};
+
+struct limit_table {
+    std::map<base::backend_server_id, limit_statement> servers;
+};
+
+// --- Commands ---------------------------------------------------------------
+
+// Applies a statement unless a later one, or one of a later process, is known.
+// Returns true if the limit in force has changed.
+bool note(
+    limit_table& limits,
+    const wire::server_limit& statement,
+    base::time_point now);
+
+// Forgets the statements older than `statement_lifetime`.
+void expire(limit_table& limits, base::time_point now);
+
+// --- Queries ----------------------------------------------------------------
+
+// The limit of this process in requests a second; empty: none.
+std::optional<double> limit_of(
+    const limit_table& limits,
+    const base::backend_server_id& server,
+    std::uint64_t started_ms,
+    base::time_point now);
+
+// All limits in force, for a peer to which a link has opened.
+wire::server_limits all_limits(const limit_table& limits, base::time_point now);
+
+// The value of a header field: digits with an optional fraction, at least
+// `least_limit` and at most 1e6. Empty for anything else.
+std::optional<double> parse_limit(std::string_view value);
+
+} // namespace oleanderhinge::fleet
--- a/oleanderhinge/wire/frame.cpp
+++ b/oleanderhinge/wire/frame.cpp
@@ -51,6 +51,9 @@
     "server_numbers",
     "server_refresh",
     "crash_evidence",
+    "server_limits",
+    "permit_demand",
+    "permit_grant",
 };
 
 using payload_decoder = base::result<message> (*)(std::string_view);
--- a/oleanderhinge/wire/messages.hpp
+++ b/oleanderhinge/wire/messages.hpp
@@ -15,6 +15,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -886,6 +887,94 @@
     }
 };
 
+// The requests a second that a backend server takes from all gateways together,
+// as it stated in an answer.
+struct server_limit {
+    base::backend_server_id server;
+    // Start of the process that stated it.
+    std::uint64_t started_ms = 0;
+    // Empty: an answer without a limit, which ends an earlier one.
+    std::optional<double> per_second;
+    // Age of the answer at the sender.
+    std::uint32_t age_ms = 0;
+
+    bool operator==(const server_limit&) const = default;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->server, this->started_ms, this->per_second);
+        archive(this->age_ms);
+    }
+};
+
+// Gateway to each member of control, on a change and when a link opens; from
+// the leader to the other gateways.
+struct server_limits {
+    std::vector<server_limit> items;
+
+    bool operator==(const server_limits&) const = default;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->items);
+    }
+};
+
+// Gateway to each member of control, a few times a second while it knows a
+// server with a limit: the requests of callers that it gets.
+struct permit_demand {
+    struct item {
+        std::string service;
+        float per_second = 0;
+
+        bool operator==(const item&) const = default;
+
+        template <class Archive>
+        void serialize(Archive& archive)
+        {
+            archive(this->service, this->per_second);
+        }
+    };
+    std::vector<item> services;
+
+    bool operator==(const permit_demand&) const = default;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->services);
+    }
+};
+
+// The leader of control to a gateway: requests that it may send to servers with
+// a limit, within `fleet::permit_lifetime`.
+struct permit_grant {
+    struct item {
+        base::backend_server_id server;
+        std::uint64_t started_ms = 0;
+        std::uint32_t permits = 0;
+
+        bool operator==(const item&) const = default;
+
+        template <class Archive>
+        void serialize(Archive& archive)
+        {
+            archive(this->server, this->started_ms, this->permits);
+        }
+    };
+    std::vector<item> items;
+
+    bool operator==(const permit_grant&) const = default;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->items);
+    }
+};
+
 // Control to gateway: link endpoints of all members, to subscribe to each. A
 // node without a quorum lists none.
 struct control_group {
@@ -953,6 +1042,9 @@
     server_loads,
     server_numbers,
     server_refresh,
-    crash_evidence>;
+    crash_evidence,
+    server_limits,
+    permit_demand,
+    permit_grant>;
 
 } // namespace oleanderhinge::wire
