fleet: statements of limits are tested, sent on with their age

The table of limits did not compile with -Werror on GCC 12 (a comparison of two optionals, "may be used uninitialized"); `note` now compares the limits in force. A limit that is no number would have been kept as it is: it is ignored.

`as_message` gives a statement as it is sent now, also one that ends a limit.

--- a/oleanderhinge/fleet/server_limits.cpp
+++ b/oleanderhinge/fleet/server_limits.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 
 namespace oleanderhinge::fleet
 {
@@ -23,22 +24,24 @@
     const wire::server_limit& statement,
     base::time_point now)
 {
+    if (statement.per_second && std::isnan(*statement.per_second))
+        return false;
+    const auto started_ms = statement.started_ms;
+    const auto in_force = [&] {
+        return limit_of(limits, statement.server, started_ms, now).value_or(0);
+    };
     const auto stated = now - std::chrono::milliseconds(statement.age_ms);
-    auto per_second = statement.per_second;
-    if (per_second)
-        per_second = std::clamp(*per_second, least_limit, max_limit);
+    const double before = in_force();
     const auto [found, added] = limits.servers.try_emplace(statement.server);
     auto& known = found->second;
-    if (!added &&
-        (known.started_ms > statement.started_ms ||
-         (known.started_ms == statement.started_ms && known.stated > stated)))
+    if (!added && (known.started_ms > started_ms ||
+                   (known.started_ms == started_ms && known.stated > stated)))
         return false;
-    const auto before =
-        known.started_ms == statement.started_ms && holds(known, now)
-            ? known.per_second
-            : std::nullopt;
-    known = {statement.started_ms, per_second, stated};
-    return before != (holds(known, now) ? known.per_second : std::nullopt);
+    known = {started_ms, {}, stated};
+    if (statement.per_second)
+        known.per_second =
+            std::clamp(*statement.per_second, least_limit, max_limit);
+    return before != in_force();
 }
 
 void expire(limit_table& limits, base::time_point now)
@@ -61,19 +64,26 @@
     return found->second.per_second;
 }
 
+wire::server_limit as_message(
+    const base::backend_server_id& server,
+    const limit_statement& statement,
+    base::time_point now)
+{
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+        now - statement.stated);
+    return {
+        server,
+        statement.started_ms,
+        statement.per_second,
+        std::uint32_t(age.count())};
+}
+
 wire::server_limits all_limits(const limit_table& limits, base::time_point now)
 {
     wire::server_limits all;
     for (const auto& [server, statement] : limits.servers)
         if (holds(statement, now))
-            all.items.push_back(
-                {server,
-                 statement.started_ms,
-                 statement.per_second,
-                 std::uint32_t(
-                     std::chrono::duration_cast<std::chrono::milliseconds>(
-                         now - statement.stated)
-                         .count())});
+            all.items.push_back(as_message(server, statement, now));
     return all;
 }
 
--- a/oleanderhinge/fleet/server_limits.hpp
+++ b/oleanderhinge/fleet/server_limits.hpp
@@ -28,6 +28,10 @@
 inline constexpr base::duration permit_lifetime = std::chrono::seconds(1);
 // A statement that no answer has confirmed for this time is forgotten.
 inline constexpr base::duration statement_lifetime = std::chrono::seconds(30);
+// All limits in force are sent again at this interval, by gateways to the
+// members of control and by the leader to the gateways. Otherwise a gateway
+// that gets no answers of a server would forget its limit while it still holds.
+inline constexpr base::duration resend_interval = std::chrono::seconds(5);
 // The lowest limit that is kept, in requests a second. A server that takes none
 // at all would get no request whose answer could end the limit.
 inline constexpr double least_limit = 0.1;
@@ -64,6 +68,12 @@
     std::uint64_t started_ms,
     base::time_point now);
 
+// The statement as it is sent now, also one that ends a limit.
+wire::server_limit as_message(
+    const base::backend_server_id& server,
+    const limit_statement& statement,
+    base::time_point now);
+
 // All limits in force, for a peer to which a link has opened.
 wire::server_limits all_limits(const limit_table& limits, base::time_point now);
 
