control: limits of servers sent on, permits issued

Cause: a limit holds for all gateways together, and none of them knows what the others send.

Change: members of control keep the limits that gateways state; the leader sends changes to the other gateways once a tick, and all limits when it begins to lead and every 5 s. While it has a quorum it keeps a token bucket for each limited server and gives whole permits to gateways in proportion to their demand.

Weighed: credits of gateways per server: servers with equal limits fill their buckets at the same time and would all choose the same gateway, so the credit is per service. Changes sent on at once: servers whose limit differs in each answer would cause a message for each answer and gateway. One permit at a time: an odd limit of 1e6 would cost 100000 passes over the gateways a tick, so whole multiples of the shares are given first.

--- a/oleanderhinge/control/internal/service_impl.hpp
+++ b/oleanderhinge/control/internal/service_impl.hpp
@@ -3,7 +3,8 @@
 //
 // The functions are defined in one file per subject: service.cpp (timer,
 // management port, start and stop), service_links.cpp, service_fleet.cpp,
-// service_group.cpp, service_configuration.cpp and service_claims.cpp.
+// service_limits.cpp, service_group.cpp, service_configuration.cpp and
+// service_claims.cpp.
 #pragma once
 
 #include "oleanderhinge/control/admin_api.hpp"
@@ -11,8 +12,10 @@
 #include "oleanderhinge/control/config_feed.hpp"
 #include "oleanderhinge/control/fleet_watch.hpp"
 #include "oleanderhinge/control/group.hpp"
+#include "oleanderhinge/control/limit_relay.hpp"
 #include "oleanderhinge/control/metrics.hpp"
 #include "oleanderhinge/control/peer_table.hpp"
+#include "oleanderhinge/control/permit_issuer.hpp"
 #include "oleanderhinge/control/replicated_state.hpp"
 #include "oleanderhinge/control/service.hpp"
 #include "oleanderhinge/control/status_watch.hpp"
@@ -42,7 +45,7 @@
 namespace asio = boost::asio;
 
 // The data members from `timer` to `redirects` are used on the strand only,
-// except the atomic `adding`, `removing` and `isolated`. The other members are
+// except the atomic ones. The other members are
 // thread-safe.
 struct service::impl {
     impl(
@@ -155,6 +158,16 @@
     void request_loads(const replica::log_status& status, base::time_point now);
     void send_loads();
 
+    // --- Limits of servers (service_limits.cpp)
+    void on_server_limits(net::link_id from, const wire::server_limits& stated);
+    void log_limit(
+        const wire::server_limit& stated,
+        const base::vm_id& from,
+        base::time_point now);
+    void send_limits(net::link_id to, base::time_point now);
+    // The leader sends limits and permits; other members only keep the limits.
+    void update_limits(const replica::log_status& status, base::time_point now);
+
     // --- Membership (service_group.cpp)
     void on_join_request(const wire::join_request& request);
     // Relays the request to the leader, since the requesting node may know no
@@ -240,6 +253,13 @@
     std::map<net::link_id, wire::hello> open_links;
     fleet_watch fleet;
     fleet::crash_quarantine quarantine;
+    limit_relay limits;
+    permit_issuer permits;
+    std::atomic<std::size_t> limited_servers{0};
+    // Changes of limits logged and left out since the start of the second.
+    base::time_point limit_log_start;
+    std::size_t limits_logged = 0;
+    std::size_t limits_unlogged = 0;
     // Numbers of servers that the other members use.
     std::map<net::link_id, fleet::peer_numbering> peer_numbers;
     member_reach reach;
--- a/oleanderhinge/control/internal/service_links.cpp
+++ b/oleanderhinge/control/internal/service_links.cpp
@@ -101,6 +101,8 @@
     if (peer.sender == wire::role::control && this->options.self_managed)
         this->links.send(link, this->group(now));
     this->send_crashes(link);
+    if (peer.sender == wire::role::entry)
+        this->send_limits(link, now);
     this->events.record(event_kind::link_opened, peer.vm.value());
     spdlog::info("event=link_opened peer={}", peer.vm.value());
 }
@@ -122,6 +124,7 @@
         net::to_string(reason));
     this->open_links.erase(found);
     this->peer_numbers.erase(link);
+    forget_gateway(this->permits, link);
 }
 
 void service::impl::on_message(net::link_id link, wire::message&& content)
@@ -168,6 +171,14 @@
     } else if (
         const auto* evidence = std::get_if<wire::crash_evidence>(&content)) {
         this->on_crash_evidence(link, *evidence);
+    } else if (
+        const auto* stated = std::get_if<wire::server_limits>(&content)) {
+        if (peer->second.sender == wire::role::entry)
+            this->on_server_limits(link, *stated);
+    } else if (
+        const auto* demand = std::get_if<wire::permit_demand>(&content)) {
+        if (peer->second.sender == wire::role::entry)
+            note_demand(this->permits, link, *demand, base::monotonic_now());
     } else if (
         const auto* request = std::get_if<wire::join_request>(&content)) {
         if (peer->second.sender == wire::role::control)
--- a/oleanderhinge/control/metrics.cpp
+++ b/oleanderhinge/control/metrics.cpp
@@ -93,6 +93,11 @@
           registry,
           "layer_orders_aborting_total",
           "Orders that abort the requests on layers given up"))
+    , permits_granted(counter(
+          registry,
+          "permits_granted_total",
+          "Requests that gateways were permitted to send to servers with a "
+          "limit"))
     , claims(prometheus::BuildCounter()
                  .Name("oleanderhinge_control_claims_total")
                  .Help("Claim requests by the answer")
@@ -157,4 +162,9 @@
     this->gauges.Add({{"name", "subscribers"}}).Set(double(subscribers));
 }
 
+void metrics::set_limited_servers(std::size_t servers)
+{
+    this->gauges.Add({{"name", "limited_servers"}}).Set(double(servers));
+}
+
 } // namespace oleanderhinge::control
--- a/oleanderhinge/control/metrics.hpp
+++ b/oleanderhinge/control/metrics.hpp
@@ -50,6 +50,7 @@
     prometheus::Counter& slow_subscribers_closed;
     prometheus::Counter& layer_orders;
     prometheus::Counter& layer_orders_aborting;
+    prometheus::Counter& permits_granted;
 
     void count_claim(wire::claim_state state);
     void set_gauges(const state_sizes& sizes);
@@ -57,6 +58,7 @@
     void set_gauges(const replica::log_status& status, std::size_t needed);
     void set_gauges(const net::link_counters& counters);
     void set_subscribers(std::size_t subscribers);
+    void set_limited_servers(std::size_t servers);
 
 private:
     prometheus::Family<prometheus::Counter>& claims;
--- a/oleanderhinge/control/service.cpp
+++ b/oleanderhinge/control/service.cpp
@@ -69,6 +69,7 @@
     this->send_servers();
     this->send_loads();
     this->request_loads(status, now);
+    this->update_limits(status, now);
     this->place_layers(status, now);
     this->manage_group(status, now);
     if (now >= this->next_expire) {
@@ -129,6 +130,7 @@
         this->options.self_managed ? this->needed() : 0);
     this->numbers.set_gauges(this->links.counters());
     this->numbers.set_subscribers(this->subscribers);
+    this->numbers.set_limited_servers(this->limited_servers);
     this->caller_numbers.update(this->admin);
 }
 
--- a/oleanderhinge/control/service_test.cpp
+++ b/oleanderhinge/control/service_test.cpp
@@ -639,6 +639,93 @@
     EXPECT_EQ(elsewhere.count<wire::crash_evidence>(), 0U);
 }
 
+// Guards against a limit that only the gateway knows that got the answer, also
+// one that connects later or when another node begins to lead.
+TEST(limits, a_statement_reaches_the_other_gateways)
+{
+    cluster group(1, 8, true);
+    entry_link first(group.io, group.member(0).link);
+    entry_link second(group.io, group.member(0).link);
+    first.next<wire::control_group>();
+    second.next<wire::control_group>();
+    const base::backend_server_id id{"a"};
+    const auto wait_for = [](entry_link& gateway,
+                             std::optional<double> per_second) {
+        while (!testing::Test::HasFailure()) {
+            const auto limits = gateway.next<wire::server_limits>();
+            if (!limits.items.empty() &&
+                limits.items[0].per_second == per_second)
+                break;
+        }
+    };
+    first.send(wire::server_limits{{{id, 7, 3.0, 0}}});
+    const auto relayed = second.next<wire::server_limits>();
+    ASSERT_EQ(relayed.items.size(), 1U);
+    EXPECT_EQ(relayed.items[0].server, id);
+    EXPECT_EQ(relayed.items[0].started_ms, 7U);
+    EXPECT_EQ(relayed.items[0].per_second, 3.0);
+    second.send(wire::server_limits{{{id, 7, std::nullopt, 0}}});
+    wait_for(first, std::nullopt);
+    group.change_log([](shared_log& log) { log.quorum = false; });
+    while (!testing::Test::HasFailure() &&
+           !first.next<wire::control_group>().members.empty())
+        ;
+    // The node has seen the change of the quorum.
+    first.next<wire::control_group>();
+    const auto before = first.count<wire::server_limits>();
+    second.send(wire::server_limits{{{id, 7, 5.0, 0}}});
+    first.next<wire::control_group>();
+    first.next<wire::control_group>();
+    EXPECT_EQ(first.count<wire::server_limits>(), before);
+    entry_link late(group.io, group.member(0).link);
+    wait_for(late, 5.0);
+    group.change_log([](shared_log& log) { log.quorum = true; });
+    wait_for(first, 5.0);
+}
+
+// Guards against permits for gateways without requests, and against permits of
+// a node that has lost its quorum: another one may issue them then.
+TEST(limits, permits_reach_the_gateway_with_demand_and_none_without_quorum)
+{
+    cluster group(1, 8, true);
+    entry_link reporter(group.io, group.member(0).link, wire::role::control);
+    wire::server_record record;
+    record.id = base::backend_server_id{"a"};
+    record.service = "chat";
+    record.started_ms = 7;
+    reporter.send(wire::server_batch{{record}});
+    entry_link idle(group.io, group.member(0).link);
+    entry_link busy(group.io, group.member(0).link);
+    const auto ask = [&] {
+        busy.send(wire::server_limits{{{record.id, 7, 1000.0, 0}}});
+        busy.send(wire::permit_demand{{{"chat", 10}}});
+        idle.send(wire::permit_demand{{{"other", 10}}});
+    };
+    // Each message follows ticks: the group is sent at most once in a tick.
+    const auto ask_through_ticks = [&](std::size_t messages) {
+        for (std::size_t i = 0; i < messages; ++i) {
+            ask();
+            busy.next<wire::control_group>();
+        }
+    };
+    ask();
+    const auto grant = busy.next<wire::permit_grant>();
+    ASSERT_EQ(grant.items.size(), 1U);
+    EXPECT_EQ(grant.items[0].server, record.id);
+    EXPECT_EQ(grant.items[0].started_ms, 7U);
+    EXPECT_GT(grant.items[0].permits, 0U);
+    group.change_log([](shared_log& log) { log.quorum = false; });
+    // One may have been sent before the change.
+    ask_through_ticks(2);
+    const auto granted = busy.count<wire::permit_grant>();
+    ask_through_ticks(2);
+    EXPECT_EQ(busy.count<wire::permit_grant>(), granted);
+    group.change_log([](shared_log& log) { log.quorum = true; });
+    ask();
+    busy.next<wire::permit_grant>();
+    EXPECT_EQ(idle.count<wire::permit_grant>(), 0U);
+}
+
 // Guards against two owners of one call, with claims sent over links.
 TEST(claims, race_resend_and_outcome)
 {
