gateway: a server with a limit gets a request only with a permit

A server that states Server-Limit takes that many requests a second from all gateways together. Each gateway notes the limits in the answers to it and in what control relays, reports its demand, and sends a request, also a retry, hedge or takeover, only with a permit of the leader. When all limits are used up, callers are refused at once, with a Retry-After at the rate of the permits.

Not done: permits that are left for more urgent requests.

--- a/oleanderhinge/gateway/control_client.cpp
+++ b/oleanderhinge/gateway/control_client.cpp
@@ -53,6 +53,17 @@
         peer.last_confirm = now;
         this->send_subscribe(link, this->revision());
     }
+    this->report_demand(now);
+}
+
+void control_client::report_demand(base::time_point now)
+{
+    if (now < this->next_demand)
+        return;
+    this->next_demand = now + demand_interval;
+    if (const auto demand = this->events.demand(now))
+        for (const auto& [link, peer] : this->open_members)
+            this->links.send(link, *demand);
 }
 
 void control_client::on_opened(net::link_id link, base::time_point now)
@@ -71,6 +82,8 @@
         this->revision().value());
     this->send_subscribe(link, this->revision());
     this->send_unless_empty(link, this->events.all_crashes());
+    if (auto limits = this->events.all_limits(now); !limits.items.empty())
+        this->links.send(link, std::move(limits));
 }
 
 void control_client::on_message(
@@ -104,6 +117,11 @@
         this->send_unless_empty(link, this->events.evidence(*evidence));
     } else if (const auto* loads = std::get_if<wire::server_loads>(&content)) {
         this->on_loads(link, *loads);
+    } else if (
+        const auto* limits = std::get_if<wire::server_limits>(&content)) {
+        this->events.limits(*limits, now);
+    } else if (const auto* grant = std::get_if<wire::permit_grant>(&content)) {
+        this->events.grant(*grant, now);
     }
 }
 
@@ -184,6 +202,12 @@
         this->links.send(link, news);
 }
 
+void control_client::send_limits(const wire::server_limits& limits)
+{
+    for (const auto& [link, peer] : this->open_members)
+        this->links.send(link, limits);
+}
+
 void control_client::on_closed(
     net::link_id link, net::close_reason reason, base::time_point now)
 {
--- a/oleanderhinge/gateway/control_client.hpp
+++ b/oleanderhinge/gateway/control_client.hpp
@@ -38,6 +38,9 @@
 // come once a second.
 inline constexpr base::duration resubscribe_after = std::chrono::seconds(4);
 
+inline constexpr base::duration demand_interval =
+    std::chrono::milliseconds(200);
+
 struct control_client_options {
     base::vm_id vm;
     wire::endpoint listen;
@@ -65,6 +68,14 @@
     std::function<wire::crash_evidence(const wire::crash_evidence&)> evidence;
     // All crashes known here, for a member to which a link has opened.
     std::function<wire::crash_evidence()> all_crashes;
+    // Limits of servers that a member has relayed.
+    std::function<void(const wire::server_limits&, base::time_point)> limits;
+    // All limits known here, for a member to which a link has opened.
+    std::function<wire::server_limits(base::time_point)> all_limits;
+    // The demand to report; empty: none. Called at `demand_interval`, with open
+    // links or without.
+    std::function<std::optional<wire::permit_demand>(base::time_point)> demand;
+    std::function<void(const wire::permit_grant&, base::time_point)> grant;
     // Number of gateways that a member has links to, this one included.
     std::function<void(std::uint32_t, base::time_point)> gateways;
 };
@@ -92,6 +103,8 @@
     void report_suspicion(const wire::endpoint& server);
     // Sends evidence about crashes to each connected member.
     void send_evidence(const wire::crash_evidence& news);
+    // Sends limits of servers to each connected member.
+    void send_limits(const wire::server_limits& limits);
     // Replaces the seeds; see control_members.hpp.
     void set_seeds(const std::vector<wire::endpoint>& seeds);
 
@@ -122,6 +135,7 @@
     void send_unless_empty(net::link_id link, wire::crash_evidence&& evidence);
     void send_subscribe(net::link_id link, base::revision held_revision);
     void close(const std::vector<forgotten_node>& forgotten);
+    void report_demand(base::time_point now);
 
     net::link_table& links;
     const control_client_options options;
@@ -130,6 +144,7 @@
     base::random_source random;
     control_members members;
     std::map<net::link_id, open_member> open_members;
+    base::time_point next_demand;
 };
 
 } // namespace oleanderhinge::gateway
--- a/oleanderhinge/gateway/control_client_test.cpp
+++ b/oleanderhinge/gateway/control_client_test.cpp
@@ -91,6 +91,12 @@
         chosen.seeds = {this->control->listening};
         control_events events;
         events.all_crashes = [] { return wire::crash_evidence{}; };
+        events.all_limits = [](base::time_point) {
+            return wire::server_limits{};
+        };
+        events.demand = [](base::time_point) {
+            return std::optional<wire::permit_demand>{};
+        };
         events.gateways = [this](std::uint32_t, base::time_point) {
             ++this->lists;
         };
--- a/oleanderhinge/gateway/forwarder.cpp
+++ b/oleanderhinge/gateway/forwarder.cpp
@@ -3,6 +3,7 @@
 #include "oleanderhinge/gateway/headers.hpp"
 #include "oleanderhinge/gateway/internal/attempt.hpp"
 #include "oleanderhinge/gateway/internal/takeover.hpp"
+#include "oleanderhinge/gateway/limited_servers.hpp"
 
 #include <spdlog/spdlog.h>
 
@@ -66,7 +67,9 @@
     , signals(
           selector_in,
           stats_in,
-          {.max_backoff = options.max_backoff, .seed = options.seed})
+          {.max_backoff = options.max_backoff,
+           .seed = options.seed,
+           .share_limits = options.share_limits})
     , stalls(
           context,
           protocol_in,
@@ -228,6 +231,7 @@
     retry::note_request(this->budget_of(request), base::monotonic_now());
     const auto started = base::monotonic_now();
     note_request_started(this->durations[name], started);
+    note_arrival(this->selector.permits, name, started);
     if (!request.route->streaming || !request.service->engine) {
         co_await this->serve_call(request);
     } else {
@@ -262,24 +266,38 @@
 asio::awaitable<void>
 forwarder::fail_without_server(forwarding_request& request, const char* detail)
 {
+    const auto now = base::monotonic_now();
     auto why = base::not_run(failure_code::no_server, detail);
-    if (backoff_end(this->selector, *request.service, base::monotonic_now()))
+    if (this->is_limited(request, now)) {
+        this->stats.limit_refusals.Increment();
+        why = base::not_run(
+            failure_code::overloaded, "the limits of all servers are used up");
+    } else if (backoff_end(this->selector, *request.service, now))
         why = base::not_run(
             failure_code::overloaded,
             "all servers of the service asked for a pause");
     co_await this->fail_request(request, why);
 }
 
-// The Retry-After of a refused request: the end of the first back-off, within
+// The Retry-After of a refused request: the next place among those that wait
+// for permits if all servers lack one, or the end of the first back-off, within
 // `max_backoff_retry_after`, if all servers are in one.
 milliseconds
 forwarder::retry_after(const forwarding_request& request, base::time_point now)
 {
     const auto end = backoff_end(this->selector, *request.service, now);
-    const std::chrono::duration<double> wait =
+    std::chrono::duration<double> wait =
         end ? std::chrono::duration<double>(
                   std::min<base::duration>(*end - now, max_backoff_retry_after))
             : std::chrono::duration<double>(min_retry_after_s);
+    if (this->is_limited(request, now))
+        wait = retry_wait(
+            this->selector.permits,
+            request.service->name,
+            limited_servers(this->selector, *request.service, now),
+            this->selector.gateways,
+            this->random,
+            now);
     const std::chrono::duration<double> spread(
         retry_after_spread_s * this->random.unit());
     return std::chrono::ceil<milliseconds>(wait + spread);
--- a/oleanderhinge/gateway/forwarder.hpp
+++ b/oleanderhinge/gateway/forwarder.hpp
@@ -60,6 +60,8 @@
     std::function<void(const wire::endpoint&)> report_suspect;
     // Called with news about crashes, for the other gateways.
     std::function<void(const wire::crash_evidence&)> share_evidence;
+    // Called with limits that servers have stated, for the other gateways.
+    std::function<void(const wire::server_limits&)> share_limits;
 };
 
 class forwarder
@@ -82,6 +84,8 @@
     // Notes how many gateways share the retry budgets, as a member of control
     // counts them.
     void note_gateways(std::uint32_t count, base::time_point now);
+    // Records limits of servers that control has relayed.
+    void note_limits(const wire::server_limits& limits, base::time_point now);
 
     // Serves one request. If it fails, the caller gets an error answer, or a
     // closed connection if its stream has begun.
@@ -194,6 +198,11 @@
         const forwarding_request& request,
         const base::backend_server_id& server,
         base::time_point now) const;
+    bool take_permit(
+        forwarding_request& request,
+        const base::backend_server_id& server,
+        const wire::endpoint& address,
+        base::time_point now);
     boost::asio::awaitable<attempt_result> read_answer_head(
         forwarding_request& request,
         upstream_connection& connection,
@@ -224,6 +233,8 @@
     fail_request(forwarding_request& request, const base::verdict& why);
     boost::asio::awaitable<void>
     fail_without_server(forwarding_request& request, const char* detail);
+    bool
+    is_limited(const forwarding_request& request, base::time_point now) const;
     std::chrono::milliseconds
     retry_after(const forwarding_request& request, base::time_point now);
 
--- a/oleanderhinge/gateway/forwarder_fixture_test.hpp
+++ b/oleanderhinge/gateway/forwarder_fixture_test.hpp
@@ -70,6 +70,7 @@
         metadata.leaving = !fields["Leaving"].empty();
         metadata.retry_after =
             joined_values(fields, boost::beast::http::field::retry_after);
+        metadata.request_limit = distinct_values(fields, "Limit");
         return metadata;
     };
     protocol.make_state_query = [] {
@@ -251,6 +252,10 @@
                .share_evidence =
                    [this](const wire::crash_evidence& news) {
                        this->shared_evidence.push_back(news);
+                   },
+               .share_limits =
+                   [this](const wire::server_limits& stated) {
+                       this->shared_limits.push_back(stated);
                    }})
         , front(
               io,
@@ -505,6 +510,7 @@
     int state_queries = 0;
     std::string part;
     std::vector<wire::crash_evidence> shared_evidence;
+    std::vector<wire::server_limits> shared_limits;
 };
 
 } // namespace oleanderhinge::gateway::test
--- a/oleanderhinge/gateway/gateway_node.cpp
+++ b/oleanderhinge/gateway/gateway_node.cpp
@@ -55,6 +55,10 @@
            .share_evidence =
                [this](const wire::crash_evidence& news) {
                    this->control.send_evidence(news);
+               },
+           .share_limits =
+               [this](const wire::server_limits& limits) {
+                   this->control.send_limits(limits);
                }})
     , caller_numbers(this->registry, "oleanderhinge_gateway")
     , callers(
@@ -156,6 +160,22 @@
                 return fleet::all_crashes(
                     this->quarantine, base::monotonic_now());
             },
+        .limits =
+            [this](const wire::server_limits& limits, base::time_point now) {
+                this->forward.note_limits(limits, now);
+            },
+        .all_limits =
+            [this](base::time_point now) {
+                return fleet::all_limits(this->selector.permits.limits, now);
+            },
+        .demand =
+            [this](base::time_point now) {
+                return report_demand(this->selector.permits, now);
+            },
+        .grant =
+            [this](const wire::permit_grant& grant, base::time_point now) {
+                note_grant(this->selector.permits, grant, now);
+            },
         .gateways =
             [this](std::uint32_t gateway_count, base::time_point now) {
                 this->forward.note_gateways(gateway_count, now);
--- a/oleanderhinge/gateway/internal/forwarder_attempts.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_attempts.cpp
@@ -89,13 +89,15 @@
             base::not_run(
                 failure_code::link_lost, "connect: " + refused.message()),
             connection.server());
-    // During the connect, another request may have got a signal, a drain may
-    // have begun, and a takeover may have used the last attempt.
+    // During the connect, another request may have got a signal or taken the
+    // last permit, a drain may have begun, and a takeover may have used the
+    // last attempt.
     const auto now = base::monotonic_now();
     if (!this->may_send(request, server, now) ||
         (request.takeover &&
          request.possible_runs >= request.route->attempts) ||
-        this->drain_verdict(request, now)) {
+        this->drain_verdict(request, now) ||
+        !this->take_permit(request, server, connection.server(), now)) {
         --request.attempts;
         this->stats.withheld.Increment();
         co_return attempt_result{attempt_end::withheld, {}, {}};
@@ -140,12 +142,18 @@
                             (metadata.id.empty() && first_on_connection);
         const bool ambiguous = metadata.mark == server_mark::ambiguous;
         // A late answer still shows that the server leaves, but the time that
-        // it asked for may be over. One without an id may be that to this
-        // request.
-        if ((!is_own && !metadata.id.empty()) || ambiguous)
+        // it asked for and its limit may be over. One without an id may be that
+        // to this request.
+        if ((!is_own && !metadata.id.empty()) || ambiguous) {
             metadata.retry_after.clear();
+            metadata.request_limit.clear();
+        }
         this->signals.record(
-            sent_to, connection.status(), metadata, base::monotonic_now());
+            sent_to,
+            connection.status(),
+            metadata,
+            is_own && !ambiguous ? answer_kind::own : answer_kind::other,
+            base::monotonic_now());
         if (is_own && ambiguous)
             co_return failed_with<attempt_result>(base::may_have_run(
                 failure_code::server_failed, "marks of several answers"));
--- a/oleanderhinge/gateway/internal/forwarder_streams.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_streams.cpp
@@ -62,7 +62,8 @@
         if (found.parts.empty()) {
             if (co_await this->wait_to_resume(request))
                 continue;
-            if (!found.overloaded)
+            request.lacked_permit |= found.limited;
+            if (found.limited || !found.overloaded)
                 co_return co_await this->fail_without_server(
                     request, "no path runs all layers");
             const auto why = base::not_run(
@@ -216,6 +217,12 @@
         this->random,
         now);
     if (found.parts.empty() ||
+        // The present attempt ends before the next one gets its permit.
+        (!request.head_sent &&
+         has_limit(
+             this->selector.permits,
+             incarnation_of(this->selector, found.parts.front().server),
+             now)) ||
         (!request.head_sent && !leaves_before_start(
                                    std::chrono::duration_cast<base::duration>(
                                        steady_now() - request.attempt_started),
--- a/oleanderhinge/gateway/metrics.cpp
+++ b/oleanderhinge/gateway/metrics.cpp
@@ -81,11 +81,29 @@
           registry,
           "oleanderhinge_gateway_ignored_retry_after_total",
           "Answers of servers with a Retry-After that cannot be read"))
+    , ignored_limits(net::add_counter(
+          registry,
+          "oleanderhinge_gateway_ignored_limits_total",
+          "Answers of servers with a limit that cannot be read"))
+    , permits_taken(net::add_counter(
+          registry,
+          "oleanderhinge_gateway_permits_taken_total",
+          "Requests sent to servers with a limit, with a permit of control"))
+    , own_permits_taken(net::add_counter(
+          registry,
+          "oleanderhinge_gateway_own_permits_taken_total",
+          "Requests sent to servers with a limit without one, since control "
+          "granted none"))
+    , limit_refusals(net::add_counter(
+          registry,
+          "oleanderhinge_gateway_limit_refusals_total",
+          "Requests refused because the limits of all servers were used up"))
     , withheld(net::add_counter(
           registry,
           "oleanderhinge_gateway_withheld_total",
-          "Requests not sent to the chosen server, since it left, asked for "
-          "a pause or would outlast a stop when the connection was open"))
+          "Requests not sent to the chosen server, since it left, asked for a "
+          "pause, had its limit used up or the request would outlast a stop "
+          "when the connection was open"))
     , events(net::add_counter(
           registry,
           "oleanderhinge_gateway_events_total",
@@ -127,6 +145,15 @@
           registry,
           "oleanderhinge_gateway_longest_backoff_seconds",
           "Time until the last of the pauses that servers asked for ends"))
+    , limited_servers(net::add_gauge(
+          registry,
+          "oleanderhinge_gateway_limited_servers",
+          "Servers that state a limit on the requests a second"))
+    , own_permits(net::add_gauge(
+          registry,
+          "oleanderhinge_gateway_own_permits",
+          "Servers with a limit for which the gateway grants itself permits, "
+          "since control grants none"))
     , idle_connections(net::add_gauge(
           registry,
           "oleanderhinge_gateway_idle_connections",
--- a/oleanderhinge/gateway/metrics.hpp
+++ b/oleanderhinge/gateway/metrics.hpp
@@ -45,6 +45,10 @@
     prometheus::Counter& servers_leaving;
     prometheus::Counter& backoffs;
     prometheus::Counter& ignored_retry_after;
+    prometheus::Counter& ignored_limits;
+    prometheus::Counter& permits_taken;
+    prometheus::Counter& own_permits_taken;
+    prometheus::Counter& limit_refusals;
     prometheus::Counter& withheld;
     prometheus::Counter& events;
     prometheus::Counter& log_lines_dropped;
@@ -56,6 +60,8 @@
     prometheus::Gauge& quarantined_parts;
     prometheus::Gauge& excluded_servers;
     prometheus::Gauge& longest_backoff_seconds;
+    prometheus::Gauge& limited_servers;
+    prometheus::Gauge& own_permits;
     prometheus::Gauge& idle_connections;
     prometheus::Gauge& answer_bytes;
     prometheus::Gauge& control_nodes;
--- a/oleanderhinge/gateway/protocol_adapter.hpp
+++ b/oleanderhinge/gateway/protocol_adapter.hpp
@@ -86,6 +86,10 @@
     // How long the answering server wants no requests from this gateway, as
     // stated; several values are joined by commas. Empty: not stated.
     std::string retry_after;
+    // The requests a second that the answering server takes from all gateways,
+    // as stated; several values that differ are joined by commas. Empty: not
+    // stated.
+    std::string request_limit;
 };
 
 // A request that makes no progress, as its first server reports it, and the
--- a/oleanderhinge/gateway/server_choice.cpp
+++ b/oleanderhinge/gateway/server_choice.cpp
@@ -97,6 +97,14 @@
         selector.signals, {record.id, record.started_ms}, now);
 }
 
+bool has_permit(
+    const server_selector& selector,
+    const wire::server_record& record,
+    base::time_point now)
+{
+    return has_permit(selector.permits, {record.id, record.started_ms}, now);
+}
+
 // `running_at` is the server of a running request, which its signals do not
 // concern; null: none.
 std::vector<fleet::path_server> path_servers(
@@ -188,6 +196,43 @@
     return found;
 }
 
+bool first_has_permit(
+    const server_selector& selector,
+    const server_selector::candidate& item,
+    base::time_point now)
+{
+    return has_permit(
+        selector.permits,
+        incarnation_of(selector, item.parts.front().server),
+        now);
+}
+
+// The candidates whose first server has a permit left. If none has, those that
+// `find_candidates` has left out in favour of them.
+std::vector<server_selector::candidate> find_permitted(
+    const server_selector& selector,
+    const wire::forwarding_service& service,
+    const std::set<wire::endpoint>& tried,
+    std::vector<server_selector::candidate> candidates,
+    base::time_point now)
+{
+    const auto drop_others = [&] {
+        std::erase_if(candidates, [&](const auto& item) {
+            return !first_has_permit(selector, item, now);
+        });
+    };
+    drop_others();
+    for (const bool include_ejected : {false, true}) {
+        if (!candidates.empty())
+            break;
+        candidates =
+            find_candidates(selector, service, tried, include_ejected, now);
+        drop_others();
+        prefer_one_data_centre(candidates);
+    }
+    return candidates;
+}
+
 // Wait for a first event that a new request on a path has to expect.
 base::duration first_event_wait(
     const server_selector& selector,
@@ -381,7 +426,9 @@
     bool best_ejected = true;
     const auto consider = [&](const wire::server_record& record) {
         const wire::endpoint address{record.address, record.port};
-        if (tried.contains(address) || !accepts_requests(selector, record, now))
+        if (tried.contains(address) ||
+            !accepts_requests(selector, record, now) ||
+            !has_permit(selector, record, now))
             return;
         const bool ejected = is_ejected(selector, address, now);
         // Up to 10 % of random noise, so that gateways do not all choose the
@@ -415,10 +462,10 @@
     base::time_point now,
     base::duration target)
 {
-    std::vector<server_selector::candidate> without_tried;
+    std::vector<server_selector::candidate> uncached;
     auto& cached = selector.paths[service.name];
     if (!tried.empty()) {
-        without_tried = find_candidates(selector, service, tried, now);
+        uncached = find_candidates(selector, service, tried, now);
     } else if (
         cached.generation != selector.generation ||
         now >= cached.computed + path_cache_time) {
@@ -427,7 +474,15 @@
             now,
             find_candidates(selector, service, tried, now)};
     }
-    const auto& candidates = tried.empty() ? cached.candidates : without_tried;
+    const auto* found = tried.empty() ? &cached.candidates : &uncached;
+    const bool any_paths = !found->empty();
+    if (!std::ranges::all_of(*found, [&](const auto& item) {
+            return first_has_permit(selector, item, now);
+        })) {
+        uncached = find_permitted(selector, service, tried, *found, now);
+        found = &uncached;
+    }
+    const auto& candidates = *found;
     std::vector<double> weights;
     double total = 0;
     for (const auto& item : candidates) {
@@ -443,7 +498,7 @@
         total += weights.back();
     }
     if (total <= 0)
-        return {{}, !candidates.empty(), {}};
+        return {{}, !candidates.empty(), {}, any_paths && candidates.empty()};
     double drawn = random.unit() * total;
     std::size_t index = 0;
     while (index + 1 < candidates.size() && drawn >= weights[index])
--- a/oleanderhinge/gateway/server_choice.hpp
+++ b/oleanderhinge/gateway/server_choice.hpp
@@ -3,7 +3,8 @@
 // Selection uses the server records that control publishes and what this
 // gateway has observed itself: latencies, failures, requests in progress and
 // the signals of servers. A server that leaves or is in back-off is chosen by
-// none of the functions.
+// none of the functions, and one whose limit is used up neither, except for
+// requests that run there already and as a later part of a path.
 //
 // Example:
 //   server_selector selector;
@@ -20,6 +21,7 @@
 #include "oleanderhinge/gateway/congestion.hpp"
 #include "oleanderhinge/gateway/crossing_budget.hpp"
 #include "oleanderhinge/gateway/path_change.hpp"
+#include "oleanderhinge/gateway/server_permits.hpp"
 #include "oleanderhinge/gateway/server_signals.hpp"
 
 #include <map>
@@ -88,6 +90,8 @@
     std::map<wire::endpoint, server_health> health;
     // Changes are followed by a change of `generation`.
     server_signals signals;
+    // Cached paths do not depend on them.
+    server_permits permits;
     // Data centre of this gateway.
     base::data_centre_id home;
     // Incremented by each change that makes cached paths invalid.
@@ -191,7 +195,7 @@
 
 // The server of a plain service with the least cost that is not in `tried`,
 // with some random noise in the costs. Ejected servers are chosen only if no
-// other is left. Empty if there is none.
+// other is left. Empty if there is none, or no permit for one.
 std::optional<chosen_server> choose_server(
     const server_selector& selector,
     const std::string& service,
@@ -214,6 +218,8 @@
     base::duration expected_wait{0};
     // Expected time of one token; see `server_selector::candidate`.
     double token_ms = 0;
+    // There are paths, but the limits of all first servers are used up.
+    bool limited = false;
 };
 
 // Draws a path over all layers by weight, without the servers in `tried`. Paths
--- a/oleanderhinge/gateway/signal_recorder.cpp
+++ b/oleanderhinge/gateway/signal_recorder.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace oleanderhinge::gateway
 {
@@ -43,8 +44,8 @@
     server_selector& selector_in, metrics& stats_in, signal_options options_in)
     : selector(selector_in)
     , stats(stats_in)
-    , options(options_in)
-    , random(options_in.seed)
+    , options(std::move(options_in))
+    , random(options.seed)
 {
 }
 
@@ -52,6 +53,7 @@
     const server_incarnation& server,
     unsigned status,
     const answer_metadata& answer,
+    answer_kind kind,
     base::time_point now)
 {
     if (answer.leaving && note_leaving(this->selector.signals, server)) {
@@ -65,6 +67,7 @@
     }
     if (!answer.retry_after.empty())
         this->record_backoff(server, answer.retry_after, now);
+    this->record_limit(server, status, answer, kind, now);
 }
 
 void signal_recorder::record_backoff(
@@ -110,6 +113,7 @@
         ++this->selector.generation;
         spdlog::info("event=server_backoff_ended server={}", id.value());
     }
+    this->update_permits(now);
     this->stats.longest_backoff_seconds.Set(
         to_ms(longest_backoff(this->selector, now)) / 1000);
 }
--- a/oleanderhinge/gateway/signal_recorder.hpp
+++ b/oleanderhinge/gateway/signal_recorder.hpp
@@ -5,7 +5,9 @@
 //
 // Example:
 //   signal_recorder recorder(selector, stats, {});
-//   recorder.record(server, status, protocol.read_answer(status, fields));
+//   recorder.record(
+//       server, status, protocol.read_answer(status, fields),
+//       answer_kind::other, now);
 //   recorder.tick(now); // ten times a second
 #pragma once
 
@@ -14,6 +16,8 @@
 #include "oleanderhinge/gateway/request_log.hpp"
 #include "oleanderhinge/gateway/server_choice.hpp"
 
+#include <functional>
+
 namespace oleanderhinge::gateway
 {
 
@@ -21,6 +25,15 @@
     // Longest back-off that a server gets, whatever it asks for.
     base::duration max_backoff = no_backoff_limit;
     std::uint64_t seed = 1;
+    // Called with statements of limits, for control; null: none.
+    std::function<void(const wire::server_limits&)> share_limits;
+};
+
+enum class answer_kind : std::uint8_t {
+    // The answer to a caller's request.
+    own,
+    // Any other: the lack of a limit in it does not end one.
+    other,
 };
 
 class signal_recorder
@@ -34,8 +47,13 @@
         const server_incarnation& server,
         unsigned status,
         const answer_metadata& answer,
+        answer_kind kind,
         base::time_point now);
-    // Logs the back-offs that have ended and updates the metrics.
+    // Records limits that control has relayed.
+    void
+    record_relayed(const wire::server_limits& limits, base::time_point now);
+    // Logs the back-offs and limits that have ended, updates the gateway's own
+    // permits and the metrics.
     void tick(base::time_point now);
 
 private:
@@ -43,6 +61,13 @@
         const server_incarnation& server,
         const std::string& retry_after,
         base::time_point now);
+    void record_limit(
+        const server_incarnation& server,
+        unsigned status,
+        const answer_metadata& answer,
+        answer_kind kind,
+        base::time_point now);
+    void update_permits(base::time_point now);
 
     server_selector& selector;
     metrics& stats;
--- a/oleanderhinge/gateway/stall_watch.cpp
+++ b/oleanderhinge/gateway/stall_watch.cpp
@@ -130,6 +130,7 @@
         process,
         answer.status,
         this->protocol.read_answer(answer.status, fields),
+        answer_kind::other,
         base::monotonic_now());
 }
 
