--- a/oleanderhinge/gateway/control_client_test.cpp
+++ b/oleanderhinge/gateway/control_client_test.cpp
@@ -40,6 +40,12 @@
                [this](net::link_id, const wire::message& content) {
                    this->subscriptions +=
                        std::holds_alternative<wire::subscribe>(content) ? 1 : 0;
+                   if (const auto* sent =
+                           std::get_if<wire::server_limits>(&content))
+                       this->limits.push_back(*sent);
+                   if (const auto* sent =
+                           std::get_if<wire::permit_demand>(&content))
+                       this->demands.push_back(*sent);
                },
                [](net::link_id, net::close_reason, bool) {}})
     {
@@ -56,8 +62,15 @@
         this->links.send(this->link, wire::control_group{members, 1});
     }
 
+    void send(wire::message content)
+    {
+        this->links.send(this->link, std::move(content));
+    }
+
     wire::endpoint listening;
     int subscriptions = 0;
+    std::vector<wire::server_limits> limits;
+    std::vector<wire::permit_demand> demands;
 
 private:
     timeline::hybrid_clock clock;
@@ -91,11 +104,17 @@
         chosen.seeds = {this->control->listening};
         control_events events;
         events.all_crashes = [] { return wire::crash_evidence{}; };
-        events.all_limits = [](base::time_point) {
-            return wire::server_limits{};
+        events.limits = [this](const auto& sent, base::time_point) {
+            this->relayed.push_back(sent);
+        };
+        events.all_limits = [this](base::time_point) { return this->known; };
+        events.demand = [this](base::time_point) {
+            return this->known.items.empty()
+                       ? std::nullopt
+                       : std::optional(wire::permit_demand{{{"desk", 2}}});
         };
-        events.demand = [](base::time_point) {
-            return std::optional<wire::permit_demand>{};
+        events.grant = [this](const auto& granted, base::time_point) {
+            this->grants.push_back(granted);
         };
         events.gateways = [this](std::uint32_t, base::time_point) {
             ++this->lists;
@@ -129,6 +148,9 @@
     timeline::hybrid_clock clock;
     base::time_point now{100s};
     int lists = 0;
+    wire::server_limits known;
+    std::vector<wire::server_limits> relayed;
+    std::vector<wire::permit_grant> grants;
     std::unique_ptr<control_node> control = std::make_unique<control_node>(
         this->io, wire::endpoint{"127.0.0.1", 0});
     std::unique_ptr<net::link_table> links;
@@ -152,5 +174,32 @@
         this->pass_until([&] { return this->control->subscriptions > 0; }));
 }
 
+// Guards against members of control that do not know the limits or the demand
+// of a gateway, and against a gateway that does not get limits and permits.
+TEST_F(control_client_fixture, limits_and_permits_are_exchanged)
+{
+    const base::backend_server_id server{"a"};
+    this->known.items = {{server, 1, 3.2, 0}};
+    this->start_client();
+    ASSERT_TRUE(this->pass_until([&] {
+        return !this->control->limits.empty() &&
+               this->control->demands.size() >= 2;
+    }));
+    EXPECT_EQ(this->control->limits.front(), this->known);
+    EXPECT_EQ(this->control->demands.back().services.front().service, "desk");
+    const wire::server_limits changed{{{server, 1, {}, 7}}};
+    this->client->send_limits(changed);
+    this->control->send(changed);
+    const wire::permit_grant granted{{{server, 1, 2}}};
+    this->control->send(granted);
+    ASSERT_TRUE(this->pass_until([&] {
+        return this->control->limits.size() >= 2 && !this->relayed.empty() &&
+               !this->grants.empty();
+    }));
+    EXPECT_EQ(this->control->limits.back(), changed);
+    EXPECT_EQ(this->relayed.front(), changed);
+    EXPECT_EQ(this->grants.front(), granted);
+}
+
 } // namespace
 } // namespace oleanderhinge::gateway
