gateway: test that a cached path is not drawn without a permit

Cause: a path draw that ignored permits passed all tests, since the send withheld the request; found by a fault put in on purpose. Change: the tests check that nothing is withheld. Ruled out: a check in the cache, as permits come and go within its 250 ms.

--- a/oleanderhinge/gateway/forwarder_limits_test.cpp
+++ b/oleanderhinge/gateway/forwarder_limits_test.cpp
@@ -113,6 +113,8 @@
             for (const auto& outcome : this->outcomes)
                 EXPECT_EQ(outcome.answer.status, 200U) << target;
         }
+    // None was sent to a server that could not take it.
+    EXPECT_EQ(this->stats.withheld.Value(), 0);
 }
 
 // Guards against repetitions that need no permit.
@@ -167,6 +169,7 @@
             least += 2;
         }
     }
+    EXPECT_EQ(this->stats.withheld.Value(), 0);
 }
 
 // Both requests choose the limited server, which is the only one. Guards
