--- a/oleanderhinge/fleet/server_limits.hpp
+++ b/oleanderhinge/fleet/server_limits.hpp
@@ -1,14 +1,15 @@
 // Limits that backend servers state in their answers: the requests a second
 // that a server takes from all gateways together.
 //
-// Each gateway notes what the answers that it gets say and tells control what
-// has changed; the leader tells the other gateways. The statements have the
-// time of the answer, so that all copies converge: the latest one holds. A
-// statement holds for one process (id and start time).
+// Each gateway notes what the answers that it gets state and sends changes to
+// control, whose leader sends them to the other gateways. A statement has the
+// age of its answer, so that all copies converge: the latest one holds. It
+// holds for one process (id and start time).
 //
 // Example:
-//   if (note(limits, {id, started_ms, 3.2, 0}, now)) send_to_control(...);
-//   if (limit_of(limits, id, started_ms, now)) ...
+//   if (note(limits, {id, started_ms, 3.2, 0}, now))
+//       send_to_control(all_limits(limits, now));
+//   if (const auto limit = limit_of(limits, id, started_ms, now)) ...
 #pragma once
 
 #include "oleanderhinge/base/ids.hpp"
