gateway, fleet: limits outlast relays, a lost control and late answers

(5) A stream whose last choice was a limited server got the reason and Retry-After of limits although an unlimited one had refused it. Class of fault: the time of a message taken for the time of what it states. Change: what control has counts by the age of the statement; a statement lives 10 min; own permits use the largest count of some minutes; an answer without the field ends a limit only if its request was sent after the statement; the reason is that all limits are used up, and a begun stream takes no place among callers who return. Ruled out: to keep limits for good, as a server that never answers keeps its entry. Not rerun on the old code.

--- a/oleanderhinge/control/limit_relay_test.cpp
+++ b/oleanderhinge/control/limit_relay_test.cpp
@@ -69,13 +69,13 @@
     {"limits sent at each tick", {6100ms, 1, {}, true}, {}},
     {"limits sent without a quorum", {20s, 1, {limit("c", 3)}, false}, {}},
     {"limits kept that nobody confirms",
-     {34s, 1, {}, true},
+     {fleet::statement_lifetime + 4s, 1, {}, true},
      {"1:c", "2:c", "3:c"}},
     {"statements sent on after the lead is lost",
-     {35s, 1, {limit("d", 3)}, false},
+     {fleet::statement_lifetime + 5s, 1, {limit("d", 3)}, false},
      {}},
     {"a new leader that waits for the interval",
-     {36s, 1, {}, true},
+     {fleet::statement_lifetime + 6s, 1, {}, true},
      {"1:c", "1:d", "2:c", "2:d", "3:c", "3:d"}},
 };
 
--- a/oleanderhinge/control/service_test.cpp
+++ b/oleanderhinge/control/service_test.cpp
@@ -726,6 +726,8 @@
     group.change_log([](shared_log& log) { log.quorum = true; });
     ask();
     busy.next<wire::permit_grant>();
+    // Empty ones show that there is a leader.
+    EXPECT_GT(idle.count<wire::permit_grant>(), 0U);
     for (auto left = idle.count<wire::permit_grant>(); left > 0; --left)
         EXPECT_TRUE(idle.next<wire::permit_grant>().items.empty());
 }
--- a/oleanderhinge/fleet/server_limits.hpp
+++ b/oleanderhinge/fleet/server_limits.hpp
@@ -29,8 +29,10 @@
 // longer, since few gateways have a request for one within a second. At a limit
 // of L requests a second, this is at most 1 s + 2 / L.
 base::duration permit_lifetime(double per_second);
-// A statement that no answer has confirmed for this time is forgotten.
-inline constexpr base::duration statement_lifetime = std::chrono::seconds(30);
+// A statement that no answer has confirmed for this time is forgotten. Without
+// a leader, each of many gateways gets an answer of a server within some
+// minutes.
+inline constexpr base::duration statement_lifetime = std::chrono::minutes(10);
 // All limits in force are sent again at this interval, by gateways to the
 // members of control and by the leader to the gateways. Otherwise a gateway
 // that gets no answers of a server would forget its limit while it still holds.
--- a/oleanderhinge/fleet/server_limits_test.cpp
+++ b/oleanderhinge/fleet/server_limits_test.cpp
@@ -71,7 +71,7 @@
      {{1, 3., 0s, 0, true}, {1, 3., statement_lifetime, 0, true}},
      {3, {}}},
     {"a statement older than its lifetime, or than the clock",
-     {{1, 3., 0s, 30'000, false}, {1, 3., 0s, ~0U, false}},
+     {{1, 3., 0s, 600'000, false}, {1, 3., 0s, ~0U, false}},
      {{}, {}}},
     {"values out of range",
      {{1, -1., 0s, 0, true}, {1, infinite, 1s, 0, true}},
--- a/oleanderhinge/gateway/forwarder.cpp
+++ b/oleanderhinge/gateway/forwarder.cpp
@@ -250,15 +250,15 @@
     base::verdict overall = why;
     if (request.possible_runs > 0 && overall.state == base::execution::not_run)
         overall = base::may_have_run(why.code, why.detail);
-    if (overall.state == base::execution::not_run &&
-        overall.retry_after.count() == 0)
-        overall.retry_after = this->retry_after(request, base::monotonic_now());
     if (request.head_sent) {
         // The exchange closes the connection without ending the stream, which
         // shows the caller that the answer is incomplete.
         request.outcome = request.caller_left ? "caller_left" : "broken_off";
         co_return;
     }
+    if (overall.state == base::execution::not_run &&
+        overall.retry_after.count() == 0)
+        overall.retry_after = this->retry_after(request, base::monotonic_now());
     co_await this->send_error(request, overall);
 }
 
--- a/oleanderhinge/gateway/forwarding_request.hpp
+++ b/oleanderhinge/gateway/forwarding_request.hpp
@@ -113,8 +113,6 @@
     std::optional<base::prompt_part> repetition_key;
     // The retry for the next attempt has been taken from the budget.
     bool retry_reserved = false;
-    // The last server that was chosen had no permit left.
-    bool lacked_permit = false;
     // Set while the request is suspended in `wait_until`.
     std::optional<boost::asio::steady_timer> wait_timer;
     bool caller_left = false;
--- a/oleanderhinge/gateway/internal/forwarder_attempts.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_attempts.cpp
@@ -152,7 +152,8 @@
             sent_to,
             connection.status(),
             metadata,
-            is_own && !ambiguous ? answer_kind::own : answer_kind::other,
+            is_own && !ambiguous ? std::optional(connection.sent_at())
+                                 : std::nullopt,
             base::monotonic_now());
         if (is_own && ambiguous)
             co_return failed_with<attempt_result>(base::may_have_run(
--- a/oleanderhinge/gateway/internal/forwarder_limits.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_limits.cpp
@@ -20,22 +20,20 @@
 {
     const auto use = gateway::take_permit(
         this->selector.permits, incarnation_of(this->selector, server), now);
-    request.lacked_permit = use == permit_use::missing;
-    if (request.lacked_permit)
+    if (use == permit_use::missing)
         request.tried.insert(address);
     else if (use == permit_use::granted)
         this->stats.permits_taken.Increment();
     else if (use == permit_use::own)
         this->stats.own_permits_taken.Increment();
-    return !request.lacked_permit;
+    return use != permit_use::missing;
 }
 
 // Whether the request has no server since the limits are used up.
 bool forwarder::is_limited(
     const forwarding_request& request, base::time_point now) const
 {
-    return request.lacked_permit ||
-           limits_used_up(this->selector, *request.service, now);
+    return limits_used_up(this->selector, *request.service, now);
 }
 
 } // namespace oleanderhinge::gateway
--- a/oleanderhinge/gateway/internal/forwarder_streams.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_streams.cpp
@@ -62,7 +62,6 @@
         if (found.parts.empty()) {
             if (co_await this->wait_to_resume(request))
                 continue;
-            request.lacked_permit |= found.limited;
             if (found.limited || !found.overloaded)
                 co_return co_await this->fail_without_server(
                     request, "no path runs all layers");
--- a/oleanderhinge/gateway/internal/limit_recorder.cpp
+++ b/oleanderhinge/gateway/internal/limit_recorder.cpp
@@ -34,11 +34,9 @@
 }
 
 // Whether the lack of a limit in the answer shows that the server has none.
-bool shows_no_limit(
-    unsigned status, const answer_metadata& answer, answer_kind kind)
+bool shows_no_limit(unsigned status, const answer_metadata& answer)
 {
-    return kind == answer_kind::own && status != misdirected &&
-           answer.request_limit.empty() &&
+    return status != misdirected && answer.request_limit.empty() &&
            (answer.mark == server_mark::present || answer.not_run);
 }
 
@@ -48,7 +46,7 @@
     const server_incarnation& server,
     unsigned status,
     const answer_metadata& answer,
-    answer_kind kind,
+    std::optional<base::time_point> asked,
     base::time_point now)
 {
     wire::server_limit limit{server.id, server.started_ms, {}, 0};
@@ -63,11 +61,15 @@
                     answer.request_limit.substr(0, max_logged_value));
             return;
         }
-    } else if (!shows_no_limit(status, answer, kind)) {
+    } else if (!asked || !shows_no_limit(status, answer)) {
         return;
     }
-    const auto effect =
-        note_answer(this->selector.permits, server, limit.per_second, now);
+    const auto effect = note_answer(
+        this->selector.permits,
+        server,
+        limit.per_second,
+        asked.value_or(now),
+        now);
     if (effect.changed)
         log_limit(limit, "answer");
     if (effect.to_share && this->options.share_limits)
--- a/oleanderhinge/gateway/limit_simulation_test.cpp
+++ b/oleanderhinge/gateway/limit_simulation_test.cpp
@@ -113,7 +113,7 @@
             note_arrival(item.permits, "desk", now);
             if (take_permit(item.permits, server, now) == permit_use::missing)
                 continue;
-            note_answer(item.permits, server, limit, now);
+            note_answer(item.permits, server, limit, now, now);
             arrivals.push_back(now);
         }
     }
--- a/oleanderhinge/gateway/server_permits.cpp
+++ b/oleanderhinge/gateway/server_permits.cpp
@@ -123,9 +123,11 @@
     server_permits& permits,
     const server_incarnation& server,
     std::optional<double> per_second,
+    base::time_point asked,
     base::time_point now)
 {
-    if (!per_second && !has_limit(permits, server, now))
+    if (!per_second && (!has_limit(permits, server, now) ||
+                        permits.limits.servers.at(server.id).stated > asked))
         return {};
     statement_effect effect;
     effect.changed = fleet::note(
@@ -143,7 +145,9 @@
     const wire::server_limit& statement,
     base::time_point now)
 {
-    permits.shared[statement.server] = now;
+    auto& shared = permits.shared[statement.server];
+    shared =
+        std::max(shared, now - std::chrono::milliseconds(statement.age_ms));
     return fleet::note(permits.limits, statement, now);
 }
 
@@ -219,6 +223,8 @@
     std::erase_if(permits.returns_until, [&](const auto& item) {
         return item.second <= now;
     });
+    retry::note(permits.gateways, gateways, now);
+    gateways = retry::maximum(permits.gateways);
     if (!grants_are_silent(permits, now))
         return forgotten;
     for (const auto& [id, statement] : permits.limits.servers)
@@ -276,7 +282,9 @@
                     granted->second.started_ms != server.started_ms
                 ? 0
                 : rate_of(granted->second.rate, grant_half_life, now);
-        per_second += std::max(recent, *limit / std::max(gateways, 1U));
+        const double part = *limit / std::max(gateways, 1U);
+        per_second +=
+            permits.own.empty() ? std::max(recent, part) : part * own_share;
     }
     if (per_second <= 0)
         return min_return_wait;
--- a/oleanderhinge/gateway/server_permits.hpp
+++ b/oleanderhinge/gateway/server_permits.hpp
@@ -16,6 +16,7 @@
 #include "oleanderhinge/base/random.hpp"
 #include "oleanderhinge/fleet/server_limits.hpp"
 #include "oleanderhinge/gateway/server_signals.hpp"
+#include "oleanderhinge/retry/shared_budget.hpp"
 
 #include <deque>
 #include <map>
@@ -30,6 +31,7 @@
 // reported, a gateway grants itself permits.
 inline constexpr base::duration grant_silence = std::chrono::seconds(1);
 inline constexpr double own_share = 0.25;
+inline constexpr base::duration gateway_count_period = std::chrono::minutes(5);
 // Half-lives of the reported demand and of the rate of grants.
 inline constexpr base::duration demand_half_life = std::chrono::seconds(1);
 inline constexpr base::duration grant_half_life = std::chrono::seconds(4);
@@ -77,8 +79,11 @@
     // Since when demand has been reported without a pause.
     std::optional<base::time_point> reported_since;
     std::optional<base::time_point> last_grant;
-    // When a limit was last sent to control, or came from there.
+    // The time of the latest statement that control has, as far as is known.
     std::map<base::backend_server_id, base::time_point> shared;
+    // Gateways that share the limits: the most of the last minutes, as a member
+    // of control that has just started counts few.
+    retry::recent_maximum gateways{.period = gateway_count_period};
     // Until when callers that were refused return, by service.
     std::map<std::string, base::time_point> returns_until;
 };
@@ -102,11 +107,13 @@
 
 // --- Commands ---------------------------------------------------------------
 
-// The server's limit in an answer; empty: the answer has none.
+// The server's limit in an answer to a request that was sent at `asked`; empty:
+// the answer has none, which ends a limit that was stated before.
 statement_effect note_answer(
     server_permits& permits,
     const server_incarnation& server,
     std::optional<double> per_second,
+    base::time_point asked,
     base::time_point now);
 
 // A statement that control has relayed. Returns true if the limit in force has
--- a/oleanderhinge/gateway/server_permits_test.cpp
+++ b/oleanderhinge/gateway/server_permits_test.cpp
@@ -43,9 +43,14 @@
              {"of an earlier process", 2, 4, 2, 0ms, 0},
              {"of a later process", 2, 6, 2, 0ms, 0},
              {"fractions of a request a second", 0.25, 5, 1, 0ms, 1},
-             {"a limit that no answer confirms", 2, 5, 0, 30s, 3}}) {
+             {"a limit that no answer confirms",
+              2,
+              5,
+              0,
+              fleet::statement_lifetime,
+              3}}) {
         server_permits permits;
-        note_answer(permits, server, row.limit, start);
+        note_answer(permits, server, row.limit, start, start);
         note_grant(permits, grant_of(row.granted_to, row.permits), start);
         int sent = 0;
         for (int i = 0; i < 3; ++i) {
@@ -69,6 +74,7 @@
         const char* what;
         std::uint64_t started_ms;
         std::optional<double> limit;
+        base::duration asked;
         base::duration at;
         bool shared;
         // Of the process that answers.
@@ -76,20 +82,25 @@
     };
     server_permits permits;
     for (const auto& row : std::vector<row>{
-             {"none", 5, {}, 0s, false, false},
-             {"begins", 5, 2, 1s, true, true},
-             {"confirmed", 5, 2, 2s, false, true},
-             {"changes", 5, 3, 3s, true, true},
-             {"confirmed after a while", 5, 3, 8s, true, true},
-             {"ends", 5, {}, 9s, true, false},
-             {"none any more", 5, {}, 10s, false, false},
-             {"begins again", 5, 2, 11s, true, true},
-             {"a new process", 6, {}, 12s, false, false},
-             {"the new process", 6, 1, 13s, true, true},
-             {"an old answer", 5, 9, 14s, false, false}}) {
+             {"none", 5, {}, 0s, 0s, false, false},
+             {"begins", 5, 2, 1s, 1s, true, true},
+             {"confirmed", 5, 2, 2s, 2s, false, true},
+             {"changes", 5, 3, 3s, 3s, true, true},
+             {"confirmed after a while", 5, 3, 8s, 8s, true, true},
+             {"ends", 5, {}, 9s, 9s, true, false},
+             {"none any more", 5, {}, 10s, 10s, false, false},
+             {"begins while a request runs", 5, 2, 10s, 11s, true, true},
+             {"a late answer without it", 5, {}, 10s, 12s, false, true},
+             {"ends again", 5, {}, 12s, 12s, true, false},
+             {"begins again", 5, 2, 13s, 13s, true, true},
+             {"a new process", 6, {}, 14s, 14s, false, false},
+             {"the new process", 6, 1, 15s, 15s, true, true},
+             {"an old answer", 5, 9, 16s, 16s, false, false}}) {
         const server_incarnation from{server.id, row.started_ms};
         EXPECT_EQ(
-            note_answer(permits, from, row.limit, start + row.at).to_share,
+            note_answer(
+                permits, from, row.limit, start + row.asked, start + row.at)
+                .to_share,
             row.shared)
             << row.what;
         EXPECT_EQ(has_limit(permits, from, start + row.at), row.has_limit)
@@ -97,6 +108,40 @@
     }
 }
 
+// Guards against a limit that is forgotten though answers confirm it, since the
+// old statements of others come in between.
+TEST(server_permits, a_confirmed_limit_is_shared_beside_relayed_statements)
+{
+    server_permits permits;
+    note_answer(permits, server, 2, start, start);
+    int shared = 0;
+    for (auto at = 1s; at <= 60s; at += 1s) {
+        const auto now = start + at;
+        const auto age = std::chrono::milliseconds(at).count();
+        if (at % 5s == 0s)
+            note_statement(permits, {server.id, 5, 2, std::uint32_t(age)}, now);
+        shared += note_answer(permits, server, 2, now, now).to_share;
+    }
+    EXPECT_EQ(shared, 60s / fleet::resend_interval);
+}
+
+// Guards against own permits beyond the limit while a member of control that
+// has just started counts few gateways.
+TEST(server_permits, a_short_low_count_of_gateways_adds_no_permits)
+{
+    server_permits permits;
+    base::random_source random{1};
+    int sent = 0;
+    for (auto at = 0ms; at < 60s; at += 100ms) {
+        const auto now = start + at;
+        note_statement(permits, {server.id, 5, 4, 0}, now);
+        report_demand(permits, now);
+        update(permits, at < 30s || at > 31s ? 100 : 1, random, now);
+        sent += take_permit(permits, server, now) != permit_use::missing;
+    }
+    EXPECT_LE(sent, 1);
+}
+
 // Sends whenever a permit allows it, for `time` in steps of 10 ms.
 int send_all(
     server_permits& permits,
@@ -171,7 +216,7 @@
         for (int i = 0; i < 20; ++i)
             note_grant(permits, grant_of(5, row.granted), start + i * 1s);
         const auto now = start + 20s;
-        note_answer(permits, server, 2, now);
+        note_answer(permits, server, 2, now, now);
         std::vector<base::duration> waits;
         for (int i = 0; i < 10; ++i)
             waits.push_back(retry_wait(
--- a/oleanderhinge/gateway/server_signals_test.cpp
+++ b/oleanderhinge/gateway/server_signals_test.cpp
@@ -255,7 +255,7 @@
         apply_record(selector, record, start);
         for (const auto& given : row.answers)
             recorder.record(
-                process, 503, given.fields, answer_kind::own, start + given.at);
+                process, 503, given.fields, start + given.at, start + given.at);
         recorder.tick(start);
         EXPECT_GE(
             stats.longest_backoff_seconds.Value(),
--- a/oleanderhinge/gateway/signal_recorder.cpp
+++ b/oleanderhinge/gateway/signal_recorder.cpp
@@ -53,7 +53,7 @@
     const server_incarnation& server,
     unsigned status,
     const answer_metadata& answer,
-    answer_kind kind,
+    std::optional<base::time_point> asked,
     base::time_point now)
 {
     if (answer.leaving && note_leaving(this->selector.signals, server)) {
@@ -67,7 +67,7 @@
     }
     if (!answer.retry_after.empty())
         this->record_backoff(server, answer.retry_after, now);
-    this->record_limit(server, status, answer, kind, now);
+    this->record_limit(server, status, answer, asked, now);
 }
 
 void signal_recorder::record_backoff(
--- a/oleanderhinge/gateway/signal_recorder.hpp
+++ b/oleanderhinge/gateway/signal_recorder.hpp
@@ -7,7 +7,7 @@
 //   signal_recorder recorder(selector, stats, {});
 //   recorder.record(
 //       server, status, protocol.read_answer(status, fields),
-//       answer_kind::other, now);
+//       asked, now);
 //   recorder.tick(now); // ten times a second
 #pragma once
 
@@ -17,6 +17,7 @@
 #include "oleanderhinge/gateway/server_choice.hpp"
 
 #include <functional>
+#include <optional>
 
 namespace oleanderhinge::gateway
 {
@@ -29,25 +30,20 @@
     std::function<void(const wire::server_limits&)> share_limits;
 };
 
-enum class answer_kind : std::uint8_t {
-    // The answer to a caller's request.
-    own,
-    // Any other: the lack of a limit in it does not end one.
-    other,
-};
-
 class signal_recorder
 {
 public:
     signal_recorder(
         server_selector& selector, metrics& stats, signal_options options);
 
-    // Records the signals of one answer from this server.
+    // Records the signals of one answer from this server. `asked`: when the
+    // caller's request was sent that it answers; empty for any other answer,
+    // whose lack of a limit ends none.
     void record(
         const server_incarnation& server,
         unsigned status,
         const answer_metadata& answer,
-        answer_kind kind,
+        std::optional<base::time_point> asked,
         base::time_point now);
     // Records limits that control has relayed.
     void
@@ -65,7 +61,7 @@
         const server_incarnation& server,
         unsigned status,
         const answer_metadata& answer,
-        answer_kind kind,
+        std::optional<base::time_point> asked,
         base::time_point now);
     void update_permits(base::time_point now);
 
--- a/oleanderhinge/gateway/stall_watch.cpp
+++ b/oleanderhinge/gateway/stall_watch.cpp
@@ -130,7 +130,7 @@
         process,
         answer.status,
         this->protocol.read_answer(answer.status, fields),
-        answer_kind::other,
+        std::nullopt,
         base::monotonic_now());
 }
 
--- a/oleanderhinge/gateway/upstream.cpp
+++ b/oleanderhinge/gateway/upstream.cpp
@@ -66,6 +66,7 @@
     if (this->cancelled)
         co_return asio::error::operation_aborted;
     this->head_alone = request.method() == http::verb::head;
+    this->send_began = base::monotonic_now();
     this->outgoing = std::move(request);
     this->written.reset();
     this->stream.expires_at(limit);
--- a/oleanderhinge/gateway/upstream.hpp
+++ b/oleanderhinge/gateway/upstream.hpp
@@ -12,6 +12,7 @@
 //   pool.keep(std::move(connection));
 #pragma once
 
+#include "oleanderhinge/base/time.hpp"
 #include "oleanderhinge/gateway/protocol_adapter.hpp"
 #include "oleanderhinge/gateway/steady_time.hpp"
 #include "oleanderhinge/net/http_client.hpp"
@@ -101,6 +102,8 @@
     bool reusable();
     // False for a connection that has served a request before.
     bool fresh() const { return this->is_new; }
+    // When the present request was handed over.
+    base::time_point sent_at() const { return this->send_began; }
     const wire::endpoint& server() const { return this->peer; }
 
 private:
@@ -120,6 +123,7 @@
     // Cancelled to resume `send` when the request has been written or the
     // connection becomes readable.
     boost::asio::steady_timer progress;
+    base::time_point send_began;
     // The present request has the method HEAD, whose answer is a head alone.
     bool head_alone = false;
     boost::beast::flat_buffer buffer;
