--- a/tests/crowds/gateway_site.cpp
+++ b/tests/crowds/gateway_site.cpp
@@ -1,8 +1,5 @@
 #include "tests/crowds/gateway_site.hpp"
 
-#include "tests/harness/limited_descriptors.hpp"
-
-#include <boost/asio/executor_work_guard.hpp>
 #include <boost/json.hpp>
 
 namespace oleanderhinge::tests
@@ -16,18 +13,6 @@
 
 constexpr std::size_t max_body = std::size_t(4) << 20;
 
-std::string at(std::uint16_t port)
-{
-    return "127.0.0.1:" + std::to_string(port);
-}
-
-std::string node_lines(const std::string& vm)
-{
-    return "[node]\nvm = " + vm +
-           "\nregion = north\ndata_centre = a\n"
-           "cluster_secret = secret-of-the-process-tests\n";
-}
-
 std::string table()
 {
     const json::object route{
@@ -58,130 +43,53 @@
           {"idleTimeoutMs", 15000}}}});
 }
 
-net::http_limits server_limits()
-{
-    net::http_limits limits;
-    limits.body_bytes = max_body;
-    return limits;
-}
-
-} // namespace
-
-gateway_site::gateway_site(unsigned memory)
-    : memory_mb(memory)
-    , server(
-          io,
-          server_limits(),
-          [this](net::http_request request, net::http_exchange& exchange)
-              -> asio::awaitable<void> {
-              co_await this->answer(request, exchange);
-          })
+std::string report(const std::string& address, std::size_t sequence)
 {
+    return json::serialize(json::object{
+        {"service", "desk"},
+        {"address", address},
+        {"zone", "a"},
+        {"slots", 200},
+        {"state", "ready"},
+        {"sequence", sequence},
+        {"born", 1767225600000}});
 }
 
-gateway_site::~gateway_site()
-{
-    this->reporting.request_stop();
-    if (this->reporting.joinable())
-        this->reporting.join();
-    this->io.stop();
-}
-
-asio::awaitable<void> gateway_site::answer(
-    const net::http_request& request, net::http_exchange& exchange) const
+asio::awaitable<void>
+answer(const net::http_request& request, net::http_exchange& exchange)
 {
     constexpr std::size_t large = 3'000'000;
     const std::string_view target = request.target();
-    if (target == endless_answer) {
-        co_await exchange.begin_stream(server_status, "");
+    if (target == gateway_site::endless_answer) {
+        co_await exchange.begin_stream(gateway_site::server_status, "");
         const std::string bytes(8192, 'x');
         while (co_await exchange.write_chunk(bytes)) {
         }
         co_return;
     }
-    std::string body = target == large_answer ? std::string(large, 'x')
-                                              : std::string("none here");
-    co_await exchange.respond(server_status, "", std::move(body), {});
-}
-
-bool gateway_site::start(std::size_t descriptors)
-{
-    this->server_at = base::handle(
-        [this] {
-            return this->server.listen({"127.0.0.1", 0});
-        },
-        [](const base::error&) { return wire::endpoint{}; });
-    this->serving = std::jthread([this] {
-        const auto work = asio::make_work_guard(this->io);
-        this->io.run();
-    });
-    this->start_control();
-    {
-        const limited_descriptors limit(descriptors);
-        this->start_gateway();
-    }
-    const bool stored = wait_until([&] {
-        return call(
-                   this->admin,
-                   {"POST",
-                    "/v1/forwarding-table",
-                    table(),
-                    {{"Content-Type", "application/json"}}})
-                   .status == 200;
-    });
-    this->reporting = std::jthread([this](const std::stop_token& stop) {
-        std::size_t sequence = 0;
-        while (!stop.stop_requested()) {
-            this->report(++sequence);
-            wait_until(
-                [&] { return stop.stop_requested(); },
-                std::chrono::milliseconds(300));
-        }
-    });
-    return stored && wait_until([this] { return this->serves(); });
+    std::string body = target == gateway_site::large_answer
+                           ? std::string(large, 'x')
+                           : std::string("none here");
+    co_await exchange.respond(
+        gateway_site::server_status, "", std::move(body), {});
 }
 
-void gateway_site::start_control()
-{
-    const auto file = this->run.write(
-        "control.ini",
-        node_lines("127.0.0.1") + "data_folder = " + this->run.path("data") +
-            "\n[control]\nseeds = " + at(this->admin) + "\n[link]\nlisten = " +
-            at(this->links) + "\n[admin]\nlisten = " + at(this->admin) +
-            "\ntoken = operators-only-token\n[management]\nlisten = " +
-            at(processes::free_port()) + "\n");
-    this->run.start("control", {"oleanderhinge-control", "--config", file});
-}
+} // namespace
 
-void gateway_site::start_gateway()
+gateway_site::gateway_site(unsigned memory_mb)
+    : gateway_fleet(1, "memory = " + std::to_string(memory_mb) + "\n")
 {
-    const auto file = this->run.write(
-        "gateway.ini",
-        node_lines("gateway") + "[gateway]\nlisten = " + at(this->callers) +
-            "\nmemory = " + std::to_string(this->memory_mb) +
-            "\n[control]\nseeds = " + at(this->admin) +
-            "\nlink_port = " + std::to_string(this->links) +
-            "\n[management]\nlisten = " + at(this->management) + "\n");
-    this->run.start(gateway, {"oleanderhinge-gateway", "--config", file});
+    this->add_server(
+        "desk-1",
+        [](net::http_request request, net::http_exchange& exchange)
+            -> asio::awaitable<void> { co_await answer(request, exchange); },
+        report);
 }
 
-void gateway_site::report(std::size_t sequence) const
+bool gateway_site::start(std::size_t descriptors)
 {
-    const json::object body{
-        {"service", "desk"},
-        {"address", at(this->server_at.port)},
-        {"zone", "a"},
-        {"slots", 200},
-        {"state", "ready"},
-        {"sequence", sequence},
-        {"born", 1767225600000}};
-    call(
-        this->admin,
-        {"POST",
-         "/v1/servers/desk-1/report",
-         json::serialize(body),
-         {{"Content-Type", "application/json"}}},
-        std::chrono::seconds(10));
+    return this->gateway_fleet::start(table(), descriptors) &&
+           wait_until([this] { return this->serves(); });
 }
 
 bool gateway_site::serves(const std::string& body) const
--- a/tests/harness/http.cpp
+++ b/tests/harness/http.cpp
@@ -1,10 +1,10 @@
 #include "tests/harness/http.hpp"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
+#include "tests/harness/http_connection.hpp"
+
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
+
+#include <sstream>
 
 namespace oleanderhinge::tests
 {
@@ -12,7 +12,6 @@
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = beast::http;
-using asio::ip::tcp;
 
 std::string http_reply::header(const std::string& name) const
 {
@@ -40,18 +39,6 @@
     return request;
 }
 
-// Runs one asynchronous operation until it ends or the stream's limit passes.
-template <class Start>
-boost::system::error_code run(asio::io_context& io, Start start)
-{
-    boost::system::error_code result = asio::error::timed_out;
-    start(
-        [&](boost::system::error_code failed, auto&&...) { result = failed; });
-    io.restart();
-    io.run();
-    return result;
-}
-
 } // namespace
 
 http_reply call(
@@ -60,41 +47,12 @@
     std::chrono::milliseconds limit,
     const std::function<void(const std::string&)>& on_body)
 {
-    http_reply reply;
-    asio::io_context io;
-    beast::tcp_stream stream(io);
-    stream.expires_after(limit);
-    if (run(io, [&](auto done) {
-            stream.async_connect(
-                tcp::endpoint(asio::ip::make_address(query.host), port), done);
-        }))
-        return reply;
-    const auto request = to_request(query);
-    if (run(io, [&](auto done) { http::async_write(stream, request, done); }))
-        return reply;
-    beast::flat_buffer buffer;
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(std::uint64_t(64) << 20);
-    std::size_t seen = 0;
-    while (!parser.is_done()) {
-        const auto failed = run(io, [&](auto done) {
-            http::async_read_some(stream, buffer, parser, done);
-        });
-        const auto& body = parser.get().body();
-        if (on_body && body.size() > seen)
-            on_body(body.substr(seen));
-        seen = body.size();
-        if (failed)
-            break;
-    }
-    if (!parser.is_header_done())
-        return reply;
-    reply.status = parser.get().result_int();
-    reply.complete = parser.is_done();
-    for (const auto& field : parser.get())
-        reply.headers.emplace_back(field.name_string(), field.value());
-    reply.body = parser.get().body();
-    return reply;
+    http_connection to(port, limit, query.host);
+    std::ostringstream bytes;
+    bytes << to_request(query);
+    if (!to.is_open || !to.write(bytes.str()))
+        return {};
+    return to.read(on_body);
 }
 
 bool wait_until(
