--- a/tests/harness/message_files.hpp
+++ b/tests/harness/message_files.hpp
@@ -11,6 +11,7 @@
 #include <fstream>
 #include <map>
 #include <sstream>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -21,8 +22,11 @@
 
 inline std::string message(const std::string& file, const replacements& values)
 {
+    const std::ifstream in(file);
+    if (!in)
+        throw std::runtime_error("cannot read " + file);
     std::ostringstream text;
-    text << std::ifstream(file).rdbuf();
+    text << in.rdbuf();
     std::string result = text.str();
     for (const auto& [name, value] : values)
         boost::replace_all(result, "{" + name + "}", value);
