--- a/tests/harness/processes.cpp
+++ b/tests/harness/processes.cpp
@@ -59,6 +59,14 @@
     }
 }
 
+std::vector<char*> pointers_to(const std::vector<std::string>& texts)
+{
+    std::vector<char*> pointers;
+    for (const auto& text : texts)
+        pointers.push_back(const_cast<char*>(text.c_str()));
+    return pointers;
+}
+
 int exit_code(int status)
 {
     return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
@@ -87,14 +95,18 @@
 }
 
 void processes::start(
-    const std::string& name, const std::vector<std::string>& command)
+    const std::string& name,
+    const std::vector<std::string>& command,
+    const std::vector<std::string>& variables)
 {
     const std::string program =
         std::string(OLEANDERHINGE_BINARY_DIR) + "/" + command.front();
-    std::vector<char*> arguments;
-    for (const auto& part : command)
-        arguments.push_back(const_cast<char*>(part.c_str()));
+    auto arguments = pointers_to(command);
     arguments.push_back(nullptr);
+    auto environment = pointers_to(variables);
+    for (char** inherited = environ; *inherited != nullptr; ++inherited)
+        environment.push_back(*inherited);
+    environment.push_back(nullptr);
     const auto log = this->path(name + ".log");
     posix_spawn_file_actions_t files;
     posix_spawn_file_actions_init(&files);
@@ -107,7 +119,12 @@
     posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
     pid_t pid = 0;
     const int failed = posix_spawn(
-        &pid, program.c_str(), &files, nullptr, arguments.data(), environ);
+        &pid,
+        program.c_str(),
+        &files,
+        nullptr,
+        arguments.data(),
+        environment.data());
     posix_spawn_file_actions_destroy(&files);
     if (failed != 0)
         throw std::runtime_error("cannot start " + program);
--- a/tests/harness/processes.hpp
+++ b/tests/harness/processes.hpp
@@ -29,8 +29,11 @@
     processes& operator=(const processes&) = delete;
 
     // Starts a program of the build folder; its output goes to NAME.log.
-    void
-    start(const std::string& name, const std::vector<std::string>& command);
+    // `variables`: "NAME=value", added to the environment of the test.
+    void start(
+        const std::string& name,
+        const std::vector<std::string>& command,
+        const std::vector<std::string>& variables = {});
     void signal(const std::string& name, int number);
     // Waits until the process has ended; its exit code, or 128 plus the signal.
     int wait(const std::string& name);
