control: log reads with their evidence, and how long the process stood still

The logs could not tell the hypotheses apart: a read left no line, so neither its term, its lease nor its wait was known, and a node that had been frozen or suspended did not say so.

Change: each read that a leader answers logs version, term, applied index, the age of the lease and its wait; a tick that comes 400 ms late, or a suspend of that length, logs both times. Reads that are redirected log nothing, as before.

Ruled out as evidence: the lease's age alone, since it is measured by the clock that is in doubt.

--- a/oleanderhinge/base/time.hpp
+++ b/oleanderhinge/base/time.hpp
@@ -26,6 +26,9 @@
 // Reads the steady clock of this VM. Values of two VMs are not comparable.
 time_point monotonic_now();
 
+// Total time for which this VM has been suspended since it booted.
+duration suspended_time();
+
 // Microseconds since the Unix epoch by the wall clock, for the hybrid logical
 // clock and for display only.
 std::uint64_t wall_clock_us();
--- a/oleanderhinge/control/internal/service_fleet.cpp
+++ b/oleanderhinge/control/internal/service_fleet.cpp
@@ -110,7 +110,8 @@
     const auto status = this->consensus.log->status();
     if (status.role != replica::member_role::leader)
         return done(this->not_leader_outcome<document_outcome>());
-    this->consensus.log->read_barrier([this, done = std::move(done)](
+    const auto came = base::monotonic_now();
+    this->consensus.log->read_barrier([this, came, done = std::move(done)](
                                           replica::barrier_result result) {
         document_outcome outcome;
         if (result.ok)
@@ -121,6 +122,16 @@
                     from.config.forwarding.version,
                     from.forwarding_document};
             });
+        const auto present = this->consensus.log->status();
+        spdlog::info(
+            "event=read_forwarding version={} outcome={} term={} applied={} "
+            "lease_age_ms={} waited_us={}",
+            outcome.version,
+            operation_name(outcome.state),
+            present.current_term.value(),
+            present.applied.value(),
+            present.lease_age_ms,
+            (base::monotonic_now() - came).count());
         done(outcome);
     });
 }
--- a/oleanderhinge/control/internal/service_impl.hpp
+++ b/oleanderhinge/control/internal/service_impl.hpp
@@ -222,6 +222,7 @@
 
     // --- Timer (service.cpp)
     void schedule();
+    void observe_halt(base::time_point now);
     void tick(base::time_point now);
     void connect_peers(const replica::log_status& status, base::time_point now);
     void propose_expire();
@@ -276,6 +277,8 @@
     base::time_point next_join;
     std::atomic<bool> adding{false};
     std::atomic<bool> removing{false};
+    base::time_point last_tick;
+    base::duration suspended_before{0};
     base::time_point next_confirm;
     base::time_point next_expire;
     std::uint64_t redirects = 0;
--- a/oleanderhinge/control/service.cpp
+++ b/oleanderhinge/control/service.cpp
@@ -14,6 +14,9 @@
 // the time within which a new leader should be elected.
 constexpr auto tick_interval = std::chrono::milliseconds(100);
 
+// Half of the leader's lease, rounded up.
+constexpr base::duration halt_logged = std::chrono::milliseconds(400);
+
 std::uint64_t to_ms(base::duration time)
 {
     return std::uint64_t(
@@ -33,8 +36,26 @@
     });
 }
 
+// Says that the process or its VM stood still. What was read before may be out
+// of date, and what waits in the sockets is older than it seems.
+void service::impl::observe_halt(base::time_point now)
+{
+    const auto suspended = base::suspended_time();
+    const auto late = now - this->last_tick - tick_interval;
+    const auto newly_suspended = suspended - this->suspended_before;
+    if (this->last_tick != base::time_point{} &&
+        std::max(late, newly_suspended) >= halt_logged)
+        spdlog::warn(
+            "event=stood_still late_ms={} suspended_ms={}",
+            to_ms(late),
+            to_ms(newly_suspended));
+    this->last_tick = now;
+    this->suspended_before = suspended;
+}
+
 void service::impl::tick(base::time_point now)
 {
+    this->observe_halt(now);
     const auto status = this->consensus.log->status();
     const bool had_quorum = this->watch.quorum;
     for (const auto& item : observe(this->watch, status, now)) {
