--- a/oleanderhinge/gateway/route_index.cpp
+++ b/oleanderhinge/gateway/route_index.cpp
@@ -1,25 +1,13 @@
 #include "oleanderhinge/gateway/route_index.hpp"
 
+#include "oleanderhinge/wire/host_name.hpp"
+
 #include <algorithm>
-#include <cctype>
 #include <utility>
 
 namespace oleanderhinge::gateway
 {
 
-namespace
-{
-
-std::string normalize_host(std::string_view host)
-{
-    std::string key(host.substr(0, host.find(':')));
-    for (char& letter : key)
-        letter = char(std::tolower(static_cast<unsigned char>(letter)));
-    return key;
-}
-
-} // namespace
-
 route_index::route_index(wire::forwarding_table table_in)
     : route_index(
           std::make_shared<const wire::forwarding_table>(std::move(table_in)))
@@ -30,7 +18,7 @@
     : held_table(std::move(table_in))
 {
     for (const auto& route : this->held_table->routes)
-        this->by_host[normalize_host(route.host)].push_back(&route);
+        this->by_host[wire::normalized_host(route.host)].push_back(&route);
     for (auto& [host, routes] : this->by_host)
         std::sort(
             routes.begin(),
@@ -59,7 +47,7 @@
 const wire::forwarding_route*
 route_index::find_route(std::string_view host, std::string_view target) const
 {
-    const auto found = this->by_host.find(normalize_host(host));
+    const auto found = this->by_host.find(wire::normalized_host(host));
     if (found == this->by_host.end())
         return nullptr;
     const auto path = target.substr(0, target.find('?'));
