net, gateway: an answer whose status HTTP does not define is no answer

Here, a gateway took every status below 200 for an informational head and read the next head from what followed: an answer in the body of the 000 reached the caller as the server's, with its mark; with 101 the same. Above 599, callers got the status as it was. Calls to engines took a status below 100 for an answer: by reading, an order then counted as accepted, and a stream as moved to a path that nobody had agreed to.

Cause: two readers of heads with a rule each. Both now ask `net::kind_of`: 100 to 199 without 101 is informational, 200 to 599 is the answer, all else fails the call with `may_have_run` and closes the connection; requests that may be repeated get another attempt, others 502.

Paths: callers' answers (gateway/upstream), and through net/http_client the orders, loads and path changes, the agents' engines and plain services, and the command line.

Evidence: before, mixed_answers.an_undefined_status_is_no_answer failed for 000, 001, 099, 101 ("smuggled" with status 200), 600 and 999 (the status itself), and http_client.an_answer_with_an_undefined_status_is_none failed for statuses below 100; both pass now. The second attempt of a repeatable request passed before and after.

--- a/oleanderhinge/gateway/mixed_answers_test.cpp
+++ b/oleanderhinge/gateway/mixed_answers_test.cpp
@@ -17,6 +17,12 @@
     co_await exchange.write_chunk("id: 1\nda");
 }
 
+asio::awaitable<void> answer_with_status_000(
+    const net::http_request& request, net::http_exchange& exchange)
+{
+    co_await exchange.respond(0, "", "nothing", server_headers(request));
+}
+
 class mixed_answers : public raw_answers_fixture
 {
 };
@@ -281,6 +287,38 @@
     EXPECT_EQ(this->stats.attempts.Value(), 2);
 }
 
+// Each row: a status that HTTP does not define, or one that needs the caller's
+// consent. Guards against such an answer that reaches the caller, and against
+// one in its body that is taken for the server's.
+TEST_F(mixed_answers, an_undefined_status_is_no_answer)
+{
+    const auto within = with_length("200 OK", genuine, "smuggled");
+    for (const auto* status : {"000", "001", "099", "101", "600", "999"})
+        for (const auto* target : {"/once/x", "/talk/x"}) {
+            this->use_raw_server(true);
+            this->raw.answers = {
+                {with_length(status + std::string(" x"), genuine, within),
+                 after_answer::close}};
+            const auto view = this->watch(target);
+            EXPECT_EQ(view.status, 502U) << status << ' ' << target;
+            EXPECT_EQ(view.seals, 0U) << status << ' ' << target;
+            EXPECT_EQ(view.body.find("smuggled"), std::string::npos)
+                << status << ' ' << target;
+        }
+}
+
+// Guards against a request that may be repeated and that is given up because
+// one server answers with an undefined status.
+TEST_F(mixed_answers, an_undefined_status_is_followed_by_another_attempt)
+{
+    this->use_raw_server(false);
+    this->first.behave = answer_with_status_000;
+    this->raw.answers = {{with_length("200 OK", genuine, "done")}};
+    const auto view = this->watch("/read/x");
+    EXPECT_EQ(view.status, 200U);
+    EXPECT_EQ(view.body, "done");
+}
+
 // Each row: an answer with neither a length nor chunks. Guards against one that
 // looks complete although its connection was reset.
 TEST_F(mixed_answers, an_answer_that_ends_with_its_connection)
--- a/oleanderhinge/gateway/upstream.cpp
+++ b/oleanderhinge/gateway/upstream.cpp
@@ -115,7 +115,10 @@
             this->stream, this->buffer, *this->answer, as_pair);
         if (failed)
             co_return failed;
-        if (this->status() >= 200)
+        const auto kind = net::kind_of(this->answer->get().base());
+        if (kind == net::head_kind::undefined)
+            co_return http::error::bad_status;
+        if (kind == net::head_kind::final_answer)
             co_return this->check_head();
     }
     co_return http::error::header_limit;
--- a/oleanderhinge/net/http_client.cpp
+++ b/oleanderhinge/net/http_client.cpp
@@ -202,8 +202,10 @@
             co_await http::async_read(stream, buffer, *parser, as_pair);
         if (failed)
             co_return failed;
-        if (http::to_status_class(parser->get().result_int()) !=
-            http::status_class::informational)
+        const auto kind = kind_of(parser->get().base());
+        if (kind == head_kind::undefined)
+            co_return http::error::bad_status;
+        if (kind == head_kind::final_answer)
             co_return check_answer(*parser, buffer);
     }
     co_return http::error::header_limit;
--- a/oleanderhinge/net/http_client_answers_test.cpp
+++ b/oleanderhinge/net/http_client_answers_test.cpp
@@ -141,6 +141,42 @@
     EXPECT_EQ(outcome.answer.body, "1");
 }
 
+// Each row: a status. Guards against a status that HTTP does not define and
+// that is taken for one below 300, so for consent, and against an answer in the
+// body of one that is taken for a head without a body.
+TEST(http_client, an_answer_with_an_undefined_status_is_none)
+{
+    struct row {
+        const char* status;
+        unsigned accepted;
+    };
+    const row rows[] = {
+        {"000", 0},
+        {"001", 0},
+        {"099", 0},
+        // Nobody asked for another protocol.
+        {"101", 0},
+        {"200", 200},
+        {"299", 299},
+        {"404", 404},
+        {"599", 599},
+        {"600", 0},
+        {"999", 0}};
+    for (const auto& r : rows) {
+        const auto outcome = answered_with(
+            std::string("HTTP/1.1 ") + r.status +
+                " x\r\nContent-Length: 4\r\n\r\ndone",
+            after_answer::close);
+        EXPECT_EQ(
+            outcome.failure,
+            r.accepted != 0 ? http_failure::none : http_failure::unknown)
+            << r.status;
+        EXPECT_EQ(outcome.answer.status, r.accepted) << r.status;
+        EXPECT_EQ(outcome.answer.body, r.accepted != 0 ? "done" : "")
+            << r.status;
+    }
+}
+
 // Guards against a call that never ends, since its method has no body
 // otherwise.
 TEST(http_client, a_body_may_come_with_any_method)
