consensus: a read waits for a quorum's answer to a message sent after it

Cause: a read was answered on the strength of the leader's lease, and the lease is measured by the leader's own clock. A VM that is suspended or paused wakes with a clock that did not count that time: its lease seems to hold, while the others have elected a leader and acknowledged changes. Reads that waited in its sockets, and those of the next half second, were answered from its old state. The class: a permission that is checked with a clock which stops together with the process that it binds.

Change: the leader notes what it has sent when the read comes, sends one round of messages, and answers once a quorum has acknowledged a message of its term that was sent later. Send times within a term differ across a read even if the clock stands still, so that no clock is relied on. Reads that come during a round share the next one.

Tests changed: step.a_leader_that_wakes_after_its_lease_answers_no_read and step.a_read_waits_for_the_first_commit_of_the_term expected the answer at the lease alone, which is the fault. They now expect the same refusals, and the answer only after the round.

Ruled out: two leaders in a term, a lease that counts a lost disk's or an earlier term's vote, an answer computed before the barrier (by reading; the fault tables of consensus pass).

--- a/oleanderhinge/consensus/events.hpp
+++ b/oleanderhinge/consensus/events.hpp
@@ -37,8 +37,9 @@
     std::vector<proposal> batch;
 };
 
-// Linearizable read under the leader's lease. Answered by `read_ready` once the
-// lease allows it, or by `rejected`.
+// Linearizable read. Answered by `read_ready` once a quorum has answered a
+// message that the leader sent after the read came, or by `rejected`. No clock
+// is relied on.
 struct read_requested {
     std::uint64_t tag = 0;
 };
--- a/oleanderhinge/consensus/internal/context.hpp
+++ b/oleanderhinge/consensus/internal/context.hpp
@@ -69,7 +69,10 @@
 void on_append_reply(context& c, const vm_id& from, const append_reply& r);
 // Commits what is durable on a majority of the voters.
 void advance_commit(context& c);
-// Answers pending reads if the leader holds its lease.
+// The send time for a message of the leader.
+std::int64_t next_send_time(context& c);
+// Answers the pending reads that a quorum has confirmed, and asks for
+// confirmation of the others.
 void answer_reads(context& c);
 void on_transfer(context& c);
 // Sends entries or a snapshot chunk, as far as the in-flight limits allow. With
--- a/oleanderhinge/consensus/internal/leader.cpp
+++ b/oleanderhinge/consensus/internal/leader.cpp
@@ -24,7 +24,7 @@
     r.previous = log_index{p.next.value() - 1};
     r.previous_term = *term_at(c.state.log, r.previous);
     r.committed = c.state.committed;
-    r.sent_us = c.now.time_since_epoch().count();
+    r.sent_us = next_send_time(c);
     r.lease_age_ms = lease_age_ms(c);
     p.last_sent_previous = r.previous;
     if (!entries.empty()) {
@@ -81,7 +81,7 @@
 void acknowledge(context& c, progress& p, std::int64_t sent_us)
 {
     const base::time_point sent{base::duration(sent_us)};
-    if (sent > c.now)
+    if (sent > c.state.leading.last_sent)
         return;
     if (!p.acknowledged_sent_at || *p.acknowledged_sent_at < sent)
         p.acknowledged_sent_at = sent;
@@ -230,21 +230,43 @@
         c.actions.emplace_back(rejected{r.tag, reject_reason::not_leader});
         return;
     }
-    c.state.leading.pending_reads.push_back(r.tag);
+    auto& leading = c.state.leading;
+    leading.pending_reads.push_back({r.tag, leading.last_sent});
+    leading.last_sent += base::duration(1);
+}
+
+std::int64_t next_send_time(context& c)
+{
+    auto& last = c.state.leading.last_sent;
+    last = std::max(last, c.now);
+    return last.time_since_epoch().count();
 }
 
 void answer_reads(context& c)
 {
     auto& state = c.state;
+    auto& leading = state.leading;
     // Until an entry of this term is committed, `committed` may not cover all
     // entries that an earlier leader committed and acknowledged.
-    if (state.role != role::leader || state.leading.pending_reads.empty() ||
-        state.committed < state.leading.term_start_index ||
-        !holds_lease(state, c.now))
+    if (state.role != role::leader || leading.pending_reads.empty() ||
+        state.committed < leading.term_start_index)
+        return;
+    const auto confirmed =
+        acknowledged_by_quorum(state, base::time_point::max())
+            .value_or(base::time_point::min());
+    const auto unconfirmed = std::find_if(
+        leading.pending_reads.begin(),
+        leading.pending_reads.end(),
+        [&](const pending_read& r) { return r.after >= confirmed; });
+    for (auto r = leading.pending_reads.begin(); r != unconfirmed; ++r)
+        c.actions.emplace_back(read_ready{r->tag, state.committed});
+    leading.pending_reads.erase(leading.pending_reads.begin(), unconfirmed);
+    // Reads that come while a round is on its way share the next one.
+    if (leading.pending_reads.empty() || leading.read_round > confirmed)
         return;
-    for (const auto tag : state.leading.pending_reads)
-        c.actions.emplace_back(read_ready{tag, state.committed});
-    state.leading.pending_reads.clear();
+    leading.read_round = base::time_point(base::duration(next_send_time(c)));
+    for (auto& [vm, p] : leading.peers)
+        replicate(c, vm, p, true);
 }
 
 void on_append_reply(context& c, const vm_id& from, const append_reply& r)
--- a/oleanderhinge/consensus/internal/membership.cpp
+++ b/oleanderhinge/consensus/internal/membership.cpp
@@ -37,7 +37,8 @@
 bool is_fresh_announcement(const context& c, const disk_announcement& m)
 {
     const base::time_point sent{base::duration(m.echo_sent_us)};
-    return m.echo_term == c.state.vote.current_term && sent <= c.now &&
+    return m.echo_term == c.state.vote.current_term &&
+           sent <= c.state.leading.last_sent &&
            c.now < sent + c.state.times.lease_duration;
 }
 
--- a/oleanderhinge/consensus/internal/roles.cpp
+++ b/oleanderhinge/consensus/internal/roles.cpp
@@ -96,8 +96,9 @@
 {
     auto& state = c.state;
     if (state.role == role::leader) {
-        for (const auto tag : state.leading.pending_reads)
-            c.actions.emplace_back(rejected{tag, reject_reason::not_leader});
+        for (const auto& read : state.leading.pending_reads)
+            c.actions.emplace_back(
+                rejected{read.tag, reject_reason::not_leader});
         state.leading = {};
     }
     state.role = role::follower;
--- a/oleanderhinge/consensus/internal/snapshot.cpp
+++ b/oleanderhinge/consensus/internal/snapshot.cpp
@@ -80,7 +80,7 @@
             snapshot.data->substr(m.offset, c.state.bounds.max_chunk_bytes);
         p.chunk_sent_at = c.now;
     }
-    m.sent_us = c.now.time_since_epoch().count();
+    m.sent_us = next_send_time(c);
     m.lease_age_ms = lease_age_ms(c);
     send_to(c, to, p.disk, std::move(m));
 }
--- a/oleanderhinge/consensus/node_state.hpp
+++ b/oleanderhinge/consensus/node_state.hpp
@@ -43,15 +43,27 @@
     base::time_point chunk_sent_at;
 };
 
+// A read that waits for a quorum to answer a message sent after it came.
+struct pending_read {
+    std::uint64_t tag = 0;
+    // `leader_state::last_sent` when it came.
+    base::time_point after;
+};
+
 // State of a leader; reset at each change of role.
 struct leader_state {
     base::time_point elected_at;
     // Index of the no-op entry that started the term.
     log_index term_start_index;
     std::map<vm_id, progress> peers;
-    // Tags of reads that wait for the lease or for the commit of
-    // `term_start_index`.
-    std::vector<std::uint64_t> pending_reads;
+    // Latest send time in a message of this term. Each read advances it, so
+    // that the messages before and after the read differ even if the clock
+    // stood still with the VM.
+    base::time_point last_sent;
+    // In the order in which they came.
+    std::vector<pending_read> pending_reads;
+    // Send time of the last messages sent for reads.
+    base::time_point read_round;
     // Set while a leadership transfer waits for a voter to catch up.
     std::optional<base::time_point> transfer_deadline;
     // Time when heartbeats were last sent to all peers.
--- a/oleanderhinge/consensus/queries.cpp
+++ b/oleanderhinge/consensus/queries.cpp
@@ -45,16 +45,14 @@
 }
 
 std::optional<base::time_point>
-lease_start(const node_state& state, base::time_point now)
+acknowledged_by_quorum(const node_state& state, base::time_point own)
 {
-    if (state.role != role::leader)
-        return std::nullopt;
     std::vector<base::time_point> confirmed;
     for (const auto& m : members_of(state)) {
         if (!m.voter)
             continue;
         if (m.vm == state.self) {
-            confirmed.push_back(now);
+            confirmed.push_back(own);
             continue;
         }
         const auto peer = state.leading.peers.find(m.vm);
@@ -69,6 +67,14 @@
     return confirmed[needed - 1];
 }
 
+std::optional<base::time_point>
+lease_start(const node_state& state, base::time_point now)
+{
+    if (state.role != role::leader)
+        return std::nullopt;
+    return acknowledged_by_quorum(state, now);
+}
+
 bool holds_lease(const node_state& state, base::time_point now)
 {
     const auto start = lease_start(state, now);
@@ -82,7 +88,8 @@
         const auto start = lease_start(state, now);
         if (!start)
             return std::nullopt;
-        return now - *start;
+        // A read may have moved the send times a little ahead of the clock.
+        return std::max(base::duration(0), now - *start);
     }
     if (!state.last_leader_contact)
         return std::nullopt;
--- a/oleanderhinge/consensus/queries.hpp
+++ b/oleanderhinge/consensus/queries.hpp
@@ -23,6 +23,11 @@
 // Number of voters in a majority.
 std::size_t quorum_size(const membership& members);
 
+// The latest send time whose messages a quorum has acknowledged in the leader's
+// term, if the leader's own copy counts as `own`. Empty if there is none.
+std::optional<base::time_point>
+acknowledged_by_quorum(const node_state& state, base::time_point own);
+
 // Start of the leader's lease: the latest send time whose messages a quorum has
 // acknowledged in the leader's term. Empty if there is none, and on a member
 // that does not lead.
--- a/oleanderhinge/consensus/step_test.cpp
+++ b/oleanderhinge/consensus/step_test.cpp
@@ -139,38 +139,103 @@
     EXPECT_TRUE(holds_lease(s.state, s.now));
 }
 
+// Send time of the latest append_request to member 2.
+base::time_point sent_at(const std::vector<action>& actions)
+{
+    const auto requests = sent_to<append_request>(actions, 2);
+    return requests.empty()
+               ? base::time_point{}
+               : base::time_point{base::duration(requests.back().sent_us)};
+}
+
 TEST(step, a_leader_that_wakes_after_its_lease_answers_no_read)
 {
     tested_member s;
     s.elect();
     const auto term_start = s.state.leading.term_start_index;
-    s.acknowledge(2, term_start, s.state.vote.current_term, s.now);
+    const auto current = s.state.vote.current_term;
+    s.acknowledge(2, term_start, current, s.now);
+    const auto round = sent_at(s.feed(read_requested{1}));
     EXPECT_EQ(
-        actions_of_type<read_ready>(s.feed(read_requested{1})).size(), 1u);
-    const auto sent_at = s.now;
-    s.now += s.state.times.lease_duration;
+        actions_of_type<read_ready>(
+            s.acknowledge(2, term_start, current, round))
+            .size(),
+        1u);
+    s.now = round + s.state.times.lease_duration;
     EXPECT_TRUE(actions_of_type<read_ready>(s.feed(read_requested{2})).empty());
     // An acknowledgment that was delayed on its way counts from the time at
     // which the acknowledged message was sent.
-    EXPECT_TRUE(
-        actions_of_type<read_ready>(
-            s.acknowledge(2, term_start, s.state.vote.current_term, sent_at))
-            .empty());
+    EXPECT_TRUE(actions_of_type<read_ready>(
+                    s.acknowledge(2, term_start, current, round))
+                    .empty());
     const auto rejections = actions_of_type<rejected>(s.feed(tick{}));
     ASSERT_EQ(rejections.size(), 1u);
     EXPECT_EQ(rejections[0].tag, 2u);
     EXPECT_EQ(s.state.role, role::follower);
 }
 
+// Guards against a read that is answered on the strength of a lease: its clock
+// may have stood still with the VM, so that it does not show that others have
+// gone on.
+TEST(step, a_read_needs_an_answer_to_a_message_sent_after_it)
+{
+    tested_member s;
+    s.elect();
+    const auto term_start = s.state.leading.term_start_index;
+    const auto current = s.state.vote.current_term;
+    s.acknowledge(2, term_start, current, s.now);
+    ASSERT_TRUE(holds_lease(s.state, s.now));
+    // The clock does not move from here on.
+    const auto before_read = sent_at(s.feed(read_requested{1}));
+    const auto later = s.feed(read_requested{2});
+    EXPECT_TRUE(actions_of_type<read_ready>(later).empty());
+    // Answers to what was sent before the reads.
+    for (const std::uint64_t from : {2U, 3U})
+        EXPECT_TRUE(actions_of_type<read_ready>(
+                        s.acknowledge(from, term_start, current, start + 3s))
+                        .empty());
+    // The first round is older than the second read, which gets a round of its
+    // own.
+    const auto first = s.acknowledge(2, term_start, current, before_read);
+    ASSERT_EQ(actions_of_type<read_ready>(first).size(), 1u);
+    EXPECT_EQ(actions_of_type<read_ready>(first)[0].tag, 1u);
+    const auto second_round = sent_at(first);
+    EXPECT_GT(second_round, before_read);
+    const auto second = s.acknowledge(3, term_start, current, second_round);
+    ASSERT_EQ(actions_of_type<read_ready>(second).size(), 1u);
+    EXPECT_EQ(actions_of_type<read_ready>(second)[0].tag, 2u);
+}
+
+// Guards against a leader that stood still, whose reads a higher term ends.
+TEST(step, a_read_ends_when_an_answer_shows_a_higher_term)
+{
+    tested_member s;
+    s.elect();
+    const auto current = s.state.vote.current_term;
+    s.acknowledge(2, s.state.leading.term_start_index, current, s.now);
+    s.feed(read_requested{1});
+    const auto ended = s.message(3, append_reply{}, current.next());
+    EXPECT_TRUE(actions_of_type<read_ready>(ended).empty());
+    ASSERT_EQ(actions_of_type<rejected>(ended).size(), 1u);
+    EXPECT_EQ(s.state.role, role::follower);
+}
+
 TEST(step, a_read_waits_for_the_first_commit_of_the_term)
 {
     tested_member s;
     s.elect();
-    s.acknowledge(2, log_index{1}, s.state.vote.current_term, s.now);
+    const auto current = s.state.vote.current_term;
+    s.acknowledge(2, log_index{1}, current, s.now);
     EXPECT_TRUE(holds_lease(s.state, s.now));
     EXPECT_TRUE(actions_of_type<read_ready>(s.feed(read_requested{1})).empty());
-    const auto done = s.acknowledge(
-        2, s.state.leading.term_start_index, s.state.vote.current_term, s.now);
+    // A later message is answered, but nothing of the term is committed.
+    s.now += s.state.times.heartbeat_interval;
+    const auto sent = sent_at(s.feed(tick{}));
+    EXPECT_TRUE(actions_of_type<read_ready>(
+                    s.acknowledge(2, log_index{1}, current, sent))
+                    .empty());
+    const auto done =
+        s.acknowledge(2, s.state.leading.term_start_index, current, sent);
     EXPECT_EQ(actions_of_type<read_ready>(done).size(), 1u);
 }
 
