base: the clock of leases counts the time during which a VM is suspended

What callers can see: after a suspend of its VM, a leader claims its lease for another half second, in which it gives orders to backend servers and permits to gateways beside its successor; a gateway goes on with permits, back-offs and reports whose time is over.

Cause: `base::monotonic_now` read CLOCK_MONOTONIC, which stands still during a suspend. It now reads CLOCK_BOOTTIME, so that every promise, lease and age of the product counts the suspend. Timers of Asio stay on the steady clock. Two places of the gateway took times of one clock for those of the other; they now convert (`to_base_time`, `to_steady_time`).

Not covered: a pause by the hypervisor that no clock of the VM counts. Requests in progress at a gateway that was suspended have their time left measured by Asio's clock.

--- a/oleanderhinge/base/time.cpp
+++ b/oleanderhinge/base/time.cpp
@@ -27,8 +27,7 @@
 
 time_point monotonic_now()
 {
-    const auto since = std::chrono::steady_clock::now().time_since_epoch();
-    return time_point{std::chrono::duration_cast<duration>(since)};
+    return time_point{time_of(CLOCK_BOOTTIME)};
 }
 
 std::uint64_t wall_clock_us()
--- a/oleanderhinge/base/time.hpp
+++ b/oleanderhinge/base/time.hpp
@@ -23,7 +23,9 @@
 using duration = monotonic_clock::duration;
 using time_point = monotonic_clock::time_point;
 
-// Reads the steady clock of this VM. Values of two VMs are not comparable.
+// Reads the steady clock of this VM, which counts the time during which the VM
+// is suspended: a lease or a promise to another VM runs on meanwhile. Values of
+// two VMs are not comparable, nor are they with std::chrono::steady_clock.
 time_point monotonic_now();
 
 // Total time for which this VM has been suspended since it booted.
--- a/oleanderhinge/gateway/internal/forwarder_drain.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_drain.cpp
@@ -27,12 +27,6 @@
 // Another gateway serves the caller at once.
 constexpr auto drain_retry_after = milliseconds(10);
 
-base::time_point to_time_point(steady_time time)
-{
-    return base::time_point{
-        std::chrono::duration_cast<base::duration>(time.time_since_epoch())};
-}
-
 } // namespace
 
 void forwarder::begin_drain(base::time_point end)
@@ -125,7 +119,7 @@
 {
     if (!this->drain_end || request.head_sent)
         return {};
-    const auto deadline = to_time_point(request.deadline);
+    const auto deadline = to_base_time(request.deadline);
     const bool time_left = now < deadline;
     if (time_left && deadline <= *this->drain_end)
         return {};
@@ -167,9 +161,7 @@
         if (this->drain_end)
             result = std::min(
                 result,
-                steady_time(
-                    this->drain_end->time_since_epoch() -
-                    least_presumed_duration));
+                to_steady_time(*this->drain_end - least_presumed_duration));
         return result;
     };
     const auto held = request.shared_from_this();
--- a/oleanderhinge/gateway/internal/stall_watch_moves.cpp
+++ b/oleanderhinge/gateway/internal/stall_watch_moves.cpp
@@ -25,12 +25,6 @@
 constexpr auto start_check_interval = milliseconds(300);
 constexpr int max_start_checks = 3;
 
-base::time_point to_time_point(steady_time time)
-{
-    return base::time_point{
-        std::chrono::duration_cast<base::duration>(time.time_since_epoch())};
-}
-
 bool may_run_again(const forwarding_request& request)
 {
     return request.route->repeat != wire::repeat_rule::at_most_once &&
@@ -91,7 +85,7 @@
              .begun = request->head_sent,
              .replaceable = may_run_again(*request),
              .events = request->events.event_count,
-             .last_progress = to_time_point(request->last_progress),
+             .last_progress = to_base_time(request->last_progress),
              .next_trial = this->next_move(*request)});
     }
     for (const auto& move : plan_moves(streams, this->departed, tick_time, now))
@@ -120,7 +114,7 @@
         if (!is_movable(*request) || !request->awaits_server ||
             request->events.event_count != 0 || request->head_sent ||
             now < request->next_start_check || !may_run_again(*request) ||
-            now < to_time_point(request->attempt_started) + min_wait_for_start)
+            now < to_base_time(request->attempt_started) + min_wait_for_start)
             continue;
         request->next_start_check = now + start_check_interval;
         if (this->actions.leave_before_start(*request))
@@ -186,7 +180,7 @@
     if (!changed && !parts.empty())
         this->note_refused_part(outcome);
     const bool failed_before =
-        to_time_point(request.last_progress) < request.last_failed_move;
+        to_base_time(request.last_progress) < request.last_failed_move;
     const bool left = !changed && standing == server_standing::lost &&
                       this->leave_attempt(request, away_from);
     if (!changed)
--- a/oleanderhinge/gateway/steady_time.hpp
+++ b/oleanderhinge/gateway/steady_time.hpp
@@ -1,10 +1,12 @@
-// Shorthands for times of requests on the steady clock.
+// Shorthands for times of requests on the clock of Asio's timers.
 //
 // Example:
 //   const auto started = steady_now();
 //   log(ms_since(started), left_until(deadline));
 #pragma once
 
+#include "oleanderhinge/base/time.hpp"
+
 #include <algorithm>
 #include <chrono>
 
@@ -34,4 +36,17 @@
         .count();
 }
 
+// The same moment on the clock of `base::monotonic_now`, which runs ahead of
+// this one by the time for which the VM has been suspended.
+inline base::time_point to_base_time(steady_time time)
+{
+    return base::monotonic_now() +
+           std::chrono::duration_cast<base::duration>(time - steady_now());
+}
+
+inline steady_time to_steady_time(base::time_point time)
+{
+    return steady_now() + (time - base::monotonic_now());
+}
+
 } // namespace oleanderhinge::gateway
--- a/tests/control_reads_test.cpp
+++ b/tests/control_reads_test.cpp
@@ -3,8 +3,10 @@
 #include "tests/harness/control_nodes.hpp"
 #include "tests/harness/http_connection.hpp"
 
+#include <boost/json.hpp>
 #include <gtest/gtest.h>
 
+#include <optional>
 #include <ostream>
 
 namespace oleanderhinge::tests
@@ -61,5 +63,45 @@
     testing::Values(halt_kind::freeze, halt_kind::suspend, halt_kind::pause),
     testing::PrintToStringParamName());
 
+class lapsed_lease : public testing::TestWithParam<halt_kind>
+{
+};
+
+// Guards against a leader that still claims its lease when its VM wakes, and
+// with it gives orders to backend servers and permits to gateways.
+TEST_P(lapsed_lease, is_not_claimed_by_a_leader_that_wakes)
+{
+    control_nodes nodes(3);
+    std::optional<std::size_t> leader;
+    ASSERT_TRUE(wait_until([&] {
+        leader = nodes.leader();
+        return leader.has_value();
+    }));
+    nodes.halt(*leader);
+    const auto other = (*leader + 1) % nodes.count();
+    ASSERT_TRUE(wait_until([&] { return nodes.put(other, 1); }));
+    const auto query = control_nodes::status_query();
+    http_connection waiting(
+        nodes.admin, std::chrono::seconds(10), nodes.address(*leader));
+    ASSERT_TRUE(waiting.write(
+        query.method + " " + query.target + " HTTP/1.1\r\nHost: control\r\n" +
+        query.headers[0].first + ": " + query.headers[0].second + "\r\n\r\n"));
+    nodes.resume(*leader, GetParam());
+    const auto reply = waiting.read();
+    ASSERT_EQ(reply.status, 200U);
+    const auto status = boost::json::parse(reply.body);
+    EXPECT_FALSE(
+        status.at("role").as_string() == "leader" &&
+        status.at("quorum").as_bool())
+        << reply.body;
+}
+
+// Of a pause by the hypervisor, no clock but the time of day tells a VM.
+INSTANTIATE_TEST_SUITE_P(
+    control_reads,
+    lapsed_lease,
+    testing::Values(halt_kind::freeze, halt_kind::suspend),
+    testing::PrintToStringParamName());
+
 } // namespace
 } // namespace oleanderhinge::tests
--- a/tests/harness/control_nodes.cpp
+++ b/tests/harness/control_nodes.cpp
@@ -247,11 +247,14 @@
     return added;
 }
 
+http_query control_nodes::status_query()
+{
+    return {"GET", "/v1/status", "", {{"Authorization", "Bearer " + token}}};
+}
+
 std::size_t control_nodes::voters(std::size_t node) const
 {
-    const auto reply = this->ask(
-        node,
-        {"GET", "/v1/status", "", {{"Authorization", "Bearer " + token}}});
+    const auto reply = this->ask(node, status_query());
     if (reply.status != 200)
         return 0;
     const auto status = boost::json::parse(reply.body);
--- a/tests/harness/control_nodes.hpp
+++ b/tests/harness/control_nodes.hpp
@@ -69,6 +69,7 @@
     // Node that answers a read by itself; empty without one.
     std::optional<std::size_t> leader() const;
 
+    static http_query status_query();
     // Voters of the group as the node sees it; 0 unless it leads.
     std::size_t voters(std::size_t node) const;
 
