control: a follower vouches for its revision only once it has caught up

What callers can see: a gateway that has just started, or an entry node, takes an older table for the newest and serves with it, since the member that it asked first confirms its own revision although it lags: one that was cut off or wiped and is still being sent the log.

Cause: a follower confirmed what it had applied whenever it had heard from a leader with a lease, without looking at what that leader had committed.

Change: a follower keeps what its leader had committed when it sent its last message, and confirms only if it has committed that much, an entry of the leader's own term among it, since a new leader does not know all earlier commits before.

Evidence: found by reading; control.feed.a_follower_that_lags_confirms_nothing fails without the condition (the confirmation arrives) and passes with it; the rows of consensus.step.a_follower_has_caught_up_only_with_its_leaders_commits name the ways to lag.

What remains: the age in a confirmation does not include its way (docs/PROOFS.md, "Not proved").

--- a/oleanderhinge/consensus/internal/follower.cpp
+++ b/oleanderhinge/consensus/internal/follower.cpp
@@ -79,6 +79,7 @@
 {
     auto& state = c.state;
     record_leader_contact(c, from, disk, r.sent_us, r.lease_age_ms);
+    state.leader_committed = r.committed;
     const auto end = log_index{r.previous.value() + r.entries.size()};
     const bool is_in_snapshot = r.previous < state.log.base;
     if (!is_in_snapshot && term_at(state.log, r.previous) != r.previous_term) {
--- a/oleanderhinge/consensus/internal/roles.cpp
+++ b/oleanderhinge/consensus/internal/roles.cpp
@@ -106,6 +106,7 @@
     state.leader = leader;
     state.leader_disk = disk;
     state.last_leader_contact.reset();
+    state.leader_committed.reset();
     // Entries that are not committed may differ from the new leader's log.
     state.leader_match_index = state.committed;
     state.leader_sent_us = 0;
--- a/oleanderhinge/consensus/internal/snapshot.cpp
+++ b/oleanderhinge/consensus/internal/snapshot.cpp
@@ -90,6 +90,7 @@
 {
     auto& state = c.state;
     record_leader_contact(c, from, disk, m.sent_us, m.lease_age_ms);
+    state.leader_committed.reset();
     const auto reply = [&](std::uint64_t received) {
         send_to(c, from, disk, snapshot_reply{m.last, received, m.sent_us});
     };
--- a/oleanderhinge/consensus/node_state.hpp
+++ b/oleanderhinge/consensus/node_state.hpp
@@ -149,6 +149,9 @@
     // leader's lease that the message gave.
     std::optional<base::time_point> last_leader_contact;
     base::duration leader_lease_age{0};
+    // What the leader had committed when it sent its last message; empty if
+    // the message did not say.
+    std::optional<log_index> leader_committed;
     // The log equals the current leader's up to this index.
     log_index leader_match_index;
     // Latest `sent_us` received from the current leader.
--- a/oleanderhinge/consensus/queries.cpp
+++ b/oleanderhinge/consensus/queries.cpp
@@ -96,6 +96,13 @@
     return state.leader_lease_age + (now - *state.last_leader_contact);
 }
 
+bool has_caught_up(const node_state& state)
+{
+    return state.role == role::follower && state.leader_committed &&
+           state.committed >= *state.leader_committed &&
+           term_at(state.log, state.committed) == state.vote.current_term;
+}
+
 bool has_quorum(const node_state& state, base::time_point now)
 {
     const auto age = lease_age(state, now);
--- a/oleanderhinge/consensus/queries.hpp
+++ b/oleanderhinge/consensus/queries.hpp
@@ -42,6 +42,11 @@
 // lease that its leader last reported is in force.
 bool has_quorum(const node_state& state, base::time_point now);
 
+// True on a follower that has committed all that its leader had committed when
+// it sent its last message, an entry of the leader's own term among it: until
+// that one, a leader may not know of all that was committed before.
+bool has_caught_up(const node_state& state);
+
 // Time since the start of the leader's lease, as far as this member knows;
 // empty if unknown.
 std::optional<base::duration>
--- a/oleanderhinge/consensus/step_test.cpp
+++ b/oleanderhinge/consensus/step_test.cpp
@@ -239,6 +239,52 @@
     EXPECT_EQ(actions_of_type<read_ready>(done).size(), 1u);
 }
 
+// Each row: what the leader has committed when it sends its last message to
+// member 1, which has two entries. Guards against a follower that lags and
+// vouches for what it has as the newest.
+TEST(step, a_follower_has_caught_up_only_with_its_leaders_commits)
+{
+    struct row {
+        const char* what;
+        log_index committed;
+        term of_last_entry;
+        bool has_caught_up;
+    };
+    const term current{4};
+    const row rows[] = {
+        {"all committed", log_index{2}, current, true},
+        {"the end of the log is missing here", log_index{3}, current, false},
+        {"no entry of the term is committed", log_index{1}, current, false},
+        {"a new leader knows of no later commit", log_index{2}, term{2}, false},
+    };
+    for (const auto& r : rows) {
+        tested_member s({{r.of_last_entry, log_index{2}, {}, "a"}});
+        append_request request;
+        request.previous = log_index{2};
+        request.previous_term = r.of_last_entry;
+        request.committed = r.committed;
+        EXPECT_FALSE(has_caught_up(s.state)) << r.what;
+        s.message(2, request, current);
+        EXPECT_EQ(has_caught_up(s.state), r.has_caught_up) << r.what;
+    }
+}
+
+// Guards against a member that vouches for a snapshot that is out of date when
+// it has arrived.
+TEST(step, a_snapshot_does_not_show_what_its_leader_has_committed)
+{
+    tested_member s;
+    snapshot_chunk chunk;
+    chunk.last = log_index{9};
+    chunk.last_term = term{4};
+    chunk.members = members_of(s.state);
+    chunk.size = 1;
+    chunk.data = "a";
+    s.message(2, chunk, term{4});
+    EXPECT_EQ(s.state.committed, log_index{9});
+    EXPECT_FALSE(has_caught_up(s.state));
+}
+
 TEST(step, entries_of_an_older_term_are_not_committed_by_counting)
 {
     tested_member s({{term{1}, log_index{2}, entry_kind::command, "old"}});
--- a/oleanderhinge/control/internal/service_configuration.cpp
+++ b/oleanderhinge/control/internal/service_configuration.cpp
@@ -82,7 +82,7 @@
     if (!status.has_quorum)
         return;
     if (status.role != replica::member_role::leader) {
-        if (status.applied == status.committed)
+        if (status.has_caught_up && status.applied == status.committed)
             this->send_confirmation(
                 std::chrono::milliseconds(status.lease_age_ms));
         return;
--- a/oleanderhinge/control/service_test.cpp
+++ b/oleanderhinge/control/service_test.cpp
@@ -41,6 +41,8 @@
     std::vector<replica::member> members;
     std::size_t leader = 0;
     bool quorum = true;
+    // Followers have committed all that the leader has.
+    bool followers_catch_up = true;
     // The next proposal is committed, but its answer is lost.
     bool lose_answer = false;
 };
@@ -114,6 +116,7 @@
         now.applied = base::log_index{this->applied};
         now.last_index = now.committed;
         now.has_quorum = this->shared.quorum;
+        now.has_caught_up = this->shared.followers_catch_up;
         now.lease_age_ms = 3;
         return now;
     }
@@ -516,6 +519,21 @@
     first.next<wire::subscribe_redirect>();
 }
 
+// Guards against a follower that lags behind its leader and confirms the
+// revision that it has as the newest: a gateway that has just started would
+// serve with it.
+TEST(feed, a_follower_that_lags_confirms_nothing)
+{
+    cluster group(2);
+    group.change_log([](shared_log& log) { log.followers_catch_up = false; });
+    entry_link entry(group.io, group.member(1).link);
+    entry.send(wire::subscribe{});
+    entry.next<wire::config_update>();
+    group.change_log([](shared_log& log) { log.quorum = false; });
+    entry.next<wire::subscribe_redirect>();
+    EXPECT_EQ(entry.count<wire::config_confirm>(), 0U);
+}
+
 // Guards against gateways that are redirected and never get a table: of 105,
 // each member of the group served 64.
 TEST(feed, every_gateway_of_a_self_managed_group_is_served)
--- a/oleanderhinge/replica/internal/event_loop_status.cpp
+++ b/oleanderhinge/replica/internal/event_loop_status.cpp
@@ -31,6 +31,7 @@
     v.last_index = consensus::last_index(this->state.log);
     v.committed = this->state.committed;
     v.applied = this->state.applied;
+    v.has_caught_up = consensus::has_caught_up(this->state);
     v.members = to_members(consensus::members_of(this->state));
     if (const auto age = consensus::lease_age(this->state, now))
         out.confirmed_at = now - *age;
--- a/oleanderhinge/replica/replicated_log.hpp
+++ b/oleanderhinge/replica/replicated_log.hpp
@@ -86,6 +86,9 @@
     // True on a leader that holds its lease, and on a follower for as long as
     // the lease that its leader last reported is in force.
     bool has_quorum = false;
+    // True on a follower that has committed all that its leader had committed
+    // when it sent its last message.
+    bool has_caught_up = false;
     // Time since a quorum last confirmed the leader, as far as this member
     // knows; UINT32_MAX if unknown.
     std::uint32_t lease_age_ms = 0;
