tests: the soak of reads watches gateways and restarts them

The soak checked members only; the issue also joins changes that are not in force or come back older at the machines that callers reach. Two gateways now follow the group: the version that each has must not go back while its process lives, and at the end of a run it must be the newest.

--- a/tests/harness/control_nodes.cpp
+++ b/tests/harness/control_nodes.cpp
@@ -23,12 +23,21 @@
 constexpr const char* network = "127.0.0.";
 // Number of the first node's address.
 constexpr unsigned first_host = 20;
+constexpr unsigned first_gateway_host = 200;
 
 std::string at(const std::string& address, std::uint16_t port)
 {
     return address + ":" + std::to_string(port);
 }
 
+// Further lines of the section [node] may follow.
+std::string settings_of(const std::string& vm)
+{
+    return "[node]\nvm = " + vm +
+           "\nregion = north\ndata_centre = a\n"
+           "cluster_secret = secret-of-the-process-tests\n";
+}
+
 } // namespace
 
 control_nodes::control_nodes(std::size_t count)
@@ -64,16 +73,16 @@
     return node;
 }
 
-// The nodes that are there, as many as there were seeds at first.
-std::string control_nodes::seeds(std::size_t node) const
+std::string control_nodes::seeds(
+    std::uint16_t port, std::optional<std::size_t> except) const
 {
     std::string text;
     std::size_t named = 0;
     for (std::size_t i = 0; i < this->nodes.size(); ++i) {
         if (!this->nodes[i].is_present || named == this->seed_count ||
-            (i == node && !this->nodes[i].first_start))
+            i == except)
             continue;
-        text += (named++ == 0 ? "" : ", ") + at(address(i), this->admin);
+        text += (named++ == 0 ? "" : ", ") + at(address(i), port);
     }
     return text;
 }
@@ -81,14 +90,14 @@
 void control_nodes::start(std::size_t node)
 {
     const auto own = address(node);
+    auto& state = this->nodes[node];
     const auto file = this->run.write(
         name(node) + ".ini",
-        "[node]\nvm = " + own +
-            "\nregion = north\ndata_centre = a\n"
-            "cluster_secret = secret-of-the-process-tests\ndata_folder = " +
-            this->data_folder(node) +
-            "\n[control]\nseeds = " + this->seeds(node) + "\nfirst_start = " +
-            (this->nodes[node].first_start ? "true" : "false") +
+        settings_of(own) + "data_folder = " + this->data_folder(node) +
+            "\n[control]\nseeds = " +
+            (state.first_start ? this->seeds(this->admin)
+                               : this->seeds(this->admin, node)) +
+            "\nfirst_start = " + (state.first_start ? "true" : "false") +
             "\ntolerated_losses = " +
             std::to_string((this->seed_count - 1) / 2) +
             "\n[link]\nlisten = " + at(own, this->links) +
@@ -101,7 +110,39 @@
         {"LD_PRELOAD=" OLEANDERHINGE_STOPPED_CLOCK_LIBRARY,
          "OLEANDERHINGE_STOPPED_CLOCK=" +
              this->run.path(name(node) + ".clock")});
-    this->nodes[node].first_start = false;
+    state.first_start = false;
+}
+
+std::string control_nodes::gateway_name(std::size_t gateway)
+{
+    return "gateway-" + std::to_string(gateway);
+}
+
+void control_nodes::start_gateway(std::size_t gateway)
+{
+    const auto own = network + std::to_string(first_gateway_host + gateway);
+    const auto file = this->run.write(
+        gateway_name(gateway) + ".ini",
+        settings_of(gateway_name(gateway)) +
+            "[control]\nseeds = " + this->seeds(this->links) +
+            "\nlink_port = " + std::to_string(this->links) +
+            "\n[gateway]\nlisten = " + at(own, this->callers) +
+            "\n[management]\nlisten = " + at(own, this->management) + "\n");
+    this->run.start(
+        gateway_name(gateway), {"oleanderhinge-gateway", "--config", file});
+}
+
+std::uint64_t control_nodes::version_at_gateway(std::size_t gateway) const
+{
+    http_query query{"GET", "/metrics"};
+    query.host = network + std::to_string(first_gateway_host + gateway);
+    const auto reply =
+        call(this->management, query, std::chrono::milliseconds(1000));
+    const std::string gauge = "\noleanderhinge_gateway_forwarding_version ";
+    const auto found = reply.body.find(gauge);
+    return reply.status != 200 || found == reply.body.npos
+               ? 0
+               : std::stoull(reply.body.substr(found + gauge.size()));
 }
 
 // In place, since the process has mapped the file.
--- a/tests/harness/control_nodes.hpp
+++ b/tests/harness/control_nodes.hpp
@@ -83,6 +83,13 @@
     // Kills it for good; a new node at another address takes its place.
     std::size_t replace(std::size_t node);
 
+    // A gateway that knows the nodes that are there as seeds. It may be killed
+    // by its name and started again.
+    void start_gateway(std::size_t gateway);
+    // Version in force at the gateway; 0 if it has none or does not answer.
+    std::uint64_t version_at_gateway(std::size_t gateway) const;
+    static std::string gateway_name(std::size_t gateway);
+
     bool is_halted(std::size_t node) const;
     std::size_t count() const { return this->nodes.size(); }
     // Neither killed for good.
@@ -104,10 +111,14 @@
     std::size_t add(bool first_start);
     void write_clock(std::size_t node);
     std::string data_folder(std::size_t node) const;
-    std::string seeds(std::size_t node) const;
+    // Endpoints at `port` of as many nodes as there were seeds at first,
+    // without those that are gone and `except`.
+    std::string
+    seeds(std::uint16_t port, std::optional<std::size_t> except = {}) const;
 
     const std::uint16_t links = processes::free_port();
     const std::uint16_t management = processes::free_port();
+    const std::uint16_t callers = processes::free_port();
     std::size_t seed_count = 0;
     std::vector<node_state> nodes;
 };
--- a/tests/soak/configuration_soak_test.cpp
+++ b/tests/soak/configuration_soak_test.cpp
@@ -7,6 +7,7 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
 #include <atomic>
 #include <cstdlib>
 #include <iostream>
@@ -25,6 +26,7 @@
 
 constexpr std::size_t writer_count = 2;
 constexpr std::size_t reader_count = 6;
+constexpr std::size_t gateway_count = 2;
 constexpr milliseconds run_length{15000};
 // Longer than any VM stands still, so that its reads are answered.
 constexpr milliseconds patience{6000};
@@ -82,6 +84,8 @@
     read_history history;
     std::atomic<std::uint64_t> last_version{0};
     std::atomic<bool> stops{false};
+    // Increased before a gateway ends and when it has started again.
+    std::array<std::atomic<int>, gateway_count> gateway_starts{};
 
     explicit shared_run(std::size_t count)
         : nodes(count)
@@ -130,6 +134,24 @@
     }
 }
 
+// Watches that the table of a gateway never goes back while the process lives.
+void watch_gateway(shared_run& run, std::size_t gateway)
+{
+    std::uint64_t held = 0;
+    for (int incarnation = 0; !run.stops;) {
+        const int before = run.gateway_starts[gateway];
+        const auto version = run.nodes.version_at_gateway(gateway);
+        // A process that is killed meanwhile may be either one.
+        if (version == 0 || before != run.gateway_starts[gateway])
+            continue;
+        EXPECT_TRUE(before != incarnation || version >= held)
+            << control_nodes::gateway_name(gateway) << " went back from "
+            << held << " to " << version;
+        incarnation = before;
+        held = version;
+    }
+}
+
 // What happens to the nodes of one run.
 class disturbances
 {
@@ -189,7 +211,7 @@
         const auto node = this->pick();
         if (this->run.nodes.is_halted(node))
             return;
-        switch (draw(this->random, 8)) {
+        switch (draw(this->random, 9)) {
         case 0:
             this->restart({node}, "kill");
             break;
@@ -209,6 +231,9 @@
                 this->run.present.exchange(node, this->run.nodes.replace(node));
             }
             break;
+        case 4:
+            this->restart_gateway(draw(this->random, gateway_count));
+            break;
         default:
             this->halt(node);
         }
@@ -255,6 +280,15 @@
         }
     }
 
+    void restart_gateway(std::size_t gateway)
+    {
+        this->log += " gateway " + std::to_string(gateway);
+        ++this->run.gateway_starts[gateway];
+        this->run.nodes.run.kill(control_nodes::gateway_name(gateway));
+        this->run.nodes.start_gateway(gateway);
+        ++this->run.gateway_starts[gateway];
+    }
+
     // Whether all nodes vote and none stands still, so that one more disk may
     // be lost.
     bool is_whole() const
@@ -289,6 +323,10 @@
         })) << control_nodes::name(node);
         EXPECT_EQ(last.version, version) << control_nodes::name(node);
     }
+    for (std::size_t i = 0; i < gateway_count; ++i)
+        EXPECT_TRUE(wait_until([&] {
+            return run.nodes.version_at_gateway(i) == version;
+        })) << control_nodes::gateway_name(i);
 }
 
 void play(std::uint32_t seed)
@@ -301,6 +339,8 @@
     run.last_version = 1;
     run.history.sent(1);
     run.history.acknowledged(1, steady_clock::now());
+    for (std::size_t i = 0; i < gateway_count; ++i)
+        run.nodes.start_gateway(i);
     disturbances faults(run, seed);
     {
         std::vector<std::jthread> clients;
@@ -309,6 +349,8 @@
         for (std::uint32_t i = 0; i < reader_count; ++i)
             clients.emplace_back(
                 run_reader, std::ref(run), seed * 1000 + 100 + i, i % 2 == 0);
+        for (std::size_t i = 0; i < gateway_count; ++i)
+            clients.emplace_back(watch_gateway, std::ref(run), i);
         faults.play();
         run.stops = true;
     }
@@ -322,7 +364,8 @@
 
 // Guards against a read that returns an older version than was acknowledged
 // before it was sent, at a member that stood still, restarted, lost its disk or
-// was replaced meanwhile.
+// was replaced meanwhile; and against a gateway whose table goes back or is not
+// the newest in the end.
 TEST(configuration_soak, no_read_is_older_than_an_earlier_acknowledgment)
 {
     const char* chosen = std::getenv("OLEANDERHINGE_READ_SEEDS");
