tests: the soak of reads loses a disk only when the group is whole

Two of three disks were lost at once, while the settings bear one: more than the fault model allows, so the group rightly stays without a quorum.

Cause, in the test: it counted voters at the leader, where a lost member still counts. Now each node that is there must see itself and exactly the others as voters, with a quorum, before another disk is lost. The checks of reads, gateways and recovery are unchanged.

--- a/tests/harness/control_nodes.cpp
+++ b/tests/harness/control_nodes.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <fcntl.h>
 #include <stdexcept>
@@ -293,18 +294,31 @@
     return {"GET", "/v1/status", "", {{"Authorization", "Bearer " + token}}};
 }
 
-std::size_t control_nodes::voters(std::size_t node) const
+group_view control_nodes::view(std::size_t node) const
 {
     const auto reply = this->ask(node, status_query());
     if (reply.status != 200)
-        return 0;
+        return {};
     const auto status = boost::json::parse(reply.body);
-    if (status.at("role").as_string() != "leader")
-        return 0;
-    std::size_t count = 0;
+    group_view seen;
+    seen.role = status.at("role").as_string();
+    seen.has_quorum = status.at("quorum").as_bool();
     for (const auto& member : status.at("members").as_array())
-        count += member.at("voter").as_bool() ? 1 : 0;
-    return count;
+        if (member.at("voter").as_bool())
+            seen.voters.emplace(member.at("vm").as_string());
+    return seen;
+}
+
+bool control_nodes::is_whole(const std::vector<std::size_t>& expected) const
+{
+    std::set<std::string> addresses;
+    for (const auto node : expected)
+        addresses.insert(address(node));
+    return std::all_of(expected.begin(), expected.end(), [&](std::size_t node) {
+        const auto seen = this->view(node);
+        return seen.has_quorum && seen.voters == addresses &&
+               (seen.role == "leader" || seen.role == "follower");
+    });
 }
 
 bool control_nodes::is_halted(std::size_t node) const
--- a/tests/harness/control_nodes.hpp
+++ b/tests/harness/control_nodes.hpp
@@ -14,6 +14,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -37,6 +38,14 @@
     std::uint64_t version = 0;
 };
 
+// The group as a node sees it.
+struct group_view {
+    std::string role;
+    bool has_quorum = false;
+    // Addresses.
+    std::set<std::string> voters;
+};
+
 // Questions to nodes may come from several threads.
 class control_nodes
 {
@@ -54,14 +63,16 @@
         std::chrono::milliseconds limit = std::chrono::seconds(1)) const;
     // The answer after up to two redirects.
     http_reply follow(std::size_t node, const http_query& query) const;
-    // Whether the version was acknowledged.
+    // Whether the table of this version was acknowledged, after up to two
+    // redirects.
     bool put(std::size_t node, std::uint64_t version) const;
-    // An answer with another status than 200 has version 0.
+    // Reads the table, after up to two redirects.
     table_read read(std::size_t node) const;
-    // Reads at the node itself.
+    // Reads the table at the node itself.
     table_read read_at(
         std::size_t node,
         std::chrono::milliseconds limit = std::chrono::seconds(1)) const;
+    // Throws std::runtime_error if the content is not that of its version.
     static table_read parse_read(const http_reply& reply);
     // Table with routes that depend on the version.
     static std::string table_of(std::uint64_t version);
@@ -69,10 +80,15 @@
     // Node that answers a read by itself; empty without one.
     std::optional<std::size_t> leader() const;
 
+    // The query that `view` sends.
     static http_query status_query();
-    // Voters of the group as the node sees it; 0 unless it leads.
-    std::size_t voters(std::size_t node) const;
+    // Empty if the node does not answer.
+    group_view view(std::size_t node) const;
+    // Whether these nodes, each with its present disk, are all voters there
+    // are, so that the group bears the loss of one more.
+    bool is_whole(const std::vector<std::size_t>& expected) const;
 
+    // Stops the process, and lets it go on with clocks as after `kind`.
     void halt(std::size_t node);
     void resume(std::size_t node, halt_kind kind);
     void kill(std::size_t node);
@@ -92,7 +108,7 @@
 
     bool is_halted(std::size_t node) const;
     std::size_t count() const { return this->nodes.size(); }
-    // Neither killed for good.
+    // False for a node that was replaced.
     bool is_present(std::size_t node) const;
     static std::string address(std::size_t node);
     static std::string name(std::size_t node);
@@ -109,6 +125,7 @@
         std::int64_t boot_stopped_ns = 0;
     };
     std::size_t add(bool first_start);
+    // Passes the stopped times to the clocks of the process.
     void write_clock(std::size_t node);
     std::string data_folder(std::size_t node) const;
     // Endpoints at `port` of as many nodes as there were seeds at first,
--- a/tests/soak/configuration_soak_test.cpp
+++ b/tests/soak/configuration_soak_test.cpp
@@ -197,7 +197,7 @@
         if (draw(this->random, 3) != 0)
             for (const auto node : nodes)
                 if (!this->run.nodes.is_halted(node) &&
-                    this->run.nodes.voters(node) != 0)
+                    this->run.nodes.view(node).role == "leader")
                     return node;
         return nodes[draw(this->random, nodes.size())];
     }
@@ -293,11 +293,8 @@
     // be lost.
     bool is_whole() const
     {
-        const auto nodes = this->run.present.all();
         return this->halts.empty() &&
-               std::any_of(nodes.begin(), nodes.end(), [&](std::size_t node) {
-                   return this->run.nodes.voters(node) == nodes.size();
-               });
+               this->run.nodes.is_whole(this->run.present.all());
     }
 
     shared_run& run;
