--- a/oleanderhinge/consensus/internal/context.hpp
+++ b/oleanderhinge/consensus/internal/context.hpp
@@ -69,7 +69,8 @@
 void on_append_reply(context& c, const vm_id& from, const append_reply& r);
 // Commits what is durable on a majority of the voters.
 void advance_commit(context& c);
-// The send time for a message of the leader.
+// The send time for a message of the leader, in microseconds of its clock;
+// later than that of any message before the newest read.
 std::int64_t next_send_time(context& c);
 // Answers the pending reads that a quorum has confirmed, and asks for
 // confirmation of the others.
--- a/oleanderhinge/control/internal/service_impl.hpp
+++ b/oleanderhinge/control/internal/service_impl.hpp
@@ -222,7 +222,9 @@
 
     // --- Timer (service.cpp)
     void schedule();
-    void observe_halt(base::time_point now);
+    // Logs that the process or its VM was paused: what waits in the sockets is
+    // older than it seems.
+    void log_pause(base::time_point now);
     void tick(base::time_point now);
     void connect_peers(const replica::log_status& status, base::time_point now);
     void propose_expire();
@@ -278,6 +280,7 @@
     std::atomic<bool> adding{false};
     std::atomic<bool> removing{false};
     base::time_point last_tick;
+    // `base::suspended_time` at the last tick.
     base::duration suspended_before{0};
     base::time_point next_confirm;
     base::time_point next_expire;
--- a/oleanderhinge/control/service.cpp
+++ b/oleanderhinge/control/service.cpp
@@ -14,8 +14,8 @@
 // the time within which a new leader should be elected.
 constexpr auto tick_interval = std::chrono::milliseconds(100);
 
-// Half of the leader's lease, rounded up.
-constexpr base::duration halt_logged = std::chrono::milliseconds(400);
+// More than half of the leader's lease: members may have acted on it meanwhile.
+constexpr base::duration min_logged_pause = std::chrono::milliseconds(400);
 
 std::uint64_t to_ms(base::duration time)
 {
@@ -36,26 +36,23 @@
     });
 }
 
-// Says that the process or its VM stood still. What was read before may be out
-// of date, and what waits in the sockets is older than it seems.
-void service::impl::observe_halt(base::time_point now)
+void service::impl::log_pause(base::time_point now)
 {
     const auto suspended = base::suspended_time();
     const auto late = now - this->last_tick - tick_interval;
-    const auto newly_suspended = suspended - this->suspended_before;
-    if (this->last_tick != base::time_point{} &&
-        std::max(late, newly_suspended) >= halt_logged)
+    if (this->last_tick != base::time_point{} && late >= min_logged_pause)
         spdlog::warn(
-            "event=stood_still late_ms={} suspended_ms={}",
+            "event=process_paused late_ms={} suspended_ms={}",
             to_ms(late),
-            to_ms(newly_suspended));
+            to_ms(std::max(
+                base::duration(0), suspended - this->suspended_before)));
     this->last_tick = now;
     this->suspended_before = suspended;
 }
 
 void service::impl::tick(base::time_point now)
 {
-    this->observe_halt(now);
+    this->log_pause(now);
     const auto status = this->consensus.log->status();
     const bool had_quorum = this->watch.quorum;
     for (const auto& item : observe(this->watch, status, now)) {
