--- a/tests/clocks/stopped_clock.cpp
+++ b/tests/clocks/stopped_clock.cpp
@@ -1,7 +1,6 @@
 // Preloaded into a program under test: clocks that do not count the time during
 // which its VM stands still, as after a suspend. The test adds that time to the
 // two numbers of a shared file (tests/harness/control_nodes.hpp).
-#include <cerrno>
 #include <cstdint>
 #include <cstdlib>
 #include <ctime>
--- a/tests/control_reads_test.cpp
+++ b/tests/control_reads_test.cpp
@@ -96,7 +96,7 @@
         << reply.body;
 }
 
-// Of a pause by the hypervisor, no clock but the time of day tells a VM.
+// No clock of leases counts a pause by the hypervisor.
 INSTANTIATE_TEST_SUITE_P(
     control_reads,
     lapsed_lease,
--- a/tests/soak/configuration_soak_test.cpp
+++ b/tests/soak/configuration_soak_test.cpp
@@ -4,14 +4,13 @@
 //   OLEANDERHINGE_READ_SEEDS=1-50 soak_test --gtest_filter='*older*'
 #include "tests/harness/control_nodes.hpp"
 #include "tests/soak/read_history.hpp"
+#include "tests/soak/seeds.hpp"
 
 #include <gtest/gtest.h>
 
 #include <array>
 #include <atomic>
-#include <cstdlib>
 #include <iostream>
-#include <memory>
 #include <mutex>
 #include <random>
 #include <thread>
@@ -365,11 +364,7 @@
 // the newest in the end.
 TEST(configuration_soak, no_read_is_older_than_an_earlier_acknowledgment)
 {
-    const char* chosen = std::getenv("OLEANDERHINGE_READ_SEEDS");
-    const std::string seeds = chosen == nullptr ? regression_seeds : chosen;
-    const auto last = std::stoul(seeds.substr(seeds.find('-') + 1));
-    for (auto seed = std::stoul(seeds); seed <= last; ++seed)
-        play(std::uint32_t(seed));
+    play_seeds("OLEANDERHINGE_READ_SEEDS", regression_seeds, play);
 }
 
 } // namespace
--- a/tests/soak/read_history.hpp
+++ b/tests/soak/read_history.hpp
@@ -44,7 +44,6 @@
         const std::lock_guard lock(this->mutex);
         this->known.push_back({at, version, "acknowledged"});
         ++this->acknowledged_count;
-        this->newest = std::max(this->newest, version);
     }
 
     // Returns whether the version had been sent.
@@ -56,11 +55,6 @@
         return done.version <= this->newest_sent;
     }
 
-    std::uint64_t newest_acknowledged() const
-    {
-        const std::lock_guard lock(this->mutex);
-        return this->newest;
-    }
     std::size_t acknowledgments() const
     {
         const std::lock_guard lock(this->mutex);
@@ -116,7 +110,6 @@
 
     mutable std::mutex mutex;
     std::uint64_t newest_sent = 0;
-    std::uint64_t newest = 0;
     std::size_t acknowledged_count = 0;
     std::vector<evidence> known;
     std::vector<recorded_read> reads;
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -2,6 +2,7 @@
 // the series of events and requests:
 //   OLEANDERHINGE_SOAK_SEEDS=1-50 soak_test
 #include "tests/soak/client.hpp"
+#include "tests/soak/seeds.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -9,7 +10,6 @@
 
 #include <algorithm>
 #include <csignal>
-#include <cstdlib>
 #include <future>
 #include <iostream>
 #include <sstream>
@@ -304,11 +304,7 @@
 // answer when stops, reloads, changes of the table and freezes overlap.
 TEST(soak, requests_keep_their_answers_through_planned_work)
 {
-    const char* chosen = std::getenv("OLEANDERHINGE_SOAK_SEEDS");
-    const std::string seeds = chosen == nullptr ? regression_seeds : chosen;
-    const auto last = std::stoul(seeds.substr(seeds.find('-') + 1));
-    for (auto seed = std::stoul(seeds); seed <= last; ++seed)
-        play(std::uint32_t(seed));
+    play_seeds("OLEANDERHINGE_SOAK_SEEDS", regression_seeds, play);
 }
 
 } // namespace
