--- a/review/rig2.hh
+++ b/review/rig2.hh
@@ -421,6 +421,14 @@
             }
     }
 
+    // 0 if it does not run.
+    pid_t pid_of(const std::string& name)
+    {
+        const std::lock_guard lock(this->mutex);
+        const auto found = this->running.find(name);
+        return found == this->running.end() ? 0 : found->second;
+    }
+
     // False if it has ended by itself.
     bool is_running(const std::string& name)
     {
@@ -573,6 +581,9 @@
     }
 
     processes run;
+    // Of each machine; to be set before the processes are started.
+    int memory_mb = 260;
+    int descriptors = 4100;
 
 private:
     void choose_addresses()
@@ -611,8 +622,8 @@
             {"bootstrap", bootstrap ? "true" : "false"},
             {"dataDirectory", this->folder + "/data-" + std::to_string(machine)},
             {"faultTolerance.machines", "1"},
-            {"limits.memoryMb", "260"},
-            {"limits.fileDescriptors", "4100"},
+            {"limits.memoryMb", std::to_string(this->memory_mb)},
+            {"limits.fileDescriptors", std::to_string(this->descriptors)},
             {"limits.linkMbps", "1000.0"},
             {"bounds.graceS", "8"},
             {"bounds.retryBudgetRatio", "0.2"},
