gateway: a failed write ends an answer without a length as a failure

Cause: a socket reports a reset once, to the operation that meets it first. The body of a long request is written while the answer is read, and here the write met the reset. `upstream_connection` kept the error in `written` and did not ask for it again; the read that followed saw an orderly end of the connection, which is the end of such an answer.

Evidence: the system calls of a resumed stream on show sendmsg with ECONNRESET, recvmsg with 0, and then the last chunk to the caller. Ruled out: an error of a read that is dropped (no read returns one), and an orderly close (the write fails).

Change: an answer that ends with its connection is not complete once the write of its request has failed, whatever its status. It fails like any answer that breaks off. A refusal is told by its head and still counts, and an answer with a length or chunks shows its own end. Why this works: whichever side meets the reset, the other one asks for it before the end of the connection counts.

Held before, with tests now: an early answer that its server ends in order is passed on; an unframed refusal behind which the connection is reset counts as one; `net::http_client` reads only after it has written the whole request, so that its callers (orders, loads, path changes, agents, the command line) get `unknown`.

The stand-in `early_backend` moves to net/, where `http_client` needs it.

--- a/oleanderhinge/gateway/forwarder_hedges_test.cpp
+++ b/oleanderhinge/gateway/forwarder_hedges_test.cpp
@@ -1,7 +1,8 @@
 // Guards against second attempts beside the first that break what a request is
 // promised: one answer of one attempt, no second run where none is allowed, a
 // true refusal, and no work for an answer that nobody waits for.
-#include "oleanderhinge/gateway/forwarder_fixture_test.hpp"
+#include "oleanderhinge/gateway/raw_answers_fixture_test.hpp"
+#include "oleanderhinge/net/early_backend_test.hpp"
 
 #include <gtest/gtest.h>
 
@@ -195,6 +196,31 @@
     }
 }
 
+// The second server resets its answer, which has no length, while the request
+// is being written. Guards against the part of it that has arrived as the first
+// acceptable answer.
+TEST_F(hedged_forwarder, an_answer_that_was_reset_does_not_count)
+{
+    net::test::early_backend early(this->io);
+    early.restart(
+        unframed("200 OK", genuine, "part"),
+        net::test::early_backend::then::reset);
+    this->request_body.assign(max_body_bytes, 'x');
+    this->selector.servers = {};
+    this->add_server("first", "near", this->first);
+    this->add_server("second", "far", early.address());
+    this->first.behave = this->when(
+        [&] {
+            return this->selector.health[early.address()].failures_in_a_row > 0;
+        },
+        answer_with(200, "from the first"));
+    const auto outcome = this->ask("/read/x");
+    EXPECT_EQ(outcome.answer.status, 200U);
+    EXPECT_EQ(outcome.answer.body, "from the first");
+    EXPECT_EQ(early.heads, 1);
+    EXPECT_EQ(this->hedges("lost"), 1);
+}
+
 // Both servers answer at once, so that either answer may count. Guards against
 // an answer made of both.
 TEST_F(hedged_forwarder, answers_of_the_same_moment_are_not_joined)
--- a/oleanderhinge/gateway/upstream.cpp
+++ b/oleanderhinge/gateway/upstream.cpp
@@ -140,7 +140,7 @@
     if (this->cancelled)
         co_return asio::error::operation_aborted;
     if (this->answer->is_done())
-        co_return error_code{};
+        co_return this->end_error();
     std::array<char, read_size> bytes{};
     auto& body = this->answer->get().body();
     body.data = bytes.data();
@@ -151,9 +151,21 @@
     text.append(bytes.data(), bytes.size() - body.size);
     if (failed == http::error::need_buffer)
         failed = {};
+    if (!failed && this->answer->is_done())
+        failed = this->end_error();
     co_return failed;
 }
 
+// A socket reports a reset once, to the operation that meets it first. After a
+// failed write, reads see the end of the connection instead, which would be
+// that of an answer without a length.
+error_code upstream_connection::end_error() const
+{
+    if (this->ends_with_connection() && this->written)
+        return *this->written;
+    return error_code{};
+}
+
 void upstream_connection::cancel()
 {
     this->cancelled = true;
@@ -173,7 +185,7 @@
 
 bool upstream_connection::complete() const
 {
-    return this->answer && this->answer->is_done();
+    return this->answer && this->answer->is_done() && !this->end_error();
 }
 
 bool upstream_connection::ends_with_connection() const
--- a/oleanderhinge/gateway/early_backend_test.hpp
+++ b/oleanderhinge/net/early_backend_test.hpp
@@ -3,7 +3,7 @@
 //
 // Example:
 //   early_backend server(io);
-//   server.restart(bytes, early_backend::then::stop);
+//   server.restart(bytes, early_backend::then::reset);
 #pragma once
 
 #include "oleanderhinge/wire/messages.hpp"
@@ -14,24 +14,34 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <functional>
 #include <map>
 #include <string>
 
-namespace oleanderhinge::gateway::test
+namespace oleanderhinge::net::test
 {
 
 class early_backend
 {
 public:
-    // What the server does with the connection after an answer: reads on when
-    // the test ends, or closes it at once.
-    enum class then : std::uint8_t { stop, close };
+    // What the server does with the connection after an answer. All but
+    // `half_close` leave bytes of the request unread.
+    enum class then : std::uint8_t {
+        // Reads on when the test ends.
+        stop,
+        // The unread bytes make it a reset.
+        close,
+        reset,
+        // Ends its own side and reads the rest of the request.
+        half_close
+    };
 
     explicit early_backend(boost::asio::io_context& io_in)
         : io(io_in)
@@ -51,12 +61,17 @@
         return {"127.0.0.1", this->acceptor.local_endpoint().port()};
     }
 
-    // From now on, answers each request with these bytes.
-    void restart(const std::string& answer_in, then next_in)
+    // From now on, answers each request with these bytes, and waits until
+    // `ready` before it does what is next.
+    void restart(
+        const std::string& answer_in,
+        then next_in,
+        std::function<bool()> ready_in = [] { return true; })
     {
         this->connections.clear();
         this->answer = answer_in;
         this->next = next_in;
+        this->ready = std::move(ready_in);
         this->heads = 0;
         this->other_bytes = 0;
     }
@@ -107,8 +122,28 @@
         ++this->heads;
         const auto [cut, sent] = co_await boost::asio::async_write(
             socket, boost::asio::buffer(this->answer), as_pair);
-        if (cut || this->next == then::close)
-            this->connections.erase(number);
+        const auto is_open = [&] {
+            return !cut && this->connections.contains(number);
+        };
+        boost::asio::steady_timer timer(this->io);
+        while (is_open() && !this->ready()) {
+            timer.expires_after(std::chrono::milliseconds(1));
+            co_await timer.async_wait(as_pair);
+        }
+        if (is_open() && this->next == then::stop)
+            co_return;
+        if (is_open() && this->next == then::half_close) {
+            boost::system::error_code ignored;
+            socket.shutdown(
+                boost::asio::ip::tcp::socket::shutdown_send, ignored);
+            co_return co_await this->drain(number);
+        }
+        if (is_open() && this->next == then::reset) {
+            socket.set_option(boost::asio::ip::tcp::socket::linger(true, 0));
+            // The destructor would not reset the connection.
+            socket.close();
+        }
+        this->connections.erase(number);
     }
 
     // Reads until the peer closes the connection.
@@ -134,6 +169,7 @@
     std::map<int, boost::asio::ip::tcp::socket> connections;
     std::string answer;
     then next = then::stop;
+    std::function<bool()> ready;
 };
 
-} // namespace oleanderhinge::gateway::test
+} // namespace oleanderhinge::net::test
--- a/oleanderhinge/net/http_client_answers_test.cpp
+++ b/oleanderhinge/net/http_client_answers_test.cpp
@@ -2,6 +2,7 @@
 // taken for a whole one.
 #include "oleanderhinge/net/http_client.hpp"
 
+#include "oleanderhinge/net/early_backend_test.hpp"
 #include "oleanderhinge/net/raw_backend_test.hpp"
 
 #include <gtest/gtest.h>
@@ -14,6 +15,7 @@
 namespace asio = boost::asio;
 using namespace std::chrono_literals;
 using test::after_answer;
+using test::early_backend;
 using test::raw_backend;
 
 enum class carrier : std::uint8_t { fresh, kept };
@@ -93,6 +95,51 @@
     }
 }
 
+// Each row: how a server ends an answer with neither a length nor chunks, which
+// it writes before it has read the request. Guards against one that was reset
+// and is taken for a whole one.
+TEST(http_client, an_early_answer_is_not_whole_after_a_reset)
+{
+    struct row {
+        std::size_t request_size;
+        early_backend::then then;
+        bool whole;
+    };
+    const row rows[] = {
+        {4, early_backend::then::reset, false},
+        {4, early_backend::then::half_close, true},
+        {default_max_answer, early_backend::then::reset, false},
+        {default_max_answer, early_backend::then::close, false},
+        {default_max_answer, early_backend::then::half_close, true}};
+    for (const auto& r : rows)
+        for (const auto* status : {"200 OK", "201 Created", "404 Unknown"}) {
+            asio::io_context io;
+            early_backend server(io);
+            server.restart(
+                std::string("HTTP/1.1 ") + status + "\r\nX: y\r\n\r\ndone",
+                r.then);
+            http_client client(io, 1);
+            http_outcome outcome;
+            asio::co_spawn(
+                io,
+                [&]() -> asio::awaitable<void> {
+                    http_call call{
+                        "POST", "/", {}, std::string(r.request_size, 'x')};
+                    outcome = co_await client.call(
+                        server.address(), std::move(call), 5s, reuse::allowed);
+                    io.stop();
+                },
+                asio::detached);
+            io.run();
+            EXPECT_EQ(
+                outcome.failure,
+                r.whole ? http_failure::none : http_failure::unknown)
+                << r.request_size << ' ' << int(r.then) << status;
+            EXPECT_EQ(outcome.answer.body, r.whole ? "done" : "")
+                << r.request_size << ' ' << int(r.then) << status;
+        }
+}
+
 // Guards against a head that broke off, with the head of another answer behind
 // it, and that is taken together with the other one's body.
 TEST(http_client, a_head_with_another_one_inside_is_no_answer)
