--- a/oleanderhinge/net/early_backend_test.hpp
+++ b/oleanderhinge/net/early_backend_test.hpp
@@ -122,8 +122,9 @@
         ++this->heads;
         const auto [cut, sent] = co_await boost::asio::async_write(
             socket, boost::asio::buffer(this->answer), as_pair);
+        const bool written = !cut;
         const auto is_open = [&] {
-            return !cut && this->connections.contains(number);
+            return written && this->connections.contains(number);
         };
         boost::asio::steady_timer timer(this->io);
         while (is_open() && !this->ready()) {
