net, gateway: a head with a line that begins with a blank is no answer

Here, one such line got through: one that begins with a blank or a tab. It was joined to the field before it. Behind the server's mark, callers got the answer with the line in the mark; behind a refusal's fields, "not run" for a request that may have run; behind the id, the answer counted as that to another request, and the caller waited for up to its whole time; a blank alone was dropped.

Cause: such a line continues the field before it in a grammar that RFC 9112, section 5.2, has given up. Boost.Beast's parser still joins both, and its result does not show it. Both readers of heads use the parser: gateway/upstream for callers' answers, net/http_client for orders, loads, path changes, agents and the command line.

Change: both read heads through `net::read_head`, which looks at the bytes that the parser takes and fails with `bad_field` at such a line. The request may have run: it gets another attempt where the route allows it, else 502. RFC 9112 lets a gateway choose this or join the lines; in a broken head the line in front is not known to be the server's either. Why this works: the parser takes a field together with all of its lines, so that no line break in front of a blank falls between two looks, wherever the bytes were cut.

Valid fields that look odd were passed on before and are still.

--- a/oleanderhinge/gateway/upstream.cpp
+++ b/oleanderhinge/gateway/upstream.cpp
@@ -111,8 +111,8 @@
         this->answer.emplace();
         this->answer->body_limit(boost::none);
         this->answer->skip(this->head_alone);
-        const auto [failed, size] = co_await http::async_read_header(
-            this->stream, this->buffer, *this->answer, as_pair);
+        const auto failed =
+            co_await net::read_head(this->stream, this->buffer, *this->answer);
         if (failed)
             co_return failed;
         const auto kind = net::kind_of(this->answer->get().base());
--- a/oleanderhinge/net/answer_head.hpp
+++ b/oleanderhinge/net/answer_head.hpp
@@ -1,10 +1,16 @@
-// Checks of the head of an answer beyond those of Boost.Beast's parser.
+// Reads the head of an answer, with checks beyond those of Boost.Beast's
+// parser.
 //
 // Example:
+//   if (auto failed = co_await read_head(stream, buffer, parser)) ...
 //   if (kind_of(parser.get().base()) == head_kind::undefined) ...
 //   if (!has_plain_framing(parser.get().base())) ...
 #pragma once
 
+#include <boost/asio/awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/message.hpp>
 
@@ -26,6 +32,16 @@
     undefined,
 };
 
+// Reads until the head is parsed, and leaves the bytes behind it in the buffer.
+// Errors are those of `http::async_read_header`; besides, `bad_field` for a
+// line that begins with a blank. The parser would join it to the field before
+// it, a practice that HTTP has given up (RFC 9112, section 5.2). Here it is a
+// broken line that would change the server's mark, an id or a limit.
+boost::asio::awaitable<boost::system::error_code> read_head(
+    boost::beast::tcp_stream& stream,
+    boost::beast::flat_buffer& buffer,
+    boost::beast::http::basic_parser<false>& parser);
+
 head_kind kind_of(const answer_head& head);
 
 // Whether the body comes with no transfer coding, or with chunked alone. The
--- a/oleanderhinge/net/http_client.cpp
+++ b/oleanderhinge/net/http_client.cpp
@@ -198,15 +198,17 @@
         parser->body_limit(max_answer);
         // The length in an answer to HEAD is that of the answer to GET.
         parser->skip(method == http::verb::head);
-        const auto [failed, size] =
-            co_await http::async_read(stream, buffer, *parser, as_pair);
-        if (failed)
-            co_return failed;
+        const auto broken = co_await read_head(stream, buffer, *parser);
+        if (broken)
+            co_return broken;
         const auto kind = kind_of(parser->get().base());
         if (kind == head_kind::undefined)
             co_return http::error::bad_status;
-        if (kind == head_kind::final_answer)
-            co_return check_answer(*parser, buffer);
+        if (kind == head_kind::informational)
+            continue;
+        const auto [failed, size] =
+            co_await http::async_read(stream, buffer, *parser, as_pair);
+        co_return failed ? failed : check_answer(*parser, buffer);
     }
     co_return http::error::header_limit;
 }
--- a/oleanderhinge/net/http_client_answers_test.cpp
+++ b/oleanderhinge/net/http_client_answers_test.cpp
@@ -3,6 +3,7 @@
 #include "oleanderhinge/net/http_client.hpp"
 
 #include "oleanderhinge/net/early_backend_test.hpp"
+#include "oleanderhinge/net/odd_head_lines_test.hpp"
 #include "oleanderhinge/net/raw_backend_test.hpp"
 
 #include <gtest/gtest.h>
@@ -176,6 +177,28 @@
     }
 }
 
+// Guards against a line with a blank or a control byte in the name of its
+// field, or with no name, that is taken for a part of the field before it.
+TEST(http_client, a_line_that_is_no_field_makes_the_head_no_answer)
+{
+    for (const auto& f : framings) {
+        for (const auto& line : test::odd_head_lines())
+            for (const auto& head : test::insert_line(f.head, line)) {
+                const auto outcome =
+                    answered_with(head + f.body, after_answer::close);
+                EXPECT_EQ(outcome.failure, http_failure::unknown) << head;
+                EXPECT_EQ(outcome.answer.body, "") << head;
+            }
+        for (const auto& line : test::sound_head_lines())
+            for (const auto& head : test::insert_line(f.head, line)) {
+                const auto outcome =
+                    answered_with(head + f.body, after_answer::close);
+                EXPECT_EQ(outcome.failure, http_failure::none) << head;
+                EXPECT_EQ(outcome.answer.body, "done") << head;
+            }
+    }
+}
+
 // Guards against an informational answer that is taken for the final one, such
 // as for the consent to an order that is refused.
 TEST(http_client, an_informational_answer_is_not_the_answer)
