--- a/oleanderhinge/gateway/answer_fields_test.cpp
+++ b/oleanderhinge/gateway/answer_fields_test.cpp
@@ -21,7 +21,7 @@
     return chunked ? "f\r\n" + event + "\r\n0\r\n\r\n" : event;
 }
 
-// Heads with this line behind each of their lines.
+// Heads of answers with this line, each at another place.
 std::vector<std::string> heads_with(
     const std::string& line,
     const std::string& status,
--- a/oleanderhinge/gateway/upstream.hpp
+++ b/oleanderhinge/gateway/upstream.hpp
@@ -74,9 +74,9 @@
     // most `net::max_informational_heads`.
     boost::asio::awaitable<boost::system::error_code>
     read_head(steady_time limit);
-    // Waits for the next bytes of the body and appends them. Fails after the
-    // last ones if the answer ends with its connection and writing the request
-    // has failed: it is not known to be whole.
+    // Waits for the next bytes of the body and appends them. Fails at the end
+    // of an answer that ends with its connection if the request could not be
+    // written: the answer is not known to be whole.
     boost::asio::awaitable<boost::system::error_code>
     read_body(std::string& text, steady_time limit);
 
@@ -110,6 +110,7 @@
 
 private:
     boost::system::error_code check_head();
+    // Why the end of an answer that has been read does not make it whole.
     boost::system::error_code end_error() const;
 
     using parser =
--- a/oleanderhinge/net/answer_head.hpp
+++ b/oleanderhinge/net/answer_head.hpp
@@ -33,10 +33,10 @@
 };
 
 // Reads until the head is parsed, and leaves the bytes behind it in the buffer.
-// Errors are those of `http::async_read_header`; besides, `bad_field` for a
-// line that begins with a blank. The parser would join it to the field before
-// it, a practice that HTTP has given up (RFC 9112, section 5.2). Here it is a
-// broken line that would change the server's mark, an id or a limit.
+// Errors are those of `http::async_read_header`, and `bad_field` for obsolete
+// line folding (RFC 9112, section 5.2): the parser would join the folded line
+// to the field before it, so that a broken line would change a mark, an id or a
+// limit.
 boost::asio::awaitable<boost::system::error_code> read_head(
     boost::beast::tcp_stream& stream,
     boost::beast::flat_buffer& buffer,
--- a/oleanderhinge/net/odd_head_lines_test.hpp
+++ b/oleanderhinge/net/odd_head_lines_test.hpp
@@ -1,4 +1,4 @@
-// Lines of a head whose field name is none. For tests only.
+// Lines in the place of a field of a head. For tests only.
 //
 // Example:
 //   for (const auto& line : odd_head_lines()) expect_failure(head + line);
@@ -10,24 +10,37 @@
 namespace oleanderhinge::net::test
 {
 
-// Each ends with its line break.
+// Obsolete line folding, and lines with an invalid field name or none. Each
+// ends with its line break.
 inline std::vector<std::string> odd_head_lines()
 {
     using namespace std::string_literals;
+    const std::vector<std::string> folded{
+        " Odd: x", "\tOdd: x", "  x", " ", "\t", " : x"};
+    const std::vector<std::string> blank_in_name{
+        "Odd : x", "Odd\t: x", "Odd name: x", "Odd\tname: x"};
+    const std::vector<std::string> other_byte_in_name{
+        "\0Odd: x"s,
+        "O\0dd: x"s,
+        "Odd\0: x"s,
+        "\1Odd: x",
+        "O\13dd: x",
+        "O\14dd: x",
+        "O\33dd: x",
+        "Odd\177: x",
+        "O\200dd: x"};
+    const std::vector<std::string> line_end_in_name{
+        "O\rdd: x", "O\ndd: x", "\nOdd: x"};
+    const std::vector<std::string> no_name{": x", "Odd"};
     std::vector<std::string> lines;
-    for (const auto& line :
-         {// Continues the field before it, in the grammar of old.
-          " Odd: x"s,     "\tOdd: x"s,     "  x"s,       " "s,
-          "\t"s,          " : x"s,         "Odd : x"s,   "Odd\t: x"s,
-          "Odd name: x"s, "Odd\tname: x"s, "\0Odd: x"s,  "O\0dd: x"s,
-          "Odd\0: x"s,    "\1Odd: x"s,     "O\13dd: x"s, "O\14dd: x"s,
-          "O\33dd: x"s,   "Odd\177: x"s,   "O\rdd: x"s,  "O\ndd: x"s,
-          "\nOdd: x"s,    "O\200dd: x"s,   ": x"s,       "Odd"s})
-        lines.push_back(line + "\r\n");
+    for (const auto& group :
+         {folded, blank_in_name, other_byte_in_name, line_end_in_name, no_name})
+        for (const auto& line : group)
+            lines.push_back(line + "\r\n");
     return lines;
 }
 
-// Lines that are fields, although they look odd.
+// Valid fields that look odd.
 inline std::vector<std::string> sound_head_lines()
 {
     return {
@@ -39,7 +52,7 @@
         "!#$%&'*+-.^_`|~0: x\r\n"};
 }
 
-// The head with the line behind each of its lines, and so in front of a body.
+// Copies of the head, each with the line behind another one of its lines.
 inline std::vector<std::string>
 insert_line(const std::string& head, const std::string& line)
 {
