gateway: streams of services without engines are passed on event by event

Cause: `forwarder::serve` took the way of plain calls for each service without engines, whatever its route says. An answer without a length or chunks ends with its connection, so only its events show whether a stream is whole, and that way does not look at them.

The log shows framing=connection events=0 outcome=200.

Change: the route decides. Each answer of a streaming route is passed on event by event, and `choose_path` gives a server of a service without engines as a path of one part, which is not named in the request. Queries of state, paths that are left early and the waits that decide on admission stay with engines. Why this works: there is one way for streams now, with the check that held.

--- a/oleanderhinge/gateway/answer_framing_test.cpp
+++ b/oleanderhinge/gateway/answer_framing_test.cpp
@@ -282,7 +282,7 @@
 TEST_F(answer_framing, the_answer_to_head_ends_with_its_head)
 {
     this->method = http::verb::head;
-    for (const auto* target : {"/once/x", "/read/x"}) {
+    for (const auto* target : {"/once/x", "/read/x", "/news/x", "/talk/x"}) {
         this->use_raw_server(true);
         this->raw.answers = {
             {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n" + genuine + "\r\n"}};
--- a/oleanderhinge/gateway/forwarder.cpp
+++ b/oleanderhinge/gateway/forwarder.cpp
@@ -232,12 +232,12 @@
     const auto started = base::monotonic_now();
     note_request_started(this->durations[name], started);
     note_arrival(this->selector.permits, name, started);
-    if (!request.route->streaming || !request.service->engine) {
-        co_await this->serve_call(request);
-    } else {
+    if (request.route->streaming) {
         this->stalls.add(request.shared_from_this());
         co_await this->serve_stream(request);
         this->stalls.remove(request.shared_from_this());
+    } else {
+        co_await this->serve_call(request);
     }
     this->note_end(request, started);
 }
--- a/oleanderhinge/gateway/forwarder_fixture_test.hpp
+++ b/oleanderhinge/gateway/forwarder_fixture_test.hpp
@@ -293,7 +293,10 @@
         engine.layer_count = 4;
         engine.step_ms = 1;
         engine.kinds = {{"card", 1000, 1, 1}};
-        const auto add = [&](const char* prefix, auto repeat, bool streams) {
+        const auto add = [&](const char* prefix,
+                             auto repeat,
+                             bool streams,
+                             const char* service) {
             wire::forwarding_route route;
             route.name = prefix;
             route.host = "127.0.0.1";
@@ -302,12 +305,15 @@
             route.streaming = streams;
             route.timeout_ms = streams ? 20000 : 2000;
             route.attempts = 2;
-            route.targets = {{streams ? "chat" : "desk", 1}};
+            route.targets = {{service, 1}};
             table.routes.push_back(route);
         };
-        add("/once/", wire::repeat_rule::at_most_once, false);
-        add("/read/", wire::repeat_rule::idempotent, false);
-        add("/talk/", wire::repeat_rule::resumable, true);
+        add("/once/", wire::repeat_rule::at_most_once, false, "desk");
+        add("/read/", wire::repeat_rule::idempotent, false, "desk");
+        add("/talk/", wire::repeat_rule::resumable, true, "chat");
+        // Streams of a service without engines.
+        add("/news/", wire::repeat_rule::resumable, true, "desk");
+        add("/news-once/", wire::repeat_rule::at_most_once, true, "desk");
         this->index = std::make_shared<route_index>(table);
         this->forward.set_table(this->index);
     }
@@ -468,7 +474,8 @@
 
     // What a caller gets whose server pauses as `pause_after_first_event` until
     // the other one is asked.
-    std::string ask_paused_server(const char* rest)
+    std::string
+    ask_paused_server(const char* rest, const std::string& target = "/talk/x")
     {
         this->prefer_first_path();
         this->first.behave = pause_after_first_event(
@@ -478,7 +485,7 @@
         this->second.behave = stream;
         this->patience = 20s;
         this->start_stall_checks();
-        return this->ask("/talk/x").answer.body;
+        return this->ask(target).answer.body;
     }
 
     std::size_t runs() const
--- a/oleanderhinge/gateway/forwarding_request.hpp
+++ b/oleanderhinge/gateway/forwarding_request.hpp
@@ -81,7 +81,7 @@
     std::vector<upstream_pointer> call_connections;
     // Attempts at a plain call without a result yet.
     std::uint32_t running_calls = 0;
-    // Path of the present attempt; empty for plain services.
+    // Path of the present attempt at a stream; empty for plain calls.
     fleet::path parts;
     // Expected time of one token on the path that was chosen last; 0: none was.
     double token_ms = 0;
--- a/oleanderhinge/gateway/internal/forwarder_attempts.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_attempts.cpp
@@ -39,7 +39,8 @@
     metadata.time_left = left_until(request.deadline);
     metadata.server = server;
     metadata.customer = request.customer;
-    metadata.parts = parts;
+    if (request.service->engine)
+        metadata.parts = parts;
     metadata.last_event = request.events.last_id;
     metadata.priority = request.priority;
     this->protocol.prepare_headers(to_send.base(), metadata);
--- a/oleanderhinge/gateway/internal/forwarder_streams.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_streams.cpp
@@ -64,7 +64,10 @@
                 continue;
             if (found.limited || !found.overloaded)
                 co_return co_await this->fail_without_server(
-                    request, "no path runs all layers");
+                    request,
+                    request.service->engine
+                        ? "no path runs all layers"
+                        : "no server of the service is usable");
             const auto why = base::not_run(
                 failure_code::overloaded,
                 "all paths are full or wait too long");
@@ -301,7 +304,10 @@
         this->note_first_event(request);
     if (head.end != attempt_end::answered)
         co_return head;
-    if (request.connection->status() != 200 && !request.head_sent)
+    const bool has_events =
+        request.connection->status() == 200 &&
+        request.incoming.method() != boost::beast::http::verb::head;
+    if (!has_events && !request.head_sent)
         co_return co_await this->relay_whole_answer(request);
     if (auto failed = this->check_stream_head(request))
         co_return std::move(*failed);
@@ -390,9 +396,12 @@
     co_return attempt_result{};
 }
 
-// Notes how long a new stream has waited for its first event until now.
+// Notes how long a new stream has waited for its first event until now. The
+// engines of a data centre share what delays them; other servers do not.
 void forwarder::note_first_event(const forwarding_request& request)
 {
+    if (!request.service->engine)
+        return;
     gateway::note_first_event(
         this->selector.ended_waits,
         request.parts.front().data_centre,
--- a/oleanderhinge/gateway/internal/stall_watch_moves.cpp
+++ b/oleanderhinge/gateway/internal/stall_watch_moves.cpp
@@ -111,9 +111,11 @@
 {
     int checks = 0;
     for (const auto& [id, request] : this->requests) {
-        if (!is_movable(*request) || !request->awaits_server ||
-            request->events.event_count != 0 || request->head_sent ||
-            now < request->next_start_check || !may_run_again(*request) ||
+        // How soon another server would begin is known of engines only.
+        if (!is_movable(*request) || !request->service->engine ||
+            !request->awaits_server || request->events.event_count != 0 ||
+            request->head_sent || now < request->next_start_check ||
+            !may_run_again(*request) ||
             now < to_base_time(request->attempt_started) + min_wait_for_start)
             continue;
         request->next_start_check = now + start_check_interval;
--- a/oleanderhinge/gateway/server_choice.cpp
+++ b/oleanderhinge/gateway/server_choice.cpp
@@ -86,6 +86,25 @@
                : std::max(expected, found->second);
 }
 
+// A server of a plain service runs a stream by itself.
+path_choice choose_plain_path(
+    const server_selector& selector,
+    const std::string& service,
+    const std::set<wire::endpoint>& tried,
+    base::random_source& random,
+    base::time_point now)
+{
+    const auto server = choose_server(selector, service, tried, random, now);
+    if (!server)
+        return {};
+    return {
+        .parts = {
+            {server->id,
+             server->address,
+             data_centre_of(selector, server->id),
+             {}}}};
+}
+
 } // namespace
 
 fleet::report_outcome apply_record(
@@ -301,6 +320,8 @@
     base::time_point now,
     base::duration target)
 {
+    if (!service.engine)
+        return choose_plain_path(selector, service.name, tried, random, now);
     std::vector<server_selector::candidate> uncached;
     auto& cached = selector.paths[service.name];
     if (!tried.empty()) {
--- a/oleanderhinge/gateway/server_choice.hpp
+++ b/oleanderhinge/gateway/server_choice.hpp
@@ -224,7 +224,8 @@
 
 // Draws a path over all layers by weight, without the servers in `tried`. Paths
 // with ejected servers are used only if there is no other. `target` is that of
-// `wait_limit`; zero for a stream that has begun.
+// `wait_limit`; zero for a stream that has begun. In a service without engines,
+// the path is the server that `choose_server` selects, without layers.
 path_choice choose_path(
     server_selector& selector,
     const wire::forwarding_service& service,
--- a/oleanderhinge/gateway/stall_watch.cpp
+++ b/oleanderhinge/gateway/stall_watch.cpp
@@ -106,6 +106,9 @@
         if (!is_stalled(*request, now))
             continue;
         this->replace_if_silent(*request, now);
+        // Only engines know what their requests wait for.
+        if (!request->service->engine)
+            continue;
         auto& last = this->last_query[request->connection->server()];
         if (now < last + state_query_interval)
             continue;
