gateway: a stream that may run once ends as soon as it breaks off

Cause: a begun stream waits for a retry while attempts are left and its caller stays; whether its route allows a repetition was asked only after each wait.

Change: `wait_to_resume` does not wait on such a route. It is the same for streams with and without engines.

--- a/oleanderhinge/gateway/forwarder_fixture_test.hpp
+++ b/oleanderhinge/gateway/forwarder_fixture_test.hpp
@@ -314,6 +314,9 @@
         // Streams of a service without engines.
         add("/news/", wire::repeat_rule::resumable, true, "desk");
         add("/news-once/", wire::repeat_rule::at_most_once, true, "desk");
+        // Its callers stay for so long that a test which waits for them ends
+        // by its own timeout.
+        table.routes.back().largest_gap_ms = 600'000;
         this->index = std::make_shared<route_index>(table);
         this->forward.set_table(this->index);
     }
--- a/oleanderhinge/gateway/internal/forwarder_streams.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_streams.cpp
@@ -181,10 +181,11 @@
 }
 
 // Waits `resume_retry_wait`. Returns false if the stream has not begun, its
-// caller has left or is about to leave, or no attempt is left.
+// caller has left or is about to leave, or it gets no further attempt.
 asio::awaitable<bool> forwarder::wait_to_resume(forwarding_request& request)
 {
     if (!request.head_sent || request.caller_left ||
+        !is_repeatable(*request.route) ||
         request.possible_runs >= request.route->attempts ||
         steady_now() >= request.last_event +
                             caller_silence_limit(*request.route) -
--- a/oleanderhinge/gateway/plain_streams_test.cpp
+++ b/oleanderhinge/gateway/plain_streams_test.cpp
@@ -67,6 +67,17 @@
         }
 }
 
+// Guards against a stream that waits until its caller leaves for a repetition
+// that its route forbids.
+TEST_F(plain_streams, one_that_may_run_once_ends_as_soon_as_it_breaks_off)
+{
+    this->use_broken_server(unframed("200 OK", genuine, event_1 + "id: 2\n"));
+    const auto outcome = this->ask("/news-once/x");
+    EXPECT_NE(outcome.failure, net::http_failure::none);
+    EXPECT_EQ(this->stats.resumed_streams.Value(), 0);
+    EXPECT_EQ(this->forward.in_progress(), 0U);
+}
+
 // Guards against a caller that has to resume a stream by itself although its
 // route allows another attempt.
 TEST_F(plain_streams, a_stream_that_broke_off_goes_on_after_its_last_event)
