control: an acknowledged end of a server is in the log

Cause: what servers report is kept in memory only, ends included, and the first report of an unknown id is that of a new server. An acknowledged end outlasted no kill of all members.

Control's log shows state=2, the restart, then state=0 with the sequence from before. Ruled out: a member that was not told (the test has one), and the order of reports (it holds while the end is known).

Change: the leader records ends in the log, and the member that was told acknowledges one once its own log holds it, else 503 after 0.8 s, within the second that servers wait. The end counts at once all the same. Members take the ends from the log, also when they start, and tell their gateways. A notice of an end is no news against which other servers are silent, since a member repeats it after a restart, before servers have reported again. Why this works: the log is what a kill of all processes leaves, and a gateway serves only with a table that was confirmed from it.

A report of draining is in memory only as before; the server repeats it within 1.2 s (read, not run).

--- a/oleanderhinge/control/extension.hpp
+++ b/oleanderhinge/control/extension.hpp
@@ -5,12 +5,14 @@
 //   run_program(argc, argv, {.extend_admin = ..., .make_order_sender = ...});
 #pragma once
 
+#include "oleanderhinge/base/time.hpp"
 #include "oleanderhinge/control_state/commands.hpp"
 #include "oleanderhinge/fleet/placement.hpp"
 #include "oleanderhinge/net/http_server.hpp"
 
 #include <boost/asio/io_context.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -19,6 +21,10 @@
 namespace oleanderhinge::control
 {
 
+// Servers wait for the acknowledgment of their end for a second before they go
+// to another node.
+inline constexpr base::duration leave_limit = std::chrono::milliseconds(800);
+
 enum class operation_state : std::uint8_t {
     done,
     // Another node is leader; see `leader`.
@@ -57,6 +63,12 @@
     // and the other members. False if this node reaches none of them; then the
     // report must go to another node.
     std::function<bool(wire::server_record)> report_server;
+    // Applies the notice that a process of a backend server ends, and relays
+    // it likewise. The outcome is true once the end is durable on a majority
+    // of the members, and false if that is not so after `leave_limit`; then the
+    // notice must go to another node.
+    std::function<void(wire::server_record, std::function<void(bool)>)>
+        end_server;
 };
 
 enum class order_result : std::uint8_t {
--- a/oleanderhinge/control/fleet_watch.cpp
+++ b/oleanderhinge/control/fleet_watch.cpp
@@ -124,6 +124,20 @@
     return outcome;
 }
 
+void note_ended(
+    fleet_watch& fleet,
+    const control_state::ended_server& ended,
+    base::time_point now)
+{
+    wire::server_record notice;
+    notice.id = ended.id;
+    notice.started_ms = ended.started_ms;
+    notice.state = wire::reported_state::gone;
+    if (fleet::apply(fleet.servers, notice, now) ==
+        fleet::report_outcome::changed)
+        fleet.changed.insert(ended.id);
+}
+
 void note_refreshed(
     fleet_watch& fleet,
     const fleet::peer_numbering& sender,
--- a/oleanderhinge/control/fleet_watch.hpp
+++ b/oleanderhinge/control/fleet_watch.hpp
@@ -84,6 +84,13 @@
     bool relayed,
     base::time_point now);
 
+// Marks a process as gone whose end was found in the log. It is told to
+// gateways; the other members have the log themselves.
+void note_ended(
+    fleet_watch& fleet,
+    const control_state::ended_server& ended,
+    base::time_point now);
+
 // Notes that servers have reported again to another member without a change.
 void note_refreshed(
     fleet_watch& fleet,
--- /dev/null
+++ b/oleanderhinge/control/internal/service_ends.cpp
@@ -0,0 +1,89 @@
+#include "oleanderhinge/control/internal/service_impl.hpp"
+
+namespace oleanderhinge::control
+{
+
+void service::impl::on_leave(
+    const wire::server_record& notice, std::function<void(bool)> done)
+{
+    this->on_report(notice, false);
+    const auto& known = this->fleet.servers.servers.at(notice.id).record;
+    // The process of the notice has been followed by another one, which makes
+    // its reports stale.
+    if (known.state != wire::reported_state::gone)
+        return done(true);
+    // The log of such a node does not grow. The members have been told.
+    if (this->consensus.log->status().role ==
+        replica::member_role::awaiting_admission)
+        return done(false);
+    const auto now = base::monotonic_now();
+    this->leaves.push_back(
+        {known.id, known.started_ms, now + leave_limit, std::move(done)});
+    this->answer_leaves(now);
+}
+
+void service::impl::propose_ends()
+{
+    if (this->ends.unlogged.empty())
+        return;
+    const auto status = this->consensus.log->status();
+    const bool leads =
+        status.role == replica::member_role::leader && status.has_quorum;
+    for (auto& end : due_ends(this->ends, leads, this->options.wall_ms()))
+        this->consensus.log->propose(
+            control_state::encode(end),
+            [this, end](const replica::propose_result& result) {
+                const bool recorded =
+                    result.state == replica::propose_state::applied;
+                spdlog::info(
+                    "event=record_ended_server server={} started_ms={} "
+                    "recorded={} index={}",
+                    end.id.value(),
+                    end.started_ms,
+                    recorded,
+                    result.index.value());
+                this->on_strand([this, recorded, id = end.id] {
+                    if (!recorded)
+                        note_failed_proposal(this->ends, id);
+                    this->take_ends();
+                });
+            });
+}
+
+void service::impl::take_ends()
+{
+    const auto now = base::monotonic_now();
+    const auto found = this->state.read([this](const auto& from) {
+        return take_logged(this->ends, from.ended_servers);
+    });
+    for (const auto& ended : found)
+        note_ended(this->fleet, ended, now);
+    if (!found.empty())
+        this->send_servers();
+    this->answer_leaves(now);
+}
+
+void service::impl::answer_leaves(base::time_point now)
+{
+    if (this->leaves.empty())
+        return;
+    const auto logged = this->state.read(
+        [](const control_state::state& from) { return from.ended_servers; });
+    std::vector<waiting_leave> left;
+    for (auto& leave : std::exchange(this->leaves, {})) {
+        const bool held = holds_end(logged, leave.id, leave.started_ms);
+        if (!held && now < leave.limit) {
+            left.push_back(std::move(leave));
+            continue;
+        }
+        if (!held)
+            spdlog::warn(
+                "event=leave_not_recorded server={} started_ms={}",
+                leave.id.value(),
+                leave.started_ms);
+        leave.done(held);
+    }
+    this->leaves = std::move(left);
+}
+
+} // namespace oleanderhinge::control
--- a/oleanderhinge/control/internal/service_fleet.cpp
+++ b/oleanderhinge/control/internal/service_fleet.cpp
@@ -41,6 +41,16 @@
                      this->on_report(record, false);
                  });
                  return true;
+             },
+         .end_server =
+             [this](wire::server_record notice, auto done) {
+                 if (this->isolated)
+                     return done(false);
+                 this->on_strand([this,
+                                  notice = std::move(notice),
+                                  done = std::move(done)]() mutable {
+                     this->on_leave(notice, std::move(done));
+                 });
              }},
         std::move(own));
 }
@@ -156,6 +166,12 @@
         record.age_ms,
         relayed);
     this->send_servers();
+    if (record.state != wire::reported_state::gone)
+        return;
+    // The notice may lack the start of the process.
+    const auto& known = this->fleet.servers.servers.at(record.id).record;
+    note_end(this->ends, known.id, known.started_ms);
+    this->propose_ends();
 }
 
 void service::impl::on_suspicion(
--- a/oleanderhinge/control/internal/service_impl.hpp
+++ b/oleanderhinge/control/internal/service_impl.hpp
@@ -3,8 +3,8 @@
 //
 // The functions are defined in one file per subject: service.cpp (timer,
 // management port, start and stop), service_links.cpp, service_fleet.cpp,
-// service_limits.cpp, service_group.cpp, service_configuration.cpp and
-// service_claims.cpp.
+// service_ends.cpp, service_limits.cpp, service_group.cpp,
+// service_configuration.cpp and service_claims.cpp.
 #pragma once
 
 #include "oleanderhinge/control/admin_api.hpp"
@@ -17,6 +17,7 @@
 #include "oleanderhinge/control/peer_table.hpp"
 #include "oleanderhinge/control/permit_issuer.hpp"
 #include "oleanderhinge/control/replicated_state.hpp"
+#include "oleanderhinge/control/server_ends.hpp"
 #include "oleanderhinge/control/service.hpp"
 #include "oleanderhinge/control/status_watch.hpp"
 #include "oleanderhinge/control_state/commands.hpp"
@@ -58,7 +59,12 @@
         , self(options.link.self.vm)
         , events(self, clock, options.timeline_events)
         , numbers(registry)
-        , state([this] { this->on_strand([this] { this->send_updates(); }); })
+        , state([this] {
+            this->on_strand([this] {
+                this->send_updates();
+                this->take_ends();
+            });
+        })
         , strand(asio::make_strand(context))
         , timer(strand)
         , random(options.seed)
@@ -139,6 +145,14 @@
     applied_replacement(const replica::propose_result& result);
     void read_forwarding(std::function<void(document_outcome)> done);
     void on_report(const wire::server_record& record, bool relayed);
+    // `done` gets whether the log holds the end.
+    void
+    on_leave(const wire::server_record& notice, std::function<void(bool)> done);
+    // Proposes the ends that the log lacks, on the leader.
+    void propose_ends();
+    // Takes new ends from the log and answers the servers that wait for them.
+    void take_ends();
+    void answer_leaves(base::time_point now);
     // A gateway reports a suspected server to one member. Each member that did
     // not know of it relays the suspicion to all other gateways and members.
     void
@@ -255,6 +269,14 @@
     // The peer's hello for each open link.
     std::map<net::link_id, wire::hello> open_links;
     fleet_watch fleet;
+    server_ends ends;
+    struct waiting_leave {
+        base::backend_server_id id;
+        std::uint64_t started_ms = 0;
+        base::time_point limit;
+        std::function<void(bool)> done;
+    };
+    std::vector<waiting_leave> leaves;
     fleet::crash_quarantine quarantine;
     limit_relay limits;
     permit_issuer permits;
--- a/oleanderhinge/control/replicated_state.cpp
+++ b/oleanderhinge/control/replicated_state.cpp
@@ -9,8 +9,19 @@
 namespace oleanderhinge::control
 {
 
-replicated_state::replicated_state(std::function<void()> revision_callback)
-    : on_revision(std::move(revision_callback))
+namespace
+{
+
+base::log_index last_end(const control_state::state& from)
+{
+    return from.ended_servers.empty() ? base::log_index{}
+                                      : from.ended_servers.back().recorded_at;
+}
+
+} // namespace
+
+replicated_state::replicated_state(std::function<void()> change_callback)
+    : on_change(std::move(change_callback))
 {
 }
 
@@ -32,15 +43,17 @@
 replicated_state::apply(base::log_index index, const std::string& command)
 {
     std::string reply;
-    bool new_revision = false;
+    bool changed = false;
     {
         const std::lock_guard lock(this->mutex);
         const auto before = this->held.config.at;
+        const auto end_before = last_end(this->held);
         reply = control_state::encode(
             control_state::apply_encoded(this->held, command, index));
-        new_revision = this->held.config.at != before;
+        changed = this->held.config.at != before ||
+                  last_end(this->held) != end_before;
     }
-    if (new_revision)
+    if (changed)
         this->notify();
     return reply;
 }
@@ -75,8 +88,8 @@
 
 void replicated_state::notify() const
 {
-    if (this->on_revision)
-        this->on_revision();
+    if (this->on_change)
+        this->on_change();
 }
 
 } // namespace oleanderhinge::control
--- a/oleanderhinge/control/replicated_state.hpp
+++ b/oleanderhinge/control/replicated_state.hpp
@@ -21,10 +21,10 @@
 class replicated_state
 {
 public:
-    // `revision_callback` is called on the log's thread, without the lock,
-    // after a new revision of the configuration and after each restored
-    // snapshot.
-    explicit replicated_state(std::function<void()> revision_callback = {});
+    // `change_callback` is called on the log's thread, without the lock, after
+    // a new revision of the configuration, after the end of a server and after
+    // each restored snapshot.
+    explicit replicated_state(std::function<void()> change_callback = {});
 
     // The callbacks for the replicated log. Restoring an unreadable snapshot
     // throws std::runtime_error.
@@ -45,7 +45,7 @@
     void restore(base::log_index index, const std::string& snapshot);
     void notify() const;
 
-    const std::function<void()> on_revision;
+    const std::function<void()> on_change;
     mutable std::mutex mutex;
     control_state::state held;
 };
--- /dev/null
+++ b/oleanderhinge/control/server_ends.hpp
@@ -0,0 +1,62 @@
+// The ends of backend servers' registrations, on their way into the log and
+// from there into the directory of each member.
+//
+// What servers report is kept in memory only, while a report from before the
+// end may arrive after all processes of control have restarted. An end is
+// therefore acknowledged only once the log holds it.
+//
+// Example:
+//   note_end(ends, id, started_ms);
+//   for (const auto& command : due_ends(ends, leads, now_ms)) propose(command);
+//   for (const auto& ended : take_logged(ends, state.ended_servers)) ...
+#pragma once
+
+#include "oleanderhinge/control_state/commands.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <vector>
+
+namespace oleanderhinge::control
+{
+
+struct server_ends {
+    // Ends that this member has heard of and not found in the log: the start
+    // of the process, by id.
+    std::map<base::backend_server_id, std::uint64_t> unlogged;
+    // Those of them that this member has proposed as leader.
+    std::set<base::backend_server_id> proposed;
+    // The newest end that `take_logged` has returned.
+    base::log_index taken;
+};
+
+// Notes an end that a server or another member has told.
+void note_end(
+    server_ends& ends,
+    const base::backend_server_id& id,
+    std::uint64_t started_ms);
+
+// Returns the ends to propose now and marks them as proposed; none unless
+// `leads`.
+std::vector<control_state::record_ended_server>
+due_ends(server_ends& ends, bool leads, std::uint64_t now_ms);
+
+// The proposal has failed; the end is due again.
+void note_failed_proposal(server_ends& ends, const base::backend_server_id& id);
+
+// Returns the ends that are new in the log, and drops those that it holds from
+// `unlogged`.
+std::vector<control_state::ended_server> take_logged(
+    server_ends& ends, const std::deque<control_state::ended_server>& logged);
+
+// --- Queries ----------------------------------------------------------------
+
+// Whether the log holds the end of this process or of a later one under the id.
+bool holds_end(
+    const std::deque<control_state::ended_server>& logged,
+    const base::backend_server_id& id,
+    std::uint64_t started_ms);
+
+} // namespace oleanderhinge::control
--- a/oleanderhinge/control/service.cpp
+++ b/oleanderhinge/control/service.cpp
@@ -85,6 +85,8 @@
             this->tell_group(status, now);
     }
     this->send_servers();
+    this->propose_ends();
+    this->answer_leaves(now);
     this->send_loads();
     this->request_loads(status, now);
     this->update_limits(status, now);
--- a/oleanderhinge/control/service_test.cpp
+++ b/oleanderhinge/control/service_test.cpp
@@ -14,6 +14,7 @@
 #include <condition_variable>
 #include <cstdlib>
 #include <fstream>
+#include <future>
 #include <mutex>
 #include <set>
 #include <sstream>
@@ -306,6 +307,30 @@
         const std::lock_guard lock(this->shared.mutex);
         return this->shared.members[node];
     }
+    // Tells a node that a server has ended; whether it acknowledged that.
+    bool end_server(std::size_t node, const std::string& id)
+    {
+        wire::server_record notice;
+        notice.id = base::backend_server_id{id};
+        notice.started_ms = 5;
+        notice.state = wire::reported_state::gone;
+        std::promise<bool> acknowledged;
+        this->offered.at(node).end_server(
+            notice, [&](bool done) { acknowledged.set_value(done); });
+        return acknowledged.get_future().get();
+    }
+    // Ends that the log holds.
+    std::size_t recorded_ends()
+    {
+        std::size_t count = 0;
+        this->change_log([&](const shared_log& log) {
+            for (const auto& entry : log.entries)
+                count +=
+                    std::holds_alternative<control_state::record_ended_server>(
+                        control_state::decode_command(entry).value());
+        });
+        return count;
+    }
     template <class Function>
     void change_log(Function&& change)
     {
@@ -335,6 +360,10 @@
         options.config_lease = std::chrono::milliseconds(100);
         options.wall_ms = [] { return 1'700'000'000'000; };
         options.new_plan_id = [] { return std::string("chosen"); };
+        options.extend_admin = [this](operations own, net::http_handler admin) {
+            this->offered.push_back(std::move(own));
+            return admin;
+        };
         return std::make_unique<service>(
             this->io,
             this->clock,
@@ -351,6 +380,8 @@
 
     timeline::hybrid_clock clock;
     shared_log shared;
+    // What each node offers to an adapter.
+    std::vector<operations> offered;
     std::vector<std::unique_ptr<service>> nodes;
     asio::executor_work_guard<asio::io_context::executor_type> work =
         asio::make_work_guard(io);
@@ -570,6 +601,37 @@
     }
 }
 
+// Guards against an end that is acknowledged while it would be lost with the
+// processes of control: the server exits, and a late report brings it back.
+TEST(ended_servers, an_end_is_acknowledged_once_the_log_holds_it)
+{
+    cluster group(1);
+    group.change_log([](shared_log& log) { log.quorum = false; });
+    EXPECT_FALSE(group.end_server(0, "desk"));
+    EXPECT_EQ(group.recorded_ends(), 0U);
+    group.change_log([](shared_log& log) { log.quorum = true; });
+    EXPECT_TRUE(group.end_server(0, "desk"));
+    // Told once more, since the server did not get the answer.
+    EXPECT_TRUE(group.end_server(0, "desk"));
+    EXPECT_EQ(group.recorded_ends(), 1U);
+}
+
+// Guards against an end that only the member knows to which it was told.
+TEST(ended_servers, the_leader_records_an_end_that_another_member_was_told)
+{
+    cluster group(1);
+    entry_link other(group.io, group.member(0).link, wire::role::control);
+    wire::server_record notice;
+    notice.id = base::backend_server_id{"desk"};
+    notice.state = wire::reported_state::gone;
+    other.send(wire::server_batch{{notice}});
+    const auto limit = std::chrono::steady_clock::now() + wait_timeout;
+    while (group.recorded_ends() == 0 &&
+           std::chrono::steady_clock::now() < limit)
+        group.call(0, "GET", "/v1/status");
+    EXPECT_EQ(group.recorded_ends(), 1U);
+}
+
 // Names of other writers make the records of all servers larger than a message
 // may be. Guards against a list that closes the link of each gateway that asks
 // for it, again and again.
--- a/oleanderhinge/control_state/commands.cpp
+++ b/oleanderhinge/control_state/commands.cpp
@@ -30,6 +30,21 @@
     return target.clock_ms - std::min(target.clock_ms, retention_ms);
 }
 
+void record_end(state& target, const record_ended_server& item)
+{
+    auto& all = target.ended_servers;
+    const auto known = std::ranges::find(all, item.id, &ended_server::id);
+    if (known != all.end()) {
+        if (known->started_ms >= item.started_ms)
+            return;
+        all.erase(known);
+    }
+    all.push_back({item.id, item.started_ms, target.applied, target.clock_ms});
+    const auto cutoff = expiry_cutoff_ms(target, ended_server_retention_ms);
+    while (all.size() > max_ended_servers || all.front().recorded_ms < cutoff)
+        all.pop_front();
+}
+
 struct applier {
     state& target;
 
@@ -61,6 +76,12 @@
         this->target.places[item.service] = item.places;
         return places_reply{};
     }
+    reply operator()(const record_ended_server& item) const
+    {
+        advance_clock(this->target, item.now_ms);
+        record_end(this->target, item);
+        return ended_server_reply{};
+    }
     reply operator()(const expire& item) const
     {
         advance_clock(this->target, item.now_ms);
--- a/oleanderhinge/control_state/commands.hpp
+++ b/oleanderhinge/control_state/commands.hpp
@@ -132,6 +132,20 @@
     }
 };
 
+// Records that a process of a backend server has ended its registration.
+struct record_ended_server {
+    base::backend_server_id id;
+    // As in `ended_server`.
+    std::uint64_t started_ms = 0;
+    std::uint64_t now_ms = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->id, this->started_ms, this->now_ms);
+    }
+};
+
 using command = std::variant<
     create_plan,
     confirm_plan,
@@ -139,7 +153,8 @@
     record_outcome,
     expire,
     replace_forwarding,
-    record_places>;
+    record_places,
+    record_ended_server>;
 
 // Reply to `create_plan`.
 struct plan_reply {
@@ -254,6 +269,14 @@
     }
 };
 
+// Reply to `record_ended_server`.
+struct ended_server_reply {
+    template <class Archive>
+    void serialize(Archive&)
+    {
+    }
+};
+
 // Reply to a command that could not be decoded; only `state::applied` has
 // changed.
 struct malformed_command {
@@ -274,7 +297,8 @@
     outcome_result,
     expire_reply,
     replace_reply,
-    places_reply>;
+    places_reply,
+    ended_server_reply>;
 
 // Applies a committed command. `index` is its index in the log. Throws
 // std::logic_error if `index` is not above `target.applied`.
--- a/oleanderhinge/control_state/commands_test.cpp
+++ b/oleanderhinge/control_state/commands_test.cpp
@@ -3,7 +3,9 @@
 #include "oleanderhinge/control_state/queries.hpp"
 #include "oleanderhinge/control_state/snapshot.hpp"
 #include "oleanderhinge/control_state/validate.hpp"
+#include "oleanderhinge/wire/archive.hpp"
 
+#include <cereal/types/deque.hpp>
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
@@ -711,4 +713,68 @@
     EXPECT_EQ(restored, held);
 }
 
+record_ended_server end_of(const std::string& id, std::uint64_t started_ms)
+{
+    return {base::backend_server_id{id}, started_ms, 10 * day_ms};
+}
+
+// Guards against an end that an older process's replaces, and against one that
+// is recorded twice and therefore told again.
+TEST(ended_servers, the_end_of_the_latest_process_is_kept)
+{
+    test_node node;
+    const auto record = [&](std::uint64_t started_ms) {
+        node.run<ended_server_reply>(end_of("a", started_ms));
+        return node.current.ended_servers;
+    };
+    const auto first = record(5);
+    ASSERT_EQ(first.size(), 1U);
+    EXPECT_EQ(first[0].recorded_at, node.current.applied);
+    EXPECT_EQ(record(5), first);
+    EXPECT_EQ(record(4), first);
+    const auto next = record(6);
+    ASSERT_EQ(next.size(), 1U);
+    EXPECT_EQ(next[0].started_ms, 6U);
+    EXPECT_EQ(next[0].recorded_at, node.current.applied);
+}
+
+// Guards against ends that fill the log's snapshot in the course of time.
+TEST(ended_servers, old_ends_are_dropped)
+{
+    test_node node;
+    for (std::size_t i = 0; i <= max_ended_servers; ++i)
+        node.run<ended_server_reply>(end_of(std::to_string(i), 5));
+    EXPECT_EQ(node.current.ended_servers.size(), max_ended_servers);
+    EXPECT_EQ(node.current.ended_servers.front().id.value(), "1");
+    auto later = end_of("later", 5);
+    later.now_ms += ended_server_retention_ms;
+    node.run<ended_server_reply>(later);
+    EXPECT_EQ(node.current.ended_servers.size(), max_ended_servers);
+    ++later.now_ms;
+    later.id = base::backend_server_id{"last"};
+    node.run<ended_server_reply>(later);
+    EXPECT_EQ(node.current.ended_servers.size(), 2U);
+}
+
+// Guards against ends that a snapshot loses, and against a member that cannot
+// start with a snapshot of the format before.
+TEST(ended_servers, survive_a_snapshot)
+{
+    auto node = populated_node();
+    const auto without = node.current;
+    node.run<ended_server_reply>(end_of("a", 5));
+    EXPECT_EQ(
+        decode_snapshot(encode_snapshot(node.current)).value(), node.current);
+    // The field is the last one, and empty in this snapshot.
+    constexpr std::size_t checksum_size = 4;
+    const auto present = encode_snapshot(without);
+    auto before = present.substr(0, present.size() - checksum_size);
+    const auto size_of_field = wire::to_bytes(without.ended_servers).size();
+    before.resize(before.size() - size_of_field);
+    before[4] = 2;
+    const auto checksum = base::crc32c(before);
+    before.append(reinterpret_cast<const char*>(&checksum), checksum_size);
+    EXPECT_EQ(decode_snapshot(before).value(), without);
+}
+
 } // namespace oleanderhinge::control_state
--- a/oleanderhinge/control_state/snapshot.cpp
+++ b/oleanderhinge/control_state/snapshot.cpp
@@ -16,19 +16,23 @@
 {
 
 constexpr std::string_view magic = "OHCS";
-constexpr std::uint8_t format_version = 2;
+constexpr std::uint8_t format_version = 3;
+// The same without `state::ended_servers`.
+constexpr std::uint8_t format_before_ended_servers = 2;
 constexpr std::size_t prefix_size = 5;
 constexpr std::size_t checksum_size = 4;
 
 // Reads or writes the fields in the order of the format. The byte counts are
 // not stored; `parse` computes them from the contents.
 template <class Archive, class State>
-void archive_state(Archive& archive, State& value)
+void archive_state(Archive& archive, State& value, std::uint8_t version)
 {
     archive(value.applied, value.clock_ms, value.config, value.changes);
     archive(value.changes_after, value.removals, value.removals_after);
     archive(value.plans, value.claims, value.claims_after_ms);
     archive(value.forwarding_document, value.places);
+    if (version > format_before_ended_servers)
+        archive(value.ended_servers);
 }
 
 // Describes the invariant that a plan of `decoded` breaks; null if none does.
@@ -55,6 +59,8 @@
         return "too many plans";
     if (decoded.removals.size() > max_removals)
         return "too many removals";
+    if (decoded.ended_servers.size() > max_ended_servers)
+        return "too many ended servers";
     if (decoded.changes_after > decoded.config.at ||
         decoded.removals_after > decoded.config.at)
         return "dropped changes are newer than the configuration";
@@ -70,12 +76,12 @@
     return broken_plan_invariant(decoded);
 }
 
-base::result<state> parse(std::string_view bytes)
+base::result<state> parse(std::string_view bytes, std::uint8_t version)
 {
     state decoded;
     try {
         wire::input_archive archive(bytes);
-        archive_state(archive, decoded);
+        archive_state(archive, decoded, version);
         if (archive.remaining() != 0)
             return base::fail(
                 base::error_code::malformed,
@@ -101,7 +107,7 @@
     std::string bytes(magic);
     bytes.push_back(char(format_version));
     wire::output_archive archive(bytes);
-    archive_state(archive, from);
+    archive_state(archive, from, format_version);
     const std::uint32_t checksum = base::crc32c(bytes);
     archive(checksum);
     return bytes;
@@ -115,7 +121,7 @@
             base::error_code::malformed,
             "snapshot: not a snapshot of the control state");
     const auto version = std::uint8_t(bytes[magic.size()]);
-    if (version != format_version)
+    if (version != format_version && version != format_before_ended_servers)
         return base::fail(
             base::error_code::unsupported_version,
             "snapshot: format version " + std::to_string(version) +
@@ -126,7 +132,7 @@
     if (checksum != base::crc32c(covered))
         return base::fail(
             base::error_code::corrupt, "snapshot: wrong checksum");
-    return parse(covered.substr(prefix_size));
+    return parse(covered.substr(prefix_size), version);
 }
 
 } // namespace oleanderhinge::control_state
--- a/oleanderhinge/control_state/state.hpp
+++ b/oleanderhinge/control_state/state.hpp
@@ -46,6 +46,10 @@
 // Removals that are remembered, so that a plan with an older base revision
 // conflicts.
 inline constexpr std::size_t max_removals = 10000;
+// Reports arrive seconds late, and servers end within minutes of their
+// registration; the count bounds the snapshot if a whole fleet is replaced.
+inline constexpr std::size_t max_ended_servers = 1024;
+inline constexpr std::uint64_t ended_server_retention_ms = 10 * 60 * 1000;
 // Length of identifiers and of other texts of an object.
 inline constexpr std::size_t max_text_bytes = 128;
 // Length of an idempotency key.
@@ -160,6 +164,26 @@
     }
 };
 
+// A process of a backend server that has ended its registration.
+struct ended_server {
+    base::backend_server_id id;
+    // Start of the process in Unix milliseconds; later processes under the id
+    // are not concerned. Zero: it is not known.
+    std::uint64_t started_ms = 0;
+    // Of the command that recorded the end.
+    base::log_index recorded_at;
+    std::uint64_t recorded_ms = 0;
+
+    bool operator==(const ended_server&) const = default;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->id, this->started_ms);
+        archive(this->recorded_at, this->recorded_ms);
+    }
+};
+
 struct state {
     // Index of the last applied command.
     base::log_index applied;
@@ -177,6 +201,9 @@
     std::string forwarding_document;
     // Recorded layer placement of each service with engines.
     std::map<std::string, std::vector<wire::server_place>> places;
+    // Oldest first, one for each id. A report of such a process that arrives
+    // late does not bring it back, whatever processes have restarted.
+    std::deque<ended_server> ended_servers;
     // Removals up to this revision may have been dropped from `removals`. A
     // plan with a lower base revision conflicts if its object existed then and
     // does not exist now.
--- a/oleanderhinge/fleet/directory.cpp
+++ b/oleanderhinge/fleet/directory.cpp
@@ -86,7 +86,8 @@
 report_outcome apply(
     directory& known, const wire::server_record& record, base::time_point heard)
 {
-    known.newest = std::max(known.newest, heard);
+    if (record.state != wire::reported_state::gone)
+        known.newest = std::max(known.newest, heard);
     auto found = known.servers.find(record.id);
     if (found == known.servers.end()) {
         known.servers.emplace(record.id, known_server{record, heard, {}, {}});
--- a/oleanderhinge/fleet/directory.hpp
+++ b/oleanderhinge/fleet/directory.hpp
@@ -58,7 +58,9 @@
     std::map<base::backend_server_id, known_server> servers;
     // Start time of the process that started last at each address.
     std::map<wire::endpoint, std::uint64_t> last_started;
-    // Arrival of the newest report of any server.
+    // Arrival of the newest report of any server. A notice that one has gone
+    // does not count: a member of control repeats it after a restart, before
+    // the servers have reported again.
     base::time_point newest;
 };
 
--- a/oleanderhinge/fleet/directory_test.cpp
+++ b/oleanderhinge/fleet/directory_test.cpp
@@ -107,6 +107,20 @@
     EXPECT_EQ(usable_count(known), 1U);
 }
 
+// A member of control repeats the ends that its log holds when it restarts.
+// Guards against servers that become unusable since they could not report
+// meanwhile.
+TEST(directory, the_end_of_a_server_makes_no_other_silent)
+{
+    directory known;
+    apply(known, make_record("a", 1, 1), start);
+    const auto later = start + silence_limit + seconds(1);
+    auto notice = make_record("b", 1, 0, reported_state::gone, "");
+    EXPECT_EQ(apply(known, notice, later), report_outcome::changed);
+    EXPECT_EQ(usable_count(known), 1U);
+    EXPECT_EQ(known.newest, start);
+}
+
 // Guards against requests that are sent to a failed server until its missing
 // reports are noticed.
 TEST(directory, a_suspected_server_is_used_again_after_its_next_report)
