--- a/oleanderhinge/control/internal/service_ends.cpp
+++ b/oleanderhinge/control/internal/service_ends.cpp
@@ -24,12 +24,13 @@
 
 void service::impl::propose_ends()
 {
+    drop_obsolete(this->ends, this->fleet.servers);
     if (this->ends.unlogged.empty())
         return;
     const auto status = this->consensus.log->status();
     const bool leads =
         status.role == replica::member_role::leader && status.has_quorum;
-    for (auto& end : due_ends(this->ends, leads, this->options.wall_ms()))
+    for (const auto& end : due_ends(this->ends, leads, this->options.wall_ms()))
         this->consensus.log->propose(
             control_state::encode(end),
             [this, end](const replica::propose_result& result) {
@@ -67,23 +68,22 @@
 {
     if (this->leaves.empty())
         return;
-    const auto logged = this->state.read(
-        [](const control_state::state& from) { return from.ended_servers; });
-    std::vector<waiting_leave> left;
-    for (auto& leave : std::exchange(this->leaves, {})) {
-        const bool held = holds_end(logged, leave.id, leave.started_ms);
-        if (!held && now < leave.limit) {
-            left.push_back(std::move(leave));
-            continue;
-        }
-        if (!held)
+    this->state.read([this](const control_state::state& from) {
+        for (auto& leave : this->leaves)
+            leave.recorded =
+                holds_end(from.ended_servers, leave.id, leave.started_ms);
+    });
+    std::erase_if(this->leaves, [now](const waiting_leave& leave) {
+        if (!leave.recorded && now < leave.limit)
+            return false;
+        if (!leave.recorded)
             spdlog::warn(
                 "event=leave_not_recorded server={} started_ms={}",
                 leave.id.value(),
                 leave.started_ms);
-        leave.done(held);
-    }
-    this->leaves = std::move(left);
+        leave.done(leave.recorded);
+        return true;
+    });
 }
 
 } // namespace oleanderhinge::control
--- a/oleanderhinge/control/internal/service_impl.hpp
+++ b/oleanderhinge/control/internal/service_impl.hpp
@@ -275,7 +275,9 @@
         std::uint64_t started_ms = 0;
         base::time_point limit;
         std::function<void(bool)> done;
+        bool recorded = false;
     };
+    // Servers that wait for the acknowledgment of their end.
     std::vector<waiting_leave> leaves;
     fleet::crash_quarantine quarantine;
     limit_relay limits;
--- a/oleanderhinge/control/server_ends.cpp
+++ b/oleanderhinge/control/server_ends.cpp
@@ -31,6 +31,15 @@
     return due;
 }
 
+void drop_obsolete(server_ends& ends, const fleet::directory& known)
+{
+    std::erase_if(ends.unlogged, [&](const auto& item) {
+        const auto found = known.servers.find(item.first);
+        return found == known.servers.end() ||
+               found->second.record.state != wire::reported_state::gone;
+    });
+}
+
 void note_failed_proposal(server_ends& ends, const base::backend_server_id& id)
 {
     ends.proposed.erase(id);
--- a/oleanderhinge/control/server_ends.hpp
+++ b/oleanderhinge/control/server_ends.hpp
@@ -12,6 +12,7 @@
 #pragma once
 
 #include "oleanderhinge/control_state/commands.hpp"
+#include "oleanderhinge/fleet/directory.hpp"
 
 #include <cstdint>
 #include <deque>
@@ -43,6 +44,10 @@
 std::vector<control_state::record_ended_server>
 due_ends(server_ends& ends, bool leads, std::uint64_t now_ms);
 
+// Drops the ends of servers that the directory has forgotten, and of those
+// whose next process has reported.
+void drop_obsolete(server_ends& ends, const fleet::directory& known);
+
 // The proposal has failed; the end is due again.
 void note_failed_proposal(server_ends& ends, const base::backend_server_id& id);
 
--- a/oleanderhinge/control/server_ends_test.cpp
+++ b/oleanderhinge/control/server_ends_test.cpp
@@ -74,6 +74,28 @@
     EXPECT_TRUE(ends.unlogged.empty());
 }
 
+// Guards against ends that fill the memory of a member without a quorum, and
+// against a record that ends the next process under the id.
+TEST(server_ends, an_end_without_its_process_is_dropped)
+{
+    server_ends ends;
+    fleet::directory known;
+    fleet::apply(known, make_report(5), start);
+    auto notice = make_report(5);
+    notice.state = wire::reported_state::gone;
+    fleet::apply(known, notice, start);
+    note_end(ends, desk, 5);
+    drop_obsolete(ends, known);
+    EXPECT_TRUE(ends.unlogged.contains(desk));
+    auto restarted = known;
+    fleet::apply(restarted, make_report(6), start);
+    for (const auto& later : {restarted, fleet::directory()}) {
+        auto dropped = ends;
+        drop_obsolete(dropped, later);
+        EXPECT_TRUE(dropped.unlogged.empty());
+    }
+}
+
 // Guards against an end that is sent to all gateways whenever another one is
 // recorded.
 TEST(server_ends, the_log_tells_each_end_once)
--- a/tests/crowds/gateway_site.cpp
+++ b/tests/crowds/gateway_site.cpp
@@ -1,60 +1,15 @@
 #include "tests/crowds/gateway_site.hpp"
 
-#include <boost/json.hpp>
+#include "tests/harness/desk_service.hpp"
 
 namespace oleanderhinge::tests
 {
 
 namespace asio = boost::asio;
-namespace json = boost::json;
 
 namespace
 {
 
-constexpr std::size_t max_body = std::size_t(4) << 20;
-
-std::string table()
-{
-    const json::object route{
-        {"name", "desk"},
-        {"host", "desk.example"},
-        {"pathPrefix", "/desk/"},
-        {"kind", "safe"},
-        {"timeoutMs", 20000},
-        {"targetLatencyMs", 150},
-        {"priority", 0},
-        {"service", "desk"},
-        {"attempts", 2},
-        {"anonymous", false}};
-    const json::object service{
-        {"name", "desk"},
-        {"healthPath", "/health"},
-        {"connectionLimit", 260},
-        {"protocol", "h1"},
-        {"tls", false}};
-    return json::serialize(json::object{
-        {"version", 1},
-        {"routes", json::array{route}},
-        {"services", json::array{service}},
-        {"limits",
-         {{"maxHeaderBytes", 16384},
-          {"maxBodyBytes", max_body},
-          {"headerTimeoutMs", 3000},
-          {"idleTimeoutMs", 15000}}}});
-}
-
-std::string report(const std::string& address, std::size_t sequence)
-{
-    return json::serialize(json::object{
-        {"service", "desk"},
-        {"address", address},
-        {"zone", "a"},
-        {"slots", 200},
-        {"state", "ready"},
-        {"sequence", sequence},
-        {"born", 1767225600000}});
-}
-
 asio::awaitable<void>
 answer(const net::http_request& request, net::http_exchange& exchange)
 {
@@ -83,12 +38,12 @@
         "desk-1",
         [](net::http_request request, net::http_exchange& exchange)
             -> asio::awaitable<void> { co_await answer(request, exchange); },
-        report);
+        desk_report);
 }
 
 bool gateway_site::start(std::size_t descriptors)
 {
-    return this->gateway_fleet::start(table(), descriptors) &&
+    return this->gateway_fleet::start(desk_table(), descriptors) &&
            wait_until([this] { return this->serves(); });
 }
 
--- a/tests/ended_servers_test.cpp
+++ b/tests/ended_servers_test.cpp
@@ -1,5 +1,6 @@
 // Backend servers that have ended their registration, in a deployment whose
 // processes are all killed and restarted.
+#include "tests/harness/desk_service.hpp"
 #include "tests/harness/gateway_fleet.hpp"
 
 #include <boost/json.hpp>
@@ -15,69 +16,25 @@
 namespace asio = boost::asio;
 namespace json = boost::json;
 
-// Start of the servers' processes, in Unix milliseconds.
-constexpr std::uint64_t started_ms = 1'767'225'600'000;
 constexpr const char* kept_name = "desk-1";
 constexpr const char* ended_name = "desk-2";
 // Needs no mark of the server.
 constexpr unsigned server_status = 404;
 
-std::string table()
-{
-    const json::object route{
-        {"name", "desk"},
-        {"host", "desk.example"},
-        {"pathPrefix", "/desk/"},
-        {"kind", "safe"},
-        {"timeoutMs", 2500},
-        {"targetLatencyMs", 150},
-        {"priority", 0},
-        {"service", "desk"},
-        {"attempts", 1},
-        {"anonymous", false}};
-    const json::object service{
-        {"name", "desk"},
-        {"healthPath", "/health"},
-        {"connectionLimit", 260},
-        {"protocol", "h1"},
-        {"tls", false}};
-    return json::serialize(json::object{
-        {"version", 1},
-        {"routes", json::array{route}},
-        {"services", json::array{service}},
-        {"limits",
-         {{"maxHeaderBytes", 16384},
-          {"maxBodyBytes", 4194304},
-          {"headerTimeoutMs", 3000},
-          {"idleTimeoutMs", 15000}}}});
-}
-
-std::string report(const std::string& address, std::size_t sequence)
-{
-    return json::serialize(json::object{
-        {"service", "desk"},
-        {"address", address},
-        {"zone", "a"},
-        {"slots", 6},
-        {"state", "ready"},
-        {"sequence", sequence},
-        {"born", started_ms}});
-}
-
 class ended_servers : public testing::Test
 {
 protected:
     ended_servers()
     {
         this->fleet.add_server(
-            kept_name, counting(this->kept_requests), report);
+            kept_name, counting(this->kept_requests), desk_report);
         // After its end, the first report is delivered again and again.
         this->fleet.add_server(
             ended_name,
             counting(this->ended_requests),
             [this](const std::string& address, std::size_t sequence) {
                 this->late_reports += this->ended;
-                return report(address, this->ended ? 1 : sequence);
+                return desk_report(address, this->ended ? 1 : sequence);
             });
     }
 
@@ -106,7 +63,7 @@
                    this->fleet.admin,
                    {"POST",
                     std::string("/v1/servers/") + ended_name + "/leave",
-                    json::serialize(json::object{{"born", started_ms}}),
+                    json::serialize(json::object{{"born", desk_started_ms}}),
                     {{"Content-Type", "application/json"}}})
             .status;
     }
@@ -134,7 +91,7 @@
 // killed: a report from before it makes the server usable again.
 TEST_F(ended_servers, a_late_report_after_a_restart_of_all_brings_none_back)
 {
-    ASSERT_TRUE(this->fleet.start(table()));
+    ASSERT_TRUE(this->fleet.start(desk_table()));
     ASSERT_TRUE(wait_until([this] {
         this->ask();
         return this->kept_requests > 0 && this->ended_requests > 0;
