control: ends of processes whose start is unknown are not recorded

A record without the start of its process would also end the next process under the id: a member that restarts reads it from its log, and tells its gateways. Such ends are acknowledged and kept in memory, as they were before ends were recorded.

The new test fails without the change, as one end is recorded.

--- a/oleanderhinge/control/internal/service_ends.cpp
+++ b/oleanderhinge/control/internal/service_ends.cpp
@@ -9,8 +9,8 @@
     this->on_report(notice, false);
     const auto& known = this->fleet.servers.servers.at(notice.id).record;
     // The process of the notice has been followed by another one, which makes
-    // its reports stale.
-    if (known.state != wire::reported_state::gone)
+    // its reports stale, or is not recorded since its start is unknown.
+    if (known.state != wire::reported_state::gone || known.started_ms == 0)
         return done(true);
     // The log of such a node does not grow. The members have been told.
     if (this->consensus.log->status().role ==
--- a/oleanderhinge/control/service_test.cpp
+++ b/oleanderhinge/control/service_test.cpp
@@ -308,11 +308,12 @@
         return this->shared.members[node];
     }
     // Tells a node that a server has ended; whether it acknowledged that.
-    bool end_server(std::size_t node, const std::string& id)
+    bool end_server(
+        std::size_t node, const std::string& id, std::uint64_t started_ms = 5)
     {
         wire::server_record notice;
         notice.id = base::backend_server_id{id};
-        notice.started_ms = 5;
+        notice.started_ms = started_ms;
         notice.state = wire::reported_state::gone;
         std::promise<bool> acknowledged;
         this->offered.at(node).end_server(
@@ -616,6 +617,15 @@
     EXPECT_EQ(group.recorded_ends(), 1U);
 }
 
+// Guards against a record that also ends the next process under the id, as
+// nothing tells the two apart.
+TEST(ended_servers, an_end_without_a_start_is_not_recorded)
+{
+    cluster group(1);
+    EXPECT_TRUE(group.end_server(0, "desk", 0));
+    EXPECT_EQ(group.recorded_ends(), 0U);
+}
+
 // Guards against an end that only the member knows to which it was told.
 TEST(ended_servers, the_leader_records_an_end_that_another_member_was_told)
 {
@@ -623,6 +633,7 @@
     entry_link other(group.io, group.member(0).link, wire::role::control);
     wire::server_record notice;
     notice.id = base::backend_server_id{"desk"};
+    notice.started_ms = 5;
     notice.state = wire::reported_state::gone;
     other.send(wire::server_batch{{notice}});
     const auto limit = std::chrono::steady_clock::now() + wait_timeout;
--- a/oleanderhinge/control_state/state.hpp
+++ b/oleanderhinge/control_state/state.hpp
@@ -168,7 +168,7 @@
 struct ended_server {
     base::backend_server_id id;
     // Start of the process in Unix milliseconds; later processes under the id
-    // are not concerned. Zero: it is not known.
+    // are not concerned.
     std::uint64_t started_ms = 0;
     // Of the command that recorded the end.
     base::log_index recorded_at;
