tests: a request to a service without engines names no path

Guards what the streams of such services rely on; it holds since they are passed on event by event. The fixture shows the path that the adapter is given.

--- a/oleanderhinge/gateway/forwarder_fixture_test.hpp
+++ b/oleanderhinge/gateway/forwarder_fixture_test.hpp
@@ -61,6 +61,8 @@
         fields.set("Left", std::to_string(metadata.time_left.count()));
         if (!metadata.last_event.empty())
             fields.set("After", metadata.last_event);
+        if (!metadata.parts.empty())
+            fields.set("Path", fleet::describe(metadata.parts));
     };
     protocol.read_answer = [](unsigned, const http_fields& fields) {
         answer_metadata metadata;
--- a/oleanderhinge/gateway/plain_streams_test.cpp
+++ b/oleanderhinge/gateway/plain_streams_test.cpp
@@ -151,6 +151,19 @@
     EXPECT_TRUE(this->second.seen.empty());
 }
 
+// Guards against a path in the request, which only engines know.
+TEST_F(plain_streams, a_request_names_no_path)
+{
+    this->first.behave = stream;
+    for (const auto* target : {"/news/x", "/talk/x"}) {
+        this->prefer_first_path();
+        ASSERT_EQ(this->ask(target).answer.body, three_events);
+    }
+    ASSERT_EQ(this->first.seen.size(), 2U);
+    EXPECT_EQ(this->first.seen[0]["Path"], "");
+    EXPECT_EQ(this->first.seen[1]["Path"], "firstchat");
+}
+
 // Guards against requests for engines that are refused since another service
 // of the data centre takes long to begin its streams.
 TEST_F(plain_streams, their_waits_are_not_those_of_engines)
