gateway: plain servers whose streams fail get fewer requests

What callers saw, by reading the change afresh: a server of a service without engines went on getting requests although its streams broke off.

Cause: a failed attempt at a stream names no server at fault, since each server of a path may be; a path of one server has one only. A silent server whose stream is taken over has no failed attempt at all.

Change: `note_fault` takes the first server of a service without engines as the one at fault, and a takeover from a silent one counts as its failure. Engines are treated as before.

Evidence: two tests of plain_streams fail without the change and pass with it. The tests wait now for the end of the request before, whose record they clear: five of 15 rows had asked the other server at once.

--- a/oleanderhinge/gateway/internal/forwarder_streams.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_streams.cpp
@@ -140,18 +140,22 @@
 void forwarder::note_fault(
     forwarding_request& request, const attempt_result& result)
 {
-    if (result.at_fault.address.empty()) {
+    auto at_fault = result.at_fault;
+    // Without engines, the first server is the only one.
+    if (at_fault.address.empty() && !request.service->engine)
+        at_fault = request.parts.front().address;
+    if (at_fault.address.empty()) {
         // Each server of the path may be at fault.
         for (const auto& part : request.parts)
             request.tried.insert(part.address);
         return;
     }
-    request.tried.insert(result.at_fault);
+    request.tried.insert(at_fault);
     if (result.why.state == base::execution::not_run &&
         result.why.code == failure_code::server_failed)
-        note_refusal(this->selector, result.at_fault, base::monotonic_now());
+        note_refusal(this->selector, at_fault, base::monotonic_now());
     else
-        note_failure(this->selector, result.at_fault, base::monotonic_now());
+        note_failure(this->selector, at_fault, base::monotonic_now());
 }
 
 // Whether another attempt follows. A stream that has begun waits for one if a
--- a/oleanderhinge/gateway/internal/forwarder_takeover.cpp
+++ b/oleanderhinge/gateway/internal/forwarder_takeover.cpp
@@ -116,6 +116,10 @@
             ms_since(request.last_event));
     cancel_wait(request);
     if (takeover.state == takeover_state::granted) {
+        // Engines are suspected instead, when their state has been queried.
+        if (takeover.cause == takeover_cause::stalled &&
+            !request.service->engine)
+            note_failure(this->selector, request.parts.front().address, now);
         if (request.connection)
             request.connection->cancel();
         return;
--- a/oleanderhinge/gateway/plain_streams_test.cpp
+++ b/oleanderhinge/gateway/plain_streams_test.cpp
@@ -36,6 +36,9 @@
     // `raw` is preferred to the second server, which sends a whole stream.
     void use_broken_server(const std::string& answer)
     {
+        // The request before counts in what `use_raw_server` clears.
+        while (this->forward.in_progress() != 0)
+            this->io.run_one();
         this->use_raw_server(true);
         this->selector.servers = {};
         this->selector.home = base::data_centre_id{"near"};
@@ -45,6 +48,14 @@
         this->second.behave = stream;
         this->second.seen.clear();
     }
+
+    std::uint32_t failures_of(const wire::endpoint& server) const
+    {
+        const auto found = this->selector.health.find(server);
+        return found == this->selector.health.end()
+                   ? 0
+                   : found->second.failures_in_a_row;
+    }
 };
 
 // Guards against a part of a stream that its caller takes for the whole one, as
@@ -79,7 +90,8 @@
 }
 
 // Guards against a caller that has to resume a stream by itself although its
-// route allows another attempt.
+// route allows another attempt, and against a server that goes on getting
+// requests although its streams break off.
 TEST_F(plain_streams, a_stream_that_broke_off_goes_on_after_its_last_event)
 {
     for (const auto& row : broken_streams())
@@ -90,6 +102,8 @@
             EXPECT_EQ(view.status, 200U) << row.what << answer;
             EXPECT_TRUE(view.complete) << row.what << answer;
             EXPECT_EQ(view.body, three_events) << row.what << answer;
+            EXPECT_EQ(this->failures_of(this->raw.address()), 1U)
+                << row.what << answer;
             ASSERT_EQ(this->second.seen.size(), 1U) << row.what << answer;
             EXPECT_EQ(
                 this->second.seen[0]["After"], row.events.empty() ? "" : "1")
@@ -120,11 +134,13 @@
     EXPECT_TRUE(this->second.seen.empty());
 }
 
-// Guards against a silent server that keeps its stream, and against the queries
-// of engines, which other servers do not know.
+// Guards against a silent server that keeps its stream or goes on getting
+// requests, and against the queries of engines, which other servers do not
+// know.
 TEST_F(plain_streams, a_silent_server_is_left_and_not_asked_for_its_state)
 {
     EXPECT_EQ(this->ask_paused_server("", "/news/x"), three_events);
+    EXPECT_EQ(this->failures_of(this->first.address), 1U);
     EXPECT_EQ(this->state_queries, 0);
 }
 
