control: one record for each end that the log lacks

Read afresh: `server_ends` kept which ends were proposed in a set beside the map of ends, pruned in one of the two places that drop ends. The map's entry says it now. Behaviour and tests are the same.

--- a/oleanderhinge/control/fleet_watch.hpp
+++ b/oleanderhinge/control/fleet_watch.hpp
@@ -84,8 +84,8 @@
     bool relayed,
     base::time_point now);
 
-// Marks a process as gone whose end was found in the log. It is told to
-// gateways; the other members have the log themselves.
+// Marks a process as gone whose end the log holds. The change is sent to
+// gateways only, as the other members have the log themselves.
 void note_ended(
     fleet_watch& fleet,
     const control_state::ended_server& ended,
--- a/oleanderhinge/control/internal/service_ends.cpp
+++ b/oleanderhinge/control/internal/service_ends.cpp
@@ -12,7 +12,7 @@
     // its reports stale, or is not recorded since its start is unknown.
     if (known.state != wire::reported_state::gone || known.started_ms == 0)
         return done(true);
-    // The log of such a node does not grow. The members have been told.
+    // Such a node does not replicate the log. The members have the notice.
     if (this->consensus.log->status().role ==
         replica::member_role::awaiting_admission)
         return done(false);
--- a/oleanderhinge/control/internal/service_fleet.cpp
+++ b/oleanderhinge/control/internal/service_fleet.cpp
@@ -168,7 +168,7 @@
     this->send_servers();
     if (record.state != wire::reported_state::gone)
         return;
-    // The notice may lack the start of the process. If no report has told it
+    // The notice may lack the start of the process. If no report has stated it
     // either, a record would also end the next process under the id.
     const auto& known = this->fleet.servers.servers.at(record.id).record;
     if (known.started_ms == 0)
--- a/oleanderhinge/control/server_ends.cpp
+++ b/oleanderhinge/control/server_ends.cpp
@@ -1,6 +1,7 @@
 #include "oleanderhinge/control/server_ends.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace oleanderhinge::control
 {
@@ -10,24 +11,19 @@
     const base::backend_server_id& id,
     std::uint64_t started_ms)
 {
-    auto& started = ends.unlogged[id];
-    if (started_ms > started)
-        // What was proposed is the end of an earlier process.
-        ends.proposed.erase(id);
-    started = std::max(started, started_ms);
+    auto& end = ends.unlogged[id];
+    // What was proposed may be the end of an earlier process.
+    if (started_ms > end.started_ms)
+        end = {.started_ms = started_ms};
 }
 
 std::vector<control_state::record_ended_server>
 due_ends(server_ends& ends, bool leads, std::uint64_t now_ms)
 {
-    if (!leads) {
-        ends.proposed.clear();
-        return {};
-    }
     std::vector<control_state::record_ended_server> due;
-    for (const auto& [id, started_ms] : ends.unlogged)
-        if (ends.proposed.insert(id).second)
-            due.push_back({id, started_ms, now_ms});
+    for (auto& [id, end] : ends.unlogged)
+        if (!std::exchange(end.proposed, leads) && leads)
+            due.push_back({id, end.started_ms, now_ms});
     return due;
 }
 
@@ -42,17 +38,15 @@
 
 void note_failed_proposal(server_ends& ends, const base::backend_server_id& id)
 {
-    ends.proposed.erase(id);
+    if (const auto found = ends.unlogged.find(id); found != ends.unlogged.end())
+        found->second.proposed = false;
 }
 
 std::vector<control_state::ended_server> take_logged(
     server_ends& ends, const std::deque<control_state::ended_server>& logged)
 {
     std::erase_if(ends.unlogged, [&](const auto& item) {
-        return holds_end(logged, item.first, item.second);
-    });
-    std::erase_if(ends.proposed, [&](const auto& id) {
-        return !ends.unlogged.contains(id);
+        return holds_end(logged, item.first, item.second.started_ms);
     });
     std::vector<control_state::ended_server> found;
     for (const auto& item : logged)
--- a/oleanderhinge/control/server_ends.hpp
+++ b/oleanderhinge/control/server_ends.hpp
@@ -17,23 +17,25 @@
 #include <cstdint>
 #include <deque>
 #include <map>
-#include <set>
 #include <vector>
 
 namespace oleanderhinge::control
 {
 
 struct server_ends {
-    // Ends that this member has heard of and not found in the log: the start
-    // of the process, by id.
-    std::map<base::backend_server_id, std::uint64_t> unlogged;
-    // Those of them that this member has proposed as leader.
-    std::set<base::backend_server_id> proposed;
+    struct unlogged_end {
+        // Start of the process in Unix milliseconds.
+        std::uint64_t started_ms = 0;
+        // By this member, as leader.
+        bool proposed = false;
+    };
+    // Ends that were reported to this member and that its log does not hold.
+    std::map<base::backend_server_id, unlogged_end> unlogged;
     // The newest end that `take_logged` has returned.
     base::log_index taken;
 };
 
-// Notes an end that a server or another member has told.
+// Notes an end that a server or another member has reported.
 void note_end(
     server_ends& ends,
     const base::backend_server_id& id,
