--- a/review/rig3.hh
+++ b/review/rig3.hh
@@ -363,14 +363,14 @@
             this->pid = 0;
         return this->pid > 0;
     }
-    // Resident memory in MB.
+    // Resident memory of its own, without files, in MB.
     double memory_mb() const
     {
         std::ifstream status("/proc/" + std::to_string(this->pid) + "/status");
         std::string line;
         while (std::getline(status, line))
-            if (line.starts_with("VmRSS:"))
-                return std::atof(line.c_str() + 6) / 1024;
+            if (line.starts_with("RssAnon:"))
+                return std::atof(line.c_str() + 8) / 1024;
         return 0;
     }
 
